--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Everything a developer runs. `make demo` and `make test` set up all they need.
 VENV := .venv
 PY := $(VENV)/bin/python
-LIBS := base wire platform fleet weights rollout routing daemon cli
+LIBS := base wire native fleet weights rollout routing daemon cli
 STAMP := $(VENV)/.installed
 CODE := libs tests testing bench misc
 SEED ?= 1
--- a/bench/following.py
+++ b/bench/following.py
@@ -18,7 +18,7 @@
 import trio
 from headcross_base.errors import Ok
 from headcross_fleet.topology import readers_of
-from headcross_platform.hostlist import parse_host_list
+from headcross_native.hostlist import parse_host_list
 
 from bench.probe import measure_rates
 from testing.fleet import Fleet, Spec, running_fleet, wait_for
--- /dev/null
+++ b/deploy/start.py
@@ -0,0 +1,27 @@
+"""Starts headcross on the machines of the platform.
+
+Puts the project's libraries on the path, which the build leaves where they are, and hands the
+settings file and the platform's adapter to the product.
+"""
+
+import os
+import sys
+from pathlib import Path
+from typing import Final
+
+ROOT: Final = Path(__file__).resolve().parent.parent
+SETTINGS_VARIABLE: Final = "HEADCROSS_NODE_FILE"
+
+
+def main() -> int:
+    """Run the process of this machine."""
+    sys.path[:0] = [str(path) for path in (ROOT / "libs").glob("*/src")]
+    sys.path.insert(0, str(ROOT / "platform" / "src"))
+    from headcross_daemon.machinemain import run
+    from headcross_platform.adapter import make_adapter
+
+    return run(Path(os.environ[SETTINGS_VARIABLE]), make_adapter)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/libs/base/src/headcross_base/errorcodes.py
+++ b/libs/base/src/headcross_base/errorcodes.py
@@ -58,10 +58,20 @@
     "unknown-team", 403, "No such team.", "The caller's team is not in the fleet file in force."
 )
 
+UNKNOWN_KEY: Final = _define(
+    "unknown-key", 401, "No team holds this key.", "The key is not in the configuration in force."
+)
+
 # Refusals that promise the request was not run.
 TEAM_LIMIT: Final = _define(
     "team-limit", 429, "The team is at its limit.", "The team sends more than its share."
 )
+NO_ROOM: Final = _define(
+    "no-room", 503, "Every replica is at work.", "The service is overloaded, or replicas are away."
+)
+NO_RUN_IN_TIME: Final = _define(
+    "no-run-in-time", 503, "No replica took the request in time.", "See the request's attempts."
+)
 QUEUE_FULL: Final = _define(
     "queue-full", 503, "The upstream's queue is full.", "The pool is overloaded."
 )
--- a/libs/cli/src/headcross_cli/adminclient.py
+++ b/libs/cli/src/headcross_cli/adminclient.py
@@ -9,7 +9,7 @@
 from headcross_base.errors import Failure, Ok
 from headcross_base.version import ADMIN_API
 from headcross_fleet.fleetfile import EMPTY_FLEET, FleetFile, parse_fleet_file
-from headcross_platform.hostlist import EMPTY_HOST_LIST, HostList, parse_host_list
+from headcross_native.hostlist import EMPTY_HOST_LIST, HostList, parse_host_list
 from headcross_wire.httpclient import WholeAnswer, call
 
 READ_SECONDS: Final = 5.0
--- a/libs/cli/src/headcross_cli/planning.py
+++ b/libs/cli/src/headcross_cli/planning.py
@@ -8,7 +8,7 @@
 
 import msgspec
 from headcross_fleet.fleetfile import FleetFile, pool_artifacts
-from headcross_platform.hostlist import HostList
+from headcross_native.hostlist import HostList
 from headcross_rollout.placement import Placement, place
 
 
--- a/libs/cli/src/headcross_cli/watching.py
+++ b/libs/cli/src/headcross_cli/watching.py
@@ -12,7 +12,7 @@
 from headcross_base.addresses import Address
 from headcross_base.errors import Failure
 from headcross_fleet.fleetfile import pool_artifacts
-from headcross_platform.engine import serving_digest
+from headcross_native.engine import serving_digest
 from headcross_rollout.placement import place
 
 from headcross_cli import exitcodes
--- /dev/null
+++ b/libs/daemon/src/headcross_daemon/gatewayrole.py
@@ -0,0 +1,217 @@
+"""The entry role on the machines: callers' requests straight to replicas.
+
+An entry keeps nothing that another entry needs. It can be killed and replaced at any time.
+"""
+
+import logging
+import random
+from pathlib import Path
+from typing import Final
+
+import trio
+from headcross_base.addresses import Address, parse_address
+from headcross_gateway.admission import Admission
+from headcross_gateway.budget import RetryBudget
+from headcross_gateway.directory import Directory
+from headcross_gateway.picking import Picker
+from headcross_gateway.requestpath import RequestPath
+from headcross_gateway.weightsrules import WeightsRules
+from headcross_ports.adapter import Adapter
+from headcross_wire.httpserver import Exchange, HttpServer, ServerLimits
+from headcross_wire.peermessages import ReplicaLoad, Subscribe
+from headcross_wire.peernode import Incoming
+from prometheus_client import Histogram
+
+from headcross_daemon.machinecommon import AdminPages, MachineProcess
+from headcross_daemon.machinesettings import MachineSettings
+from headcross_daemon.metrics import Samples, sample
+
+LATENCY_BUCKETS: Final = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3, 6, 12)
+SUBSCRIBE_SECONDS: Final = 1.0
+CLEAN_SECONDS: Final = 1.0
+# Descriptors that are not connections of callers or to replicas.
+RESERVED_DESCRIPTORS: Final = 300
+# After a stop signal callers still come for this long: the platform asks for readiness once a
+# second and needs two answers.
+STILL_TAKING_SECONDS: Final = 4.0
+# The process ends this long before the platform would kill it.
+STOP_MARGIN_SECONDS: Final = 0.5
+# Callers rest on connections for less than the idle time they are told; this much is added to it.
+IDLE_EXTRA_SECONDS: Final = 3.0
+BODY_SECONDS: Final = 20.0
+
+logger = logging.getLogger(__name__)
+
+
+class GatewayRole:
+    """One entry."""
+
+    process: MachineProcess
+
+    def __init__(self, settings: MachineSettings, path: Path, adapter: Adapter) -> None:
+        self.process = MachineProcess(settings, path, adapter, self._daemons, self._hear)
+        facts = self.process.facts
+        self._directory = Directory(facts)
+        rules = WeightsRules(facts, settings.bounds.weights_seconds)
+        self._admission = Admission(Picker(settings.zone, self._directory, rules))
+        budget = RetryBudget(settings.bounds.retry_ratio, settings.bounds.retry_slack)
+        self._path = RequestPath(facts, adapter.dialect, self._admission, budget, self._observe)
+        self._pages = AdminPages(self.dump, self._samples)
+        self._latency = Histogram(
+            "headcross_request_seconds",
+            "Time from a request's arrival to the end of its answer",
+            ["service", "verdict"],
+            buckets=LATENCY_BUCKETS,
+            registry=self._pages.metrics.registry,
+        )
+        self._server = HttpServer(self._path.handle, self._limits())
+        self._stopping = False
+
+    async def run(self, stop: trio.Event) -> None:
+        """Serve until `stop` is set, then let what runs end and return."""
+        settings = self.process.settings
+        async with trio.open_nursery() as nursery:
+            callers, _ = await self._server.listen(parse_address(settings.listen.callers))
+            readiness = HttpServer(self._answer_readiness, ServerLimits(max_body_bytes=1024))
+            asked, _ = await readiness.listen(parse_address(settings.listen.readiness))
+            nursery.start_soon(readiness.serve, asked)
+            await self._pages.serve(nursery, settings.listen.metrics)
+            nursery.start_soon(self.process.run)
+            nursery.start_soon(self.process.on_change, self._take_facts)
+            nursery.start_soon(self._subscribe)
+            nursery.start_soon(self._clean)
+            accepting = trio.CancelScope()
+            nursery.start_soon(self._accept, callers, nursery, accepting)
+            logger.info("listening", extra={"callers": settings.listen.callers})
+            await stop.wait()
+            await self._drain(accepting)
+            nursery.cancel_scope.cancel()
+
+    def dump(self) -> dict[str, object]:
+        """Return the whole state."""
+        return {
+            **self.process.dump(),
+            "ready": self._ready(),
+            "in_flight": self._path.in_flight,
+            "connections": self._server.connections,
+            "requests": dict(self._path.counts),
+            "attempts": self._path.attempts.made,
+            "connections_opened": self._path.attempts.connections.opened,
+            "retries": {"spent": self._path.budget.spent, "denied": self._path.budget.denied},
+            "replica_states": [
+                {
+                    "id": state.replica.id,
+                    "service": state.replica.service,
+                    "address": str(state.replica.address),
+                    "in_flight": state.in_flight,
+                    "load": round(state.load(), 2),
+                    "told_age": round(min(state.told_age(), 1e9), 3),
+                    "draining": state.replica.draining,
+                    "resting": state.health.resting(),
+                    "failures": state.health.failures,
+                }
+                for state in self._directory.states()
+            ],
+        }
+
+    # Callers.
+
+    async def _accept(
+        self,
+        listeners: list[trio.SocketListener],
+        nursery: trio.Nursery,
+        scope: trio.CancelScope,
+    ) -> None:
+        with scope:
+            await self._server.serve(listeners, nursery)
+
+    async def _answer_readiness(self, exchange: Exchange) -> None:
+        ready = self._ready()
+        await exchange.respond_json(200 if ready else 503, {"ready": ready})
+
+    def _ready(self) -> bool:
+        return self.process.facts.complete and not self._stopping
+
+    def _limits(self) -> ServerLimits:
+        """Return what the configuration in force lets callers do."""
+        settings = self.process.settings
+        connections = max(64, (settings.limits.descriptors - RESERVED_DESCRIPTORS) * 2 // 3)
+        configuration = self.process.facts.configuration
+        if configuration is None:
+            return ServerLimits(max_connections=connections, end_of_input_is_gone=True)
+        limits = configuration.limits
+        return ServerLimits(
+            max_body_bytes=limits.max_body_bytes,
+            receive_seconds=BODY_SECONDS,
+            idle_seconds=limits.idle_seconds + IDLE_EXTRA_SECONDS,
+            max_connections=connections,
+            max_header_bytes=limits.max_header_bytes,
+            header_seconds=limits.header_seconds,
+            end_of_input_is_gone=True,
+        )
+
+    async def _drain(self, accepting: trio.CancelScope) -> None:
+        """Say so, still serve who comes, let what runs end."""
+        self._stopping = True
+        self._server.sends_callers_away = True
+        logger.info("stopping", extra={"in_flight": self._path.in_flight})
+        limit = self.process.settings.bounds.stop_seconds - STOP_MARGIN_SECONDS
+        with trio.move_on_after(limit):
+            await trio.sleep(min(STILL_TAKING_SECONDS, limit / 2))
+            accepting.cancel()
+            self._server.close_idle()
+            await self._server.wait_closed()
+        logger.info("stopped", extra={"in_flight": self._path.in_flight})
+
+    # Facts.
+
+    def _take_facts(self) -> None:
+        self._directory.update()
+        self._server.limits = self._limits()
+        configuration = self.process.facts.configuration
+        if configuration is not None:
+            for service in configuration.services:
+                self._admission.notify(service)
+
+    def _daemons(self) -> list[Address]:
+        port = self.process.settings.peers.control_port
+        return [Address(address.ip, port) for address in self._directory.service_daemons()]
+
+    def _hear(self, incoming: Incoming) -> None:
+        if not isinstance(incoming.message, ReplicaLoad):
+            self.process.node.malformed += 1
+            return
+        state = self._directory.hear(incoming.message)
+        if state is not None:
+            self._admission.notify(state.replica.service)
+
+    async def _subscribe(self) -> None:
+        message = Subscribe(self.process.settings.host)
+        while True:
+            taken = [self.process.node.send(address, message) for address in self._daemons()]
+            # The first message to a daemon only opens the link.
+            seconds = SUBSCRIBE_SECONDS if all(taken) else SUBSCRIBE_SECONDS / 5
+            await trio.sleep(seconds * random.uniform(0.8, 1.2))
+
+    async def _clean(self) -> None:
+        while True:
+            await trio.sleep(CLEAN_SECONDS)
+            await self._path.attempts.connections.close_expired()
+
+    # Metrics.
+
+    def _observe(self, service: str, verdict: str, seconds: float) -> None:
+        self._latency.labels(service, verdict).observe(seconds)
+
+    def _samples(self) -> Samples:
+        samples = self.process.samples()
+        for outcome, count in self._path.counts.items():
+            verdict, _, reason = outcome.partition(" ")
+            samples[sample("requests_total", verdict=verdict, reason=reason)] = count
+        samples[sample("ready")] = float(self._ready())
+        samples[sample("requests_in_flight")] = self._path.in_flight
+        samples[sample("attempts_total")] = self._path.attempts.made
+        samples[sample("retries_total")] = self._path.budget.spent
+        samples[sample("retries_denied_total")] = self._path.budget.denied
+        samples[sample("replica_connections_total")] = self._path.attempts.connections.opened
+        return samples
--- a/libs/daemon/src/headcross_daemon/heartbeats.py
+++ b/libs/daemon/src/headcross_daemon/heartbeats.py
@@ -11,7 +11,7 @@
 from headcross_base.clocks import monotonic
 from headcross_fleet.documents import Documents
 from headcross_fleet.membership import heartbeat_period
-from headcross_platform.hostlist import Host
+from headcross_native.hostlist import Host
 from headcross_wire.peermessages import Goodbye, Status, UpstreamStatus
 from headcross_wire.peernode import PeerNode
 
--- /dev/null
+++ b/libs/daemon/src/headcross_daemon/machinecommon.py
@@ -0,0 +1,183 @@
+"""What both roles on the machines share: facts, peers, metrics, settings that change."""
+
+import logging
+from collections.abc import Callable
+from pathlib import Path
+from typing import Final
+
+import trio
+import trio.lowlevel
+from headcross_base.addresses import Address, parse_address
+from headcross_base.clocks import PauseWatch
+from headcross_base.errors import Failure
+from headcross_facts.facts import Facts
+from headcross_facts.following import Follower, FollowingPace
+from headcross_facts.peerfacts import PeerFacts
+from headcross_ports.adapter import Adapter
+from headcross_ports.published import Topic
+from headcross_wire.httpserver import Exchange, HttpServer, ServerLimits
+from headcross_wire.peermessages import AskFacts, TopicFacts
+from headcross_wire.peernode import Handler, Incoming, PeerNode
+
+from headcross_daemon.machinesettings import MachineSettings, read_machine_settings
+from headcross_daemon.metrics import MetricsPage, Samples, sample
+
+SETTINGS_CHECK_SECONDS: Final = 1.0
+MAX_ADMIN_BODY: Final = 1024
+
+logger = logging.getLogger(__name__)
+
+
+class MachineProcess:
+    """The common parts of one process."""
+
+    settings: MachineSettings
+    facts: Facts
+    follower: Follower
+    node: PeerNode
+    peer_facts: PeerFacts
+    pauses: PauseWatch
+
+    def __init__(
+        self,
+        settings: MachineSettings,
+        path: Path,
+        adapter: Adapter,
+        peers: Callable[[], list[Address]],
+        handle_rest: Handler,
+    ) -> None:
+        self.settings = settings
+        self.facts = Facts(adapter.store)
+        self.pauses = PauseWatch(limit_seconds=0.8)
+        self.follower = Follower(adapter.store, self.facts, self.pauses, FollowingPace())
+        self.node = PeerNode(parse_address(settings.listen.peers), self._handle)
+        self.peer_facts = PeerFacts(self.facts, self.follower, self.node, self._known_peers)
+        self._path = path
+        self._adapter = adapter
+        self._peers = peers
+        self._handle_rest = handle_rest
+        self._stamp = _stamp(path)
+
+    async def run(self) -> None:
+        """Follow the platform and speak to peers until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.node.run)
+            await trio.lowlevel.checkpoint()
+            nursery.start_soon(self.follower.run)
+            nursery.start_soon(self.peer_facts.run)
+            nursery.start_soon(self._watch_settings)
+
+    async def on_change(self, act: Callable[[], None]) -> None:
+        """Call `act` now and whenever a fact changes."""
+        while True:
+            act()
+            await self.facts.wait_change()
+
+    def reload(self, why: str) -> None:
+        """Read the settings file again; settings that are not valid change nothing."""
+        self._stamp = _stamp(self._path)
+        outcome = read_machine_settings(self._path)
+        if isinstance(outcome, Failure):
+            logger.error("settings rejected", extra={"why": why, "reason": outcome.detail})
+            return
+        changed = outcome.value != self.settings
+        self.settings = outcome.value
+        self._adapter.store.use_address(parse_address(self.settings.store.address))
+        logger.info("settings read", extra={"why": why, "changed": changed})
+
+    def dump(self) -> dict[str, object]:
+        """Return the state of the common parts."""
+        facts = self.facts
+        return {
+            "host": self.settings.host,
+            "role": self.settings.role,
+            "zone": self.settings.zone,
+            "configuration": facts.configuration.version if facts.configuration else None,
+            "versions": {model: facts.newest_version(model) for model in facts.versions},
+            "topics": {
+                topic.value: {
+                    "revision": state.revision,
+                    "age": round(min(state.age(), 1e9), 3),
+                    "failing": self.follower.failing.get(topic, 0),
+                }
+                for topic, state in facts.topics.items()
+            },
+            "replicas": len(facts.replicas),
+            "fact_counts": dict(facts.counts),
+            "peer_questions": self.peer_facts.asked,
+            "peer_listings": self.peer_facts.taken,
+            "pauses": self.pauses.pauses,
+        }
+
+    def samples(self) -> dict[tuple[str, tuple[tuple[str, str], ...]], float]:
+        """Return the samples of the common parts."""
+        samples: dict[tuple[str, tuple[tuple[str, str], ...]], float] = {
+            sample("facts_complete"): float(self.facts.complete),
+            sample("pauses_total"): self.pauses.pauses,
+            sample("peer_questions_total"): self.peer_facts.asked,
+            sample("peer_sent_bytes_total"): self.node.sent_bytes,
+            sample("peer_received_bytes_total"): self.node.received_bytes,
+        }
+        for topic in Topic:
+            state = self.facts.topics[topic]
+            samples[sample("topic_revision", topic=topic.value)] = state.revision
+            samples[sample("topic_age_seconds", topic=topic.value)] = state.age()
+        return samples
+
+    def _known_peers(self) -> list[Address]:
+        own = parse_address(self.settings.listen.peers)
+        found = {*self._peers(), *self.settings.seed_addresses}
+        return [address for address in found if address != own]
+
+    def _handle(self, incoming: Incoming) -> None:
+        match incoming.message:
+            case AskFacts() as question:
+                self.peer_facts.answer(question, incoming.reply)
+            case TopicFacts() as facts:
+                self.peer_facts.receive(facts, "peer")
+            case _:
+                self._handle_rest(incoming)
+
+    async def _watch_settings(self) -> None:
+        while True:
+            await trio.sleep(SETTINGS_CHECK_SECONDS)
+            if _stamp(self._path) != self._stamp:
+                self.reload("file changed")
+
+
+class AdminPages:
+    """Metrics and the state dump, for operators."""
+
+    def __init__(
+        self, dump: Callable[[], dict[str, object]], samples: Callable[[], Samples]
+    ) -> None:
+        self._dump = dump
+        self.metrics = MetricsPage(samples)
+
+    async def handle(self, exchange: Exchange) -> None:
+        """Answer one request."""
+        match exchange.request.path:
+            case "/metrics":
+                body = self.metrics.render()
+                await exchange.respond(200, [("content-type", "text/plain; version=0.0.4")], body)
+            case "/state":
+                await exchange.respond_json(200, self._dump())
+            case _:
+                await exchange.respond_json(404, {"error": "no such page"})
+
+    async def serve(self, nursery: trio.Nursery, address: str) -> None:
+        """Listen in the background, if there is an address to listen on."""
+        if not address:
+            return
+        server = HttpServer(self.handle, ServerLimits(max_body_bytes=MAX_ADMIN_BODY))
+        listeners, _ = await server.listen(parse_address(address))
+        nursery.start_soon(server.serve, listeners)
+
+
+def _stamp(path: Path) -> tuple[int, int]:
+    """Return what changes when a file does."""
+    try:
+        status = path.stat()
+    except OSError:
+        return 0, 0
+    return status.st_mtime_ns, status.st_size
--- /dev/null
+++ b/libs/daemon/src/headcross_daemon/machinesettings.py
@@ -0,0 +1,148 @@
+"""Settings of a process on machines whose platform publishes what is to run.
+
+One TOML file, checked whole; every key is known and every address is an IP number with a port.
+"""
+
+import tomllib
+from pathlib import Path
+from typing import Annotated, Any, Final, Literal
+
+import msgspec
+from headcross_base.addresses import Address, parse_address
+from headcross_base.errorcodes import SETTINGS_INVALID
+from headcross_base.errors import Failure, Ok
+
+Text = Annotated[str, msgspec.Meta(min_length=1, max_length=255)]
+Seconds = Annotated[float, msgspec.Meta(gt=0, le=86_400)]
+Port = Annotated[int, msgspec.Meta(ge=1, le=65_535)]
+
+
+class _Section(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """Common options of all sections."""
+
+
+class ListenSection(_Section, frozen=True, kw_only=True):
+    """Where this process listens, IP:PORT; an address that the role does not need may be empty."""
+
+    callers: str = ""  # entry: requests
+    readiness: str = ""  # entry: the platform's question whether to send callers here
+    peers: Text  # other daemons of the system
+    swarm: str = ""  # upstream: chunks of weights
+    metrics: str = ""  # metrics and the state dump; empty for none
+
+
+class PeersSection(_Section, frozen=True, kw_only=True):
+    """How other daemons are found."""
+
+    seeds: list[str] = []  # peer addresses of some entries, which may be down
+    control_port: Port  # of the daemon beside a replica, on the replica's machine
+    swarm_port: Port  # of the same daemon, for chunks
+
+
+class ReplicaSection(_Section, frozen=True, kw_only=True):
+    """The replica beside this daemon."""
+
+    address: Text  # as the list of replicas has it
+    service: Text
+
+
+class StoreSection(_Section, frozen=True, kw_only=True):
+    """Where the platform publishes."""
+
+    address: Text
+
+
+class LimitsSection(_Section, frozen=True, kw_only=True):
+    """What this process may use."""
+
+    memory_mb: Annotated[float, msgspec.Meta(gt=0)]
+    descriptors: Annotated[int, msgspec.Meta(ge=64)]
+    link_mbits: Annotated[float, msgspec.Meta(gt=0)]  # a second, each way
+
+
+class BoundsSection(_Section, frozen=True, kw_only=True):
+    """What the operators ask for."""
+
+    # After so long a named version must have replaced the older.
+    weights_milliseconds: Annotated[float, msgspec.Meta(gt=0)] = 8000.0
+    retry_ratio: Annotated[float, msgspec.Meta(ge=0, le=10)] = 0.2
+    retry_slack: Annotated[float, msgspec.Meta(ge=0)] = 100.0
+    stop_seconds: Seconds = 8.0  # from a stop signal to the end of the process
+
+    @property
+    def weights_seconds(self) -> float:
+        """The bound on old weights, in seconds."""
+        return self.weights_milliseconds / 1000
+
+
+class MachineSettings(_Section, frozen=True, kw_only=True):
+    """The whole file."""
+
+    host: Text  # unique in the fleet
+    role: Literal["entry", "upstream"]
+    ip: Text
+    zone: Text
+    region: Text
+    zones: dict[str, str] = {}  # zone to region, all there are
+    log_level: Literal["debug", "info", "warning", "error"] = "info"
+    listen: ListenSection
+    peers: PeersSection
+    replica: ReplicaSection | None = None
+    store: StoreSection
+    limits: LimitsSection
+    bounds: BoundsSection = BoundsSection()
+
+    @property
+    def seed_addresses(self) -> list[Address]:
+        """Where some entries listen for other daemons."""
+        return [parse_address(seed) for seed in self.peers.seeds]
+
+    @property
+    def replica_address(self) -> Address | None:
+        """The replica beside this daemon."""
+        return None if self.replica is None else parse_address(self.replica.address)
+
+
+NEEDED: Final = {
+    "entry": ("listen.callers", "listen.readiness"),
+    "upstream": ("listen.swarm", "replica.address"),
+}
+
+
+def read_machine_settings(path: Path) -> Ok[MachineSettings] | Failure:
+    """Read and check a settings file; the failure's detail gives field and reason."""
+    try:
+        raw = tomllib.loads(path.read_text("utf-8"))
+    except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
+        return Failure(SETTINGS_INVALID, f"{path}: {error}")
+    try:
+        settings = msgspec.convert(raw, MachineSettings)
+    except msgspec.ValidationError as error:
+        reason, _, field = str(error).partition(" - at `$.")
+        return Failure(SETTINGS_INVALID, f"{path}: {field.rstrip('`') or 'file'}: {reason}")
+    problem = _find_problem(settings)
+    if problem:
+        return Failure(SETTINGS_INVALID, f"{path}: {problem}")
+    return Ok(settings)
+
+
+def _find_problem(settings: MachineSettings) -> str:
+    addresses = _addresses(settings)
+    for field, text in addresses.items():
+        try:
+            parse_address(text)
+        except ValueError as error:
+            return f"{field}: {error}"
+    missing = [field for field in NEEDED[settings.role] if field not in addresses]
+    return f"{missing[0]}: needed by the role {settings.role}" if missing else ""
+
+
+def _addresses(settings: MachineSettings) -> dict[str, str]:
+    """Return every address that is given, by its field."""
+    listen: dict[str, Any] = msgspec.structs.asdict(settings.listen)
+    found = {f"listen.{name}": text for name, text in listen.items()}
+    found |= {f"peers.seeds[{i}]": seed for i, seed in enumerate(settings.peers.seeds)}
+    found["store.address"] = settings.store.address
+    if settings.replica is not None:
+        found["replica.address"] = settings.replica.address
+    return {field: text for field, text in found.items() if text}
--- a/libs/daemon/src/headcross_daemon/process.py
+++ b/libs/daemon/src/headcross_daemon/process.py
@@ -10,7 +10,7 @@
 from headcross_base.decisions import Journal
 from headcross_fleet.documents import Documents
 from headcross_fleet.following import ConfigFollower
-from headcross_platform.configservice import FLEET_KEY, HOSTS_KEY, ConfigService
+from headcross_native.configservice import FLEET_KEY, HOSTS_KEY, ConfigService
 from headcross_wire.httpserver import HttpHandler, HttpServer, ServerLimits
 from headcross_wire.peernode import Handler, Incoming, PeerNode
 
--- a/libs/daemon/src/headcross_daemon/processmetrics.py
+++ b/libs/daemon/src/headcross_daemon/processmetrics.py
@@ -1,6 +1,6 @@
 """The samples that both roles show."""
 
-from headcross_platform.configservice import KEYS
+from headcross_native.configservice import KEYS
 
 from headcross_daemon.metrics import sample
 from headcross_daemon.process import Process
--- /dev/null
+++ b/libs/daemon/src/headcross_daemon/renewalrole.py
@@ -0,0 +1,134 @@
+"""The upstream role on the machines: the weights of the replica beside this process."""
+
+import logging
+from pathlib import Path
+from typing import Final
+
+import trio
+from headcross_base.addresses import Address, parse_address
+from headcross_ports.adapter import Adapter
+from headcross_renewal.renewer import Place, Renewer
+from headcross_renewal.reporting import Reporter
+from headcross_renewal.sources import OriginSource
+from headcross_weights.chunkstore import ChunkStore
+from headcross_weights.imports import Importer
+from headcross_weights.pace import SMALL_WEIGHTS
+from headcross_weights.swarm import Swarm
+from headcross_wire.linkrate import LinkRate
+from headcross_wire.peermessages import Subscribe
+from headcross_wire.peernode import Incoming
+
+from headcross_daemon.machinecommon import AdminPages, MachineProcess
+from headcross_daemon.machinesettings import MachineSettings
+from headcross_daemon.metrics import Samples, sample
+
+MEGABYTE: Final = 1_000_000
+# Part of the process's memory that may hold weights.
+WEIGHTS_MEMORY_PART: Final = 0.3
+# Part of the link that chunks may fill; requests to the replica take the rest.
+LINK_PART: Final = 0.96
+BITS_PER_BYTE: Final = 8
+LINK_BURST_BYTES: Final = 64 * 1024
+DEFAULT_CHUNK_BYTES: Final = 32 * 1024
+
+logger = logging.getLogger(__name__)
+
+
+class RenewalRole:
+    """One daemon beside a replica."""
+
+    process: MachineProcess
+
+    def __init__(self, settings: MachineSettings, path: Path, adapter: Adapter) -> None:
+        assert settings.replica is not None and adapter.replica is not None
+        self.process = MachineProcess(settings, path, adapter, self._daemons, self._hear)
+        facts = self.process.facts
+        address = parse_address(settings.replica.address)
+        self._reporter = Reporter(address, adapter.replica)
+        self._store = ChunkStore(int(settings.limits.memory_mb * MEGABYTE * WEIGHTS_MEMORY_PART))
+        rate = settings.limits.link_mbits * MEGABYTE / BITS_PER_BYTE * LINK_PART
+        downlink = LinkRate(rate, LINK_BURST_BYTES)
+        origin = OriginSource(facts, adapter.origin, DEFAULT_CHUNK_BYTES)
+        self._importer = Importer([origin], downlink, SMALL_WEIGHTS)
+        self._swarm = Swarm(
+            settings.ip,
+            parse_address(settings.listen.swarm),
+            self._store,
+            self._importer,
+            LinkRate(rate, LINK_BURST_BYTES),
+            downlink,
+            SMALL_WEIGHTS,
+        )
+        place = Place(
+            host=settings.ip,
+            region_of_zone=settings.zones,
+            replica_address=str(address),
+            service=settings.replica.service,
+            control_port=settings.peers.control_port,
+            swarm_port=settings.peers.swarm_port,
+        )
+        self._renewer = Renewer(
+            place,
+            facts,
+            adapter.replica,
+            self._reporter,
+            self._store,
+            self._swarm,
+            origin,
+            self.process.pauses,
+            settings.bounds.weights_seconds,
+        )
+        self._service = settings.replica.service
+        self._pages = AdminPages(self.dump, self._samples)
+
+    async def run(self, stop: trio.Event) -> None:
+        """Renew until `stop` is set."""
+        async with trio.open_nursery() as nursery:
+            await self._pages.serve(nursery, self.process.settings.listen.metrics)
+            nursery.start_soon(self.process.run)
+            nursery.start_soon(self._swarm.run)
+            nursery.start_soon(self._reporter.run)
+            nursery.start_soon(self._renewer.run)
+            logger.info("listening", extra={"peers": self.process.settings.listen.peers})
+            await stop.wait()
+            logger.info("stopped", extra={"step": self._renewer.step})
+            nursery.cancel_scope.cancel()
+
+    def dump(self) -> dict[str, object]:
+        """Return the whole state."""
+        report = self._reporter.report
+        return {
+            **self.process.dump(),
+            "step": self._renewer.step,
+            "orders": self._renewer.orders,
+            "orders_refused": self._renewer.refused,
+            "loaded": {m.model: m.version for m in report.loaded} if report else None,
+            "weights": {a.digest[:12]: round(a.progress, 3) for a in self._store.artifacts()},
+            "swarm": dict(self._swarm.counts),
+            "uploads": {"sent": self._swarm.uploads.sent, "refused": self._swarm.uploads.refused},
+            "origin_bytes": sum(self._importer.received_bytes.values()),
+        }
+
+    def _daemons(self) -> list[Address]:
+        port = self.process.settings.peers.control_port
+        replicas = self.process.facts.replicas.values()
+        return [Address(r.address.ip, port) for r in replicas if r.service == self._service]
+
+    def _hear(self, incoming: Incoming) -> None:
+        match incoming.message:
+            case Subscribe(host=host):
+                self._reporter.listen(host, incoming.reply)
+            case _:
+                self.process.node.malformed += 1
+
+    def _samples(self) -> Samples:
+        samples = self.process.samples()
+        samples[sample("orders_total")] = self._renewer.orders
+        samples[sample("orders_refused_total")] = self._renewer.refused
+        samples[sample("weights_bytes")] = self._store.used_bytes
+        for name, count in self._swarm.counts.items():
+            if " " not in name:
+                samples[sample(f"swarm_{name}_total")] = count
+        for source, count in self._importer.received_bytes.items():
+            samples[sample("source_bytes_total", source=source)] = count
+        return samples
--- a/libs/daemon/src/headcross_daemon/settings.py
+++ b/libs/daemon/src/headcross_daemon/settings.py
@@ -14,7 +14,7 @@
 from headcross_base.errors import Failure, Ok
 from headcross_base.logs import LEVELS
 from headcross_base.units import GIB, MIB
-from headcross_platform.hostlist import Role, UpstreamKind
+from headcross_native.hostlist import Role, UpstreamKind
 
 Positive = Annotated[int, msgspec.Meta(ge=1)]
 Rate = Annotated[float, msgspec.Meta(ge=0)]
--- a/libs/daemon/src/headcross_daemon/upstream.py
+++ b/libs/daemon/src/headcross_daemon/upstream.py
@@ -9,8 +9,8 @@
 from headcross_base.addresses import parse_address
 from headcross_base.clocks import monotonic
 from headcross_fleet.upstreamgate import LEAVING, UpstreamGate
-from headcross_platform.engine import Engine
-from headcross_platform.weightsource import WeightSource
+from headcross_native.engine import Engine
+from headcross_native.weightsource import WeightSource
 from headcross_rollout.orders import OrderGiver
 from headcross_rollout.runner import RunnerContext, UpstreamRunner
 from headcross_rollout.target import Targets
--- /dev/null
+++ b/libs/facts/src/headcross_facts/facts.py
@@ -0,0 +1,159 @@
+"""The facts a process goes by: the configuration in force, the named versions, the replicas.
+
+Every fact has a revision and the moment it was last known to be the newest. A configuration that
+cannot be read is reported once and the last good one stays; its version never goes back.
+"""
+
+import logging
+from collections import Counter
+from dataclasses import dataclass
+from typing import Final
+
+import trio
+from headcross_base.clocks import monotonic
+from headcross_base.errors import Failure
+from headcross_ports.configuration import Configuration
+from headcross_ports.published import (
+    Changes,
+    Item,
+    Listing,
+    NamedVersion,
+    PublishedStore,
+    Replica,
+    Topic,
+)
+
+from headcross_facts.topicstate import TopicState
+
+FROM_STORE: Final = "store"
+
+logger = logging.getLogger(__name__)
+
+
+@dataclass(frozen=True, slots=True)
+class VersionNotice:
+    """When this process learned that a version of a model was named."""
+
+    version: int
+    seen_at: float  # monotonic
+    at_start: bool  # it was named before this process first read the topic
+
+
+class Facts:
+    """Everything one process knows from the platform."""
+
+    configuration: Configuration | None
+    # The list of replicas, by the id of their incarnation.
+    replicas: dict[str, Replica]
+    # The named versions of each model, oldest first.
+    versions: dict[str, list[VersionNotice]]
+    topics: dict[Topic, TopicState]
+    # Items by what became of them: taken, rejected, ignored.
+    counts: Counter[str]
+
+    def __init__(self, store: PublishedStore) -> None:
+        self.configuration = None
+        self.replicas = {}
+        self.versions = {}
+        self.topics = {topic: TopicState(topic) for topic in Topic}
+        self.counts = Counter()
+        self._store = store
+        self._changed = trio.Event()
+
+    @property
+    def complete(self) -> bool:
+        """Whether there is a configuration and a list of replicas to go by."""
+        return self.configuration is not None and self.topics[Topic.REPLICAS].known
+
+    async def wait_change(self) -> None:
+        """Wait until another fact comes into force."""
+        await self._changed.wait()
+
+    def newest_version(self, model: str) -> int | None:
+        """Return the newest named version of a model."""
+        notices = self.versions.get(model)
+        return notices[-1].version if notices else None
+
+    def take_listing(self, topic: Topic, listing: Listing, age: float, source: str) -> bool:
+        """Take a whole topic; return whether anything was new."""
+        state = self.topics[topic]
+        first = not state.known
+        news = state.take_listing(listing, age)
+        if news is None:
+            self.counts["ignored"] += 1
+            fields = {"topic": topic.value, "revision": listing.revision, "held": state.revision}
+            logger.info("older listing ignored", extra={**fields, "source": source})
+            return False
+        return self._take(topic, news, source, at_start=first)
+
+    def take_changes(self, topic: Topic, changes: Changes) -> bool:
+        """Take changes read from the store; return whether anything was new."""
+        news = self.topics[topic].take_changes(changes)
+        return self._take(topic, news, FROM_STORE, at_start=False)
+
+    def _take(self, topic: Topic, news: list[Item], source: str, at_start: bool) -> bool:
+        for item in news:
+            self._take_item(topic, item, source, at_start)
+        if news or at_start:
+            self._changed.set()
+            self._changed = trio.Event()
+        return bool(news)
+
+    def _take_item(self, topic: Topic, item: Item, source: str, at_start: bool) -> None:
+        fields = {"key": item.key, "revision": item.revision, "source": source}
+        if item.value is None:
+            self._take_gone(topic, item)
+            logger.info("fact gone", extra=fields)
+            return
+        outcome = self._store.decode(item)
+        if isinstance(outcome, Failure):
+            self.counts["rejected"] += 1
+            logger.error("fact rejected", extra={**fields, "reason": outcome.detail})
+            return
+        match outcome.value:
+            case Configuration() as configuration:
+                self._take_configuration(configuration, fields)
+            case NamedVersion() as named:
+                self._take_version(named, fields, at_start)
+            case Replica() as replica:
+                self._take_replica(replica, fields)
+            case None:
+                return
+        self.counts["taken"] += 1
+
+    def _take_gone(self, topic: Topic, item: Item) -> None:
+        if topic is Topic.REPLICAS:
+            replica_id = item.key.rpartition("/")[2]
+            self.replicas.pop(replica_id, None)
+
+    def _take_configuration(self, configuration: Configuration, fields: dict[str, object]) -> None:
+        held = self.configuration
+        if held is not None and configuration.version <= held.version:
+            logger.info("older configuration ignored", extra=fields)
+            return
+        self.configuration = configuration
+        logger.info("configuration in force", extra={**fields, "version": configuration.version})
+
+    def _take_version(
+        self, named: NamedVersion, fields: dict[str, object], at_start: bool
+    ) -> None:
+        notices = self.versions.setdefault(named.model, [])
+        if notices and named.version <= notices[-1].version:
+            return
+        notices.append(VersionNotice(named.version, monotonic(), at_start))
+        logger.info(
+            "version named", extra={**fields, "model": named.model, "version": named.version}
+        )
+
+    def _take_replica(self, replica: Replica, fields: dict[str, object]) -> None:
+        held = self.replicas.get(replica.id)
+        self.replicas[replica.id] = replica
+        if held is None or (held.draining, held.loaded) != (replica.draining, replica.loaded):
+            detail = {
+                "replica": replica.id,
+                "service": replica.service,
+                "address": str(replica.address),
+                "draining": replica.draining,
+                "loaded": {m.model: m.version for m in replica.loaded},
+            }
+            logger.info("replica listed", extra={**fields, **detail})
--- a/libs/fleet/src/headcross_fleet/documents.py
+++ b/libs/fleet/src/headcross_fleet/documents.py
@@ -20,8 +20,8 @@
 from headcross_base.errorcodes import FILE_REJECTED, REVISION_CONFLICT, REVISION_OLD
 from headcross_base.errors import Failure
 from headcross_base.hashing import digest_of
-from headcross_platform.configservice import FLEET_KEY, HOSTS_KEY, KEYS
-from headcross_platform.hostlist import EMPTY_HOST_LIST, HostList, parse_host_list
+from headcross_native.configservice import FLEET_KEY, HOSTS_KEY, KEYS
+from headcross_native.hostlist import EMPTY_HOST_LIST, HostList, parse_host_list
 
 from headcross_fleet.fleetfile import EMPTY_FLEET, FleetFile, parse_fleet_file
 
--- a/libs/fleet/src/headcross_fleet/following.py
+++ b/libs/fleet/src/headcross_fleet/following.py
@@ -21,8 +21,8 @@
 from headcross_base.clocks import monotonic
 from headcross_base.errors import Failure
 from headcross_base.hashing import digest_of
-from headcross_platform.configservice import KEYS, ConfigService, Snapshot, Unchanged
-from headcross_platform.hostlist import Host
+from headcross_native.configservice import KEYS, ConfigService, Snapshot, Unchanged
+from headcross_native.hostlist import Host
 from headcross_wire.peermessages import AskDocument, Document, Hint, PeerMessage
 from headcross_wire.peernode import PeerNode, Reply
 
--- a/libs/fleet/src/headcross_fleet/topology.py
+++ b/libs/fleet/src/headcross_fleet/topology.py
@@ -9,7 +9,7 @@
 from typing import Final
 
 from headcross_base.hashing import rendezvous_order
-from headcross_platform.hostlist import Host, HostList
+from headcross_native.hostlist import Host, HostList
 
 # Readers of each key in each zone. Three leave one when two die at once; at 7 zones and two keys
 # that is 42 waiting watches of the service's two thousand.
--- /dev/null
+++ b/libs/gateway/src/headcross_gateway/__init__.py
@@ -0,0 +1,1 @@
+"""An entry that calls replicas directly: routes, places, attempts, streams, answers."""
--- /dev/null
+++ b/libs/gateway/src/headcross_gateway/admission.py
@@ -0,0 +1,100 @@
+"""Places at replicas, and the queue for them.
+
+A request that finds a replica with room goes there at once. Otherwise it waits for a moment, in
+order of priority, and is refused while its caller still has time to come back.
+"""
+
+import heapq
+import itertools
+from dataclasses import dataclass, field
+from typing import Final
+
+import trio
+from headcross_ports.configuration import Configuration
+
+from headcross_gateway.directory import ReplicaState
+from headcross_gateway.picking import Picker, Wish
+
+# Waiting requests of one service at one entry; beyond that a refusal comes at once.
+MAX_WAITING: Final = 256
+
+
+@dataclass(order=True, slots=True)
+class _Waiter:
+    """A request in the queue."""
+
+    priority: int
+    number: int
+    wish: Wish = field(compare=False)
+    configuration: Configuration = field(compare=False)
+    came: trio.Event = field(compare=False, default_factory=trio.Event)
+    place: ReplicaState | None = field(compare=False, default=None)
+    left: bool = field(compare=False, default=False)
+
+
+class Admission:
+    """The places of all services, as one entry hands them out."""
+
+    def __init__(self, picker: Picker) -> None:
+        self._picker = picker
+        self._queues: dict[str, list[_Waiter]] = {}
+        self._numbers = itertools.count()
+
+    def waiting(self, service: str) -> int:
+        """Return how many requests wait for a place."""
+        return sum(not waiter.left for waiter in self._queues.get(service, []))
+
+    async def take_place(
+        self, wish: Wish, configuration: Configuration, priority: int, until: float
+    ) -> ReplicaState | None:
+        """Return a replica with a place reserved on it, None if there is none by `until`.
+
+        `until` is on trio's clock. The place must be given back with `give_back`.
+        """
+        queue = self._queues.setdefault(wish.service, [])
+        if not queue:
+            place = self._picker.pick(wish, configuration)
+            if place is not None:
+                place.in_flight += 1
+                return place
+        if len(queue) >= MAX_WAITING or until <= trio.current_time():
+            return None
+        waiter = _Waiter(priority, next(self._numbers), wish, configuration)
+        heapq.heappush(queue, waiter)
+        self.notify(wish.service)
+        try:
+            with trio.move_on_at(until):
+                await waiter.came.wait()
+        except trio.Cancelled:
+            if waiter.place is not None:
+                self.give_back(waiter.place)
+            raise
+        finally:
+            waiter.left = True
+            self._drop_left(wish.service)
+        return waiter.place
+
+    def give_back(self, place: ReplicaState) -> None:
+        """Free a place."""
+        place.in_flight -= 1
+        self.notify(place.replica.service)
+
+    def notify(self, service: str) -> None:
+        """Hand places to those who wait, now that something about the service has changed."""
+        queue = self._queues.get(service)
+        while queue:
+            waiter = queue[0]
+            if not waiter.left:
+                place = self._picker.pick(waiter.wish, waiter.configuration)
+                if place is None:
+                    return
+                place.in_flight += 1
+                waiter.place = place
+                waiter.left = True
+                waiter.came.set()
+            heapq.heappop(queue)
+
+    def _drop_left(self, service: str) -> None:
+        queue = self._queues.get(service)
+        while queue and queue[0].left:
+            heapq.heappop(queue)
--- /dev/null
+++ b/libs/gateway/src/headcross_gateway/attempts.py
@@ -0,0 +1,187 @@
+"""One attempt at one replica, and what is known of it afterwards.
+
+Straight down: a connection; the request; the head of the answer; its body, whole or event by event.
+How far that got decides what is known:
+
+* no connection: not run, and the replica never heard of it;
+* the replica states that it did not run the request: not run;
+* an answer that is whole, sealed and to this request: that is the outcome, whatever its status;
+* anything else after the first byte was sent: it may have run.
+"""
+
+from dataclasses import dataclass
+from typing import Final
+
+import trio
+from headcross_base.errorcodes import CONNECT_FAILED, LINK_LOST, NOT_SERVING, UPSTREAM_ERROR, ErrorCode
+from headcross_ports.requests import AnswerFacts, HandOver, RequestDialect
+from headcross_wire.httpclient import Answer, ConnectError, HttpConnection, LinkLostError
+from headcross_wire.httpserver import Request
+
+from headcross_gateway.connections import ReplicaConnections
+from headcross_gateway.directory import ReplicaState
+from headcross_gateway.eventstream import EventTooLongError
+from headcross_gateway.relay import EventOutOfOrderError, StreamRelay, passed_headers
+
+MAX_BODY_BYTES: Final = 16 * 1024 * 1024
+SUCCESS: Final = range(200, 300)
+SERVER_ERRORS: Final = range(500, 600)
+
+
+@dataclass(frozen=True, slots=True)
+class Whole:
+    """The replica's whole answer."""
+
+    answer: Answer
+    body: bytes
+
+    @property
+    def failed(self) -> bool:
+        """Whether the replica itself failed to serve the request."""
+        return self.answer.status in SERVER_ERRORS
+
+
+@dataclass(frozen=True, slots=True)
+class Streamed:
+    """The stream ended whole and was passed on."""
+
+
+@dataclass(frozen=True, slots=True)
+class DidNotRun:
+    """The request certainly did not run there."""
+
+    reason: ErrorCode
+    detail: str
+    arrived: bool  # the replica has seen the request
+
+
+@dataclass(frozen=True, slots=True)
+class MayRun:
+    """The request may have run there, or still run."""
+
+    reason: ErrorCode
+    detail: str
+
+
+Outcome = Whole | Streamed | DidNotRun | MayRun
+
+
+@dataclass(frozen=True, slots=True)
+class Patience:
+    """How long an attempt waits for signs of life before another replica may do better."""
+
+    first_seconds: float  # for the head of the answer, or the first event
+    pause_seconds: float  # between two pieces
+
+
+class Attempts:
+    """Makes the attempts of one entry."""
+
+    # Attempts made so far.
+    made: int
+    connections: ReplicaConnections
+
+    def __init__(self, dialect: RequestDialect) -> None:
+        self.made = 0
+        self.connections = ReplicaConnections()
+        self._dialect = dialect
+
+    async def make(
+        self,
+        request: Request,
+        request_id: str,
+        place: ReplicaState,
+        hand_over: HandOver,
+        patience: Patience,
+        relay: StreamRelay | None,
+        *,
+        fresh: bool,
+    ) -> Outcome:
+        """Send a request to a replica and take its answer."""
+        self.made += 1
+        try:
+            connection = await self.connections.take(place.replica.address, fresh=fresh)
+        except ConnectError as error:
+            return DidNotRun(CONNECT_FAILED, str(error), arrived=False)
+        try:
+            with trio.move_on_after(patience.first_seconds) as scope:
+                outcome = await self._exchange(
+                    connection, request, request_id, hand_over, relay, scope, patience
+                )
+        except LinkLostError as error:
+            outcome = MayRun(LINK_LOST, str(error))
+        except (EventTooLongError, EventOutOfOrderError) as error:
+            outcome = MayRun(UPSTREAM_ERROR, f"broken events: {error}")
+        except BaseException:
+            await connection.close()
+            raise
+        if scope.cancelled_caught:
+            outcome = MayRun(LINK_LOST, "silent for too long")
+        if not isinstance(outcome, Whole | Streamed | DidNotRun):
+            await connection.close()
+        return outcome
+
+    async def _exchange(
+        self,
+        connection: HttpConnection,
+        request: Request,
+        request_id: str,
+        hand_over: HandOver,
+        relay: StreamRelay | None,
+        scope: trio.CancelScope,
+        patience: Patience,
+    ) -> Outcome:
+        headers = self._dialect.upstream_headers(passed_headers(request.headers), hand_over)
+        await connection.send(request.method, request.target, headers, request.body)
+        answer = await connection.receive_answer()
+        facts = self._dialect.read_answer(answer.status, answer.headers)
+        problem = _problem(answer, facts, request_id)
+        if problem:
+            return MayRun(UPSTREAM_ERROR, problem)
+        if relay is not None and answer.status in SUCCESS:
+            relay.begin(answer, facts.weights_version)
+            return await self._pass_stream(connection, answer, relay, scope, patience)
+        body = await _read_body(connection)
+        await self.connections.give(connection, answer)
+        if facts.not_run:
+            detail = f"status {answer.status}"
+            return DidNotRun(NOT_SERVING, detail, arrived=True)
+        return Whole(answer, body)
+
+    async def _pass_stream(
+        self,
+        connection: HttpConnection,
+        answer: Answer,
+        relay: StreamRelay,
+        scope: trio.CancelScope,
+        patience: Patience,
+    ) -> Outcome:
+        while (piece := await connection.receive_piece()) is not None:
+            if await relay.pass_on(piece):
+                scope.deadline = trio.current_time() + patience.pause_seconds
+        # The end may wait for a caller that reads slowly, but not for the replica any more.
+        scope.deadline = float("inf")
+        if not await relay.finish():
+            raise LinkLostError("the stream ended within an event")
+        await self.connections.give(connection, answer)
+        return Streamed()
+
+
+def _problem(answer: Answer, facts: AnswerFacts, request_id: str) -> str:
+    """Return why an answer cannot be the one to this request, empty if it can."""
+    if facts.id != request_id and not (facts.id is None and facts.not_run):
+        return f"an answer to {facts.id!r}"
+    if answer.status not in SUCCESS:
+        return ""
+    if not facts.sealed:
+        return "a success without a seal"
+    return "an encoded body" if facts.encoded else ""
+
+
+async def _read_body(connection: HttpConnection) -> bytes:
+    body = bytearray()
+    while (piece := await connection.receive_piece()) is not None:
+        body += piece
+        if len(body) > MAX_BODY_BYTES:
+            raise LinkLostError(f"an answer over {MAX_BODY_BYTES} bytes")
+    return bytes(body)
--- /dev/null
+++ b/libs/gateway/src/headcross_gateway/eventstream.py
@@ -0,0 +1,53 @@
+"""Server-sent events, as far as passing them on whole and resuming a stream needs it."""
+
+from dataclasses import dataclass
+from typing import Final
+
+EVENT_END: Final = b"\n\n"
+# An event that grows beyond this without an end breaks the protocol.
+MAX_EVENT_BYTES: Final = 1024 * 1024
+
+
+class EventTooLongError(Exception):
+    """The replica sent an event without an end."""
+
+
+@dataclass(frozen=True, slots=True)
+class StreamEvent:
+    """One whole event."""
+
+    id: str | None
+    data: bytes  # as it was sent, with its end
+
+
+class EventSplitter:
+    """Cuts a stream of bytes into whole events."""
+
+    def __init__(self) -> None:
+        self._rest = b""
+
+    @property
+    def within_event(self) -> bool:
+        """Whether an event has begun that has not ended."""
+        return bool(self._rest)
+
+    def feed(self, data: bytes) -> list[StreamEvent]:
+        """Return the events that are whole now; the beginning of the next one is kept.
+
+        >>> splitter = EventSplitter()
+        >>> [event.id for event in splitter.feed(b"id: 0\\ndata: a\\n\\nid: 1\\n")]
+        ['0']
+        >>> splitter.within_event
+        True
+        """
+        *whole, self._rest = (self._rest + data).split(EVENT_END)
+        if len(self._rest) > MAX_EVENT_BYTES:
+            raise EventTooLongError
+        return [StreamEvent(_id_of(event), event + EVENT_END) for event in whole]
+
+
+def _id_of(event: bytes) -> str | None:
+    for line in event.split(b"\n"):
+        if line.startswith(b"id:"):
+            return line[3:].strip().decode("latin-1")
+    return None
--- /dev/null
+++ b/libs/gateway/src/headcross_gateway/health.py
@@ -0,0 +1,47 @@
+"""What an entry thinks of a replica from its own requests.
+
+One failure is no verdict. After several in a row, or a connection that could not be opened, the
+replica rests for a while that doubles; then a request that may be repeated tries it again.
+"""
+
+from dataclasses import dataclass
+from typing import Final
+
+from headcross_base.clocks import monotonic
+
+FAILURES_TO_REST: Final = 2
+FIRST_REST_SECONDS: Final = 0.5
+MAX_REST_SECONDS: Final = 4.0
+
+
+@dataclass(slots=True)
+class Health:
+    """One replica, as one entry experiences it."""
+
+    failures: int = 0  # in a row
+    rests: int = 0  # in a row
+    resting_until: float = 0.0  # monotonic
+    on_trial: bool = False  # one request is trying it after a rest
+
+    def resting(self) -> bool:
+        """Tell whether it should be left alone."""
+        return monotonic() < self.resting_until
+
+    def needs_trial(self) -> bool:
+        """Tell whether it came out of a rest and nothing has succeeded since."""
+        return self.rests > 0 and not self.resting()
+
+    def succeeded(self) -> None:
+        """Note a request that it answered."""
+        self.failures = 0
+        self.rests = 0
+        self.on_trial = False
+
+    def failed(self, certain: bool) -> None:
+        """Note a failure; `certain` if it could not be reached at all."""
+        self.failures += 1
+        self.on_trial = False
+        if certain or self.failures >= FAILURES_TO_REST or self.rests:
+            seconds = min(MAX_REST_SECONDS, FIRST_REST_SECONDS * 2.0**self.rests)
+            self.rests += 1
+            self.resting_until = monotonic() + seconds
--- /dev/null
+++ b/libs/gateway/src/headcross_gateway/picking.py
@@ -0,0 +1,93 @@
+"""Which replica a request goes to.
+
+Among those that may serve it at all, the one with the fewest requests for its size; another zone
+costs as much as a few requests. The known load is some hundred milliseconds old and several
+entries choose at once, so a little chance keeps them from choosing alike.
+"""
+
+import random
+from collections.abc import Collection
+from dataclasses import dataclass
+from typing import Final
+
+from headcross_ports.configuration import Configuration
+from headcross_ports.requests import RequestFacts
+
+from headcross_gateway.directory import Directory, ReplicaState
+from headcross_gateway.weightsrules import WeightsRules
+
+# A replica of another zone is taken when it has this share of its places freer.
+OTHER_ZONE_SHARE: Final = 0.12
+CHANCE_SHARE: Final = 0.04
+
+
+@dataclass(frozen=True, slots=True)
+class Wish:
+    """What a request needs of a replica."""
+
+    service: str
+    model: str | None
+    exact_version: int | None  # set when a stream goes on that began with this version
+    tried: Collection[str]  # replicas that had their chance
+    may_run_again: bool
+
+
+class Picker:
+    """Chooses replicas for one entry."""
+
+    def __init__(self, zone: str, directory: Directory, rules: WeightsRules) -> None:
+        self._zone = zone
+        self._directory = directory
+        self._rules = rules
+
+    def pick(self, wish: Wish, configuration: Configuration) -> ReplicaState | None:
+        """Return the best replica that has room, or None."""
+        candidates = [state for state in self.candidates(wish, configuration) if state.has_room()]
+        return min(candidates, key=self._cost) if candidates else None
+
+    def candidates(self, wish: Wish, configuration: Configuration) -> list[ReplicaState]:
+        """Return the replicas that could serve a request, full ones too."""
+        service = configuration.services.get(wish.service)
+        fitting = [s for s in self._directory.serving(wish.service) if s.replica.id not in wish.tried]
+        if service is not None and service.weights is not None and wish.model is not None:
+            lowest = self._rules.lowest_allowed(wish.model)
+            fitting = [s for s in fitting if _version_fits(s, wish, lowest)]
+        taking = [state for state in fitting if state.takes_requests()] or fitting
+        return self._healthy(taking, wish)
+
+    def _healthy(self, states: list[ReplicaState], wish: Wish) -> list[ReplicaState]:
+        """Leave out those that rest, unless that leaves nobody."""
+        healthy = [
+            state
+            for state in states
+            if not state.health.resting() and self._may_try(state, wish)
+        ]
+        return healthy or states
+
+    @staticmethod
+    def _may_try(state: ReplicaState, wish: Wish) -> bool:
+        if not state.health.needs_trial():
+            return True
+        return wish.may_run_again and not state.health.on_trial
+
+    def _cost(self, state: ReplicaState) -> float:
+        share = state.load() / state.replica.slots
+        zone = 0.0 if state.replica.zone == self._zone else OTHER_ZONE_SHARE
+        told = state.fresh_load()
+        pace = max(1.0, told.pace) if told is not None else 1.0
+        return share * pace + zone + random.uniform(0.0, CHANCE_SHARE)
+
+
+def _version_fits(state: ReplicaState, wish: Wish, lowest: int) -> bool:
+    assert wish.model is not None
+    version = state.version_of(wish.model)
+    if version is None:
+        return False
+    if wish.exact_version is not None:
+        return version == wish.exact_version
+    return version >= lowest
+
+
+def wish_of(facts: RequestFacts, service: str, may_run_again: bool) -> Wish:
+    """Return what a request needs before anything was tried."""
+    return Wish(service, facts.model, None, (), may_run_again)
--- /dev/null
+++ b/libs/gateway/src/headcross_gateway/relay.py
@@ -0,0 +1,105 @@
+"""Passing a stream on, event by event, over as many attempts as it takes.
+
+The head is sent with the first whole event, so that an attempt that fails before it leaves no
+trace. A stream that goes on at another replica keeps the first head and continues after the last
+whole event; events that the caller already has are dropped.
+"""
+
+from headcross_wire.httpclient import Answer
+from headcross_wire.httpserver import Exchange, Headers
+
+from headcross_gateway.eventstream import EventSplitter, StreamEvent
+
+# Headers of one connection, never passed on (RFC 9110, section 7.6.1), and the length, which the
+# answer to the caller has of its own.
+HOP_HEADERS = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "content-length",
+    }
+)
+
+
+class EventOutOfOrderError(Exception):
+    """The replica left events out, or sent one twice."""
+
+
+class StreamRelay:
+    """The stream of one request towards its caller."""
+
+    # Whether the caller has anything of the answer.
+    started: bool
+    # The last event the caller has; None if it has none and did not resume.
+    last_id: str | None
+    # The version of the weights that the stream began with, if the replica told.
+    weights_version: int | None
+
+    def __init__(self, exchange: Exchange, resume_after: str | None) -> None:
+        self.started = False
+        self.last_id = resume_after
+        self.weights_version = None
+        self._exchange = exchange
+        self._answer: Answer | None = None
+        self._splitter = EventSplitter()
+
+    def begin(self, answer: Answer, weights_version: int | None) -> None:
+        """Take the head of an attempt's answer."""
+        self._answer = answer
+        self._splitter = EventSplitter()
+        if not self.started:
+            self.weights_version = weights_version
+
+    async def pass_on(self, data: bytes) -> int:
+        """Send the events that are whole now; return how many there were."""
+        events = self._splitter.feed(data)
+        fresh = [event for event in events if self._is_next(event)]
+        if not fresh:
+            return 0
+        if not self.started:
+            await self._start()
+        await self._exchange.send(b"".join(event.data for event in fresh))
+        return len(fresh)
+
+    async def finish(self) -> bool:
+        """End the answer; return False, and send nothing, if it ends within an event."""
+        if self._splitter.within_event:
+            return False
+        if not self.started:
+            await self._start()
+        await self._exchange.finish()
+        return True
+
+    async def _start(self) -> None:
+        assert self._answer is not None
+        self.started = True
+        await self._exchange.start(self._answer.status, passed_headers(self._answer.headers))
+
+    def _is_next(self, event: StreamEvent) -> bool:
+        """Note an event's id; tell whether the caller lacks it."""
+        if event.id is None or not event.id.isdecimal():
+            return True
+        if self.last_id is not None and self.last_id.isdecimal():
+            if int(event.id) <= int(self.last_id):
+                return False
+            if int(event.id) > int(self.last_id) + 1:
+                raise EventOutOfOrderError(f"{event.id} after {self.last_id}")
+        self.last_id = event.id
+        return True
+
+
+def passed_headers(headers: Headers) -> Headers:
+    """Return the headers that go from one side to the other."""
+    named = {
+        token.strip().lower()
+        for name, value in headers
+        if name == "connection"
+        for token in value.split(",")
+    }
+    dropped = HOP_HEADERS | named
+    return [(name, value) for name, value in headers if name not in dropped]
--- /dev/null
+++ b/libs/gateway/src/headcross_gateway/requestpath.py
@@ -0,0 +1,368 @@
+"""A request from its arrival to its answer.
+
+Straight down: what the request says and which route it takes; a place at a replica; attempts, as far
+as the route, the budget and the time allow; the answer, or a refusal that says whether the request
+may have run. What an entry gives up on is answered at once.
+"""
+
+import logging
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field, replace
+from typing import Final
+
+import trio
+from headcross_base.errorcodes import (
+    BAD_REQUEST,
+    DEADLINE,
+    NO_ROOM,
+    NO_ROUTE,
+    NO_RUN_IN_TIME,
+    NOT_READY,
+    STREAM_BROKEN,
+    UNKNOWN_KEY,
+)
+from headcross_base.verdicts import (
+    Completed,
+    MayHaveRun,
+    NotRun,
+    Refusal,
+    Verdict,
+    verdict_name,
+)
+from headcross_facts.facts import Facts
+from headcross_ports.configuration import Configuration, Route, Team
+from headcross_ports.requests import HandOver, RequestDialect, RequestFacts, RequestProblem
+from headcross_wire.httpserver import Exchange
+
+from headcross_gateway.admission import Admission
+from headcross_gateway.answers import send_refusal
+from headcross_gateway.attempts import Attempts, DidNotRun, MayRun, Outcome, Patience, Streamed, Whole
+from headcross_gateway.budget import RetryBudget
+from headcross_gateway.directory import ReplicaState
+from headcross_gateway.picking import Wish, wish_of
+from headcross_gateway.relay import StreamRelay, passed_headers
+
+# Of the time in which an answer is worth most, a request waits for a place at most this part.
+WAIT_PART: Final = 0.22
+# When a caller is told to come back.
+COME_BACK_SECONDS: Final = 0.3
+# Refusals that one request is carried on after; each is an arrival that the budget pays for.
+MAX_REFUSALS: Final = 3
+MAX_UNREACHED: Final = 4
+# A repeatable request whose replica shows no sign of life goes elsewhere after this.
+REPEATABLE_PATIENCE_SECONDS: Final = 1.0
+STREAM_FIRST_SECONDS: Final = 1.6
+STREAM_PAUSE_SECONDS: Final = 1.1
+
+logger = logging.getLogger(__name__)
+
+Observe = Callable[[str, str, float], None]  # service, verdict, seconds
+
+
+@dataclass(slots=True)
+class Admitted:
+    """A request that has a route, with what was done for it so far."""
+
+    exchange: Exchange
+    facts: RequestFacts
+    configuration: Configuration
+    route: Route
+    team: Team | None
+    service: str
+    arrived_at: float  # trio's clock, like the next one
+    deadline: float
+    relay: StreamRelay | None
+    tried: set[str] = field(default_factory=set)
+    runs: int = 0  # replicas that may have run it
+    refusals: int = 0  # replicas that saw it and did not run it
+    unreached: int = 0  # replicas that it did not come to
+    failed_answer: Whole | None = None  # a replica's own failure, passed on if nothing better comes
+
+    @property
+    def priority(self) -> int:
+        """Return the priority; 0 goes first."""
+        if self.team is not None and self.team.priority is not None:
+            return self.team.priority
+        return self.route.priority
+
+    @property
+    def remaining(self) -> float:
+        """Return the seconds that are left."""
+        return self.deadline - trio.current_time()
+
+
+class RequestPath:
+    """Serves callers' requests at one entry."""
+
+    # Requests by verdict and reason.
+    counts: Counter[str]
+    # Requests being served now.
+    in_flight: int
+    budget: RetryBudget
+    attempts: Attempts
+
+    def __init__(
+        self,
+        facts: Facts,
+        dialect: RequestDialect,
+        admission: Admission,
+        budget: RetryBudget,
+        observe: Observe,
+    ) -> None:
+        self.counts = Counter()
+        self.in_flight = 0
+        self.budget = budget
+        self.attempts = Attempts(dialect)
+        self._facts = facts
+        self._dialect = dialect
+        self._admission = admission
+        self._observe = observe
+
+    async def handle(self, exchange: Exchange) -> None:
+        """Serve one request of a caller."""
+        request = self._admit(exchange)
+        if not isinstance(request, Admitted):
+            reason, request_id = request
+            self._note_refused(reason, request_id)
+            await send_refusal(exchange, self._dialect, reason, request_id)
+            return
+        self.in_flight += 1
+        try:
+            with trio.move_on_at(request.deadline) as scope:
+                verdict = await self._serve(request)
+            if scope.cancelled_caught:
+                verdict = _too_late(request)
+            await self._conclude(request, verdict)
+        except trio.Cancelled:
+            self.counts["caller-gone"] += 1
+            logger.info("caller gone", extra=self._story(request))
+            raise
+        finally:
+            self.in_flight -= 1
+
+    # Admission.
+
+    def _admit(self, exchange: Exchange) -> Admitted | tuple[NotRun, str | None]:
+        """Find what a request asks for and whether it may."""
+        now = trio.current_time()
+        request = exchange.request
+        facts = self._dialect.read_request(request.headers)
+        if isinstance(facts, RequestProblem):
+            return NotRun(BAD_REQUEST, facts.detail), None
+        configuration = self._facts.configuration
+        if configuration is None:
+            return NotRun(NOT_READY, "no configuration yet", COME_BACK_SECONDS), facts.id
+        route = configuration.find_route(request.header("host") or "", request.path)
+        if route is None:
+            return NotRun(NO_ROUTE, request.path[:200]), facts.id
+        team = configuration.team_of(facts.key) if facts.key is not None else None
+        if team is None and configuration.teams and not route.public:
+            return NotRun(UNKNOWN_KEY), facts.id
+        seconds = route.timeout_seconds
+        if facts.deadline_seconds is not None:
+            seconds = min(seconds, facts.deadline_seconds)
+        relay = StreamRelay(exchange, facts.resume_after) if route.repetition.is_stream else None
+        service = route.pick_service()
+        self.budget.earn(service)
+        return Admitted(
+            exchange, facts, configuration, route, team, service, now, now + seconds, relay
+        )
+
+    # Attempts.
+
+    async def _serve(self, request: Admitted) -> Verdict:
+        wish = wish_of(request.facts, request.service, request.route.repetition.may_run_again)
+        last: Refusal = NotRun(NO_ROOM, "no replica has room", COME_BACK_SECONDS)
+        while True:
+            wish = replace(wish, tried=frozenset(request.tried), exact_version=_exact(request))
+            place = await self._take_place(request, wish)
+            if place is None:
+                return self._last_word(request, last)
+            try:
+                outcome = await self._attempt(request, place)
+            finally:
+                self._admission.give_back(place)
+            self._note_attempt(request, place, outcome)
+            match outcome:
+                case Whole():
+                    if not self._should_repeat_failure(request, outcome):
+                        return await self._pass_whole(request, outcome)
+                    request.failed_answer = outcome
+                case Streamed():
+                    return Completed(200)
+                case DidNotRun(reason=reason, detail=detail):
+                    last = self._worse(last, NotRun(reason, detail, COME_BACK_SECONDS))
+                    if not self._may_go_on_after_refusal(request, outcome):
+                        return self._last_word(request, last)
+                case MayRun(reason=reason, detail=detail):
+                    last = MayHaveRun(reason, detail)
+                    if not self._may_run_again(request):
+                        return self._last_word(request, last)
+
+    async def _take_place(self, request: Admitted, wish: Wish) -> ReplicaState | None:
+        now = trio.current_time()
+        if not request.tried:
+            until = request.arrived_at + WAIT_PART * request.route.aim_seconds
+        else:
+            until = now + WAIT_PART * request.route.aim_seconds
+        until = min(until, request.deadline)
+        return await self._admission.take_place(
+            wish, request.configuration, request.priority, until
+        )
+
+    async def _attempt(self, request: Admitted, place: ReplicaState) -> Outcome:
+        health = place.health
+        health.on_trial = health.needs_trial()
+        request.tried.add(place.replica.id)
+        relay = request.relay
+        resume_after = relay.last_id if relay is not None else None
+        hand_over = HandOver(
+            replica=place.replica.id,
+            remaining_seconds=request.remaining,
+            team=request.team.name if request.team is not None else None,
+            priority=request.priority,
+            weights_version=_exact(request),
+            resume_after=resume_after,
+        )
+        request.runs += 1
+        try:
+            return await self.attempts.make(
+                request.exchange.request,
+                request.facts.id,
+                place,
+                hand_over,
+                self._patience(request),
+                relay,
+                fresh=not request.route.repetition.may_run_again,
+            )
+        finally:
+            health.on_trial = False
+
+    def _patience(self, request: Admitted) -> Patience:
+        if not request.route.repetition.may_run_again or request.runs >= request.route.max_attempts:
+            return Patience(float("inf"), float("inf"))
+        if request.relay is not None:
+            return Patience(STREAM_FIRST_SECONDS, STREAM_PAUSE_SECONDS)
+        return Patience(REPEATABLE_PATIENCE_SECONDS, REPEATABLE_PATIENCE_SECONDS)
+
+    def _should_repeat_failure(self, request: Admitted, outcome: Whole) -> bool:
+        return outcome.failed and self._may_run_again(request)
+
+    def _may_run_again(self, request: Admitted) -> bool:
+        """Tell whether a request that may have run may be sent once more, and pay for it."""
+        if not request.route.repetition.may_run_again:
+            return False
+        if request.runs >= request.route.max_attempts:
+            return False
+        return self.budget.spend(request.service)
+
+    def _may_go_on_after_refusal(self, request: Admitted, outcome: DidNotRun) -> bool:
+        request.runs -= 1
+        if not outcome.arrived:
+            request.unreached += 1
+            return request.unreached <= MAX_UNREACHED
+        request.refusals += 1
+        return request.refusals <= MAX_REFUSALS and self.budget.spend(request.service)
+
+    # The end.
+
+    @staticmethod
+    def _worse(last: Refusal, now: NotRun) -> Refusal:
+        """Once a request may have run, no later refusal takes that back."""
+        return last if isinstance(last, MayHaveRun) else now
+
+    def _last_word(self, request: Admitted, last: Refusal) -> Verdict:
+        if request.relay is not None and request.relay.started:
+            return MayHaveRun(STREAM_BROKEN, last.detail)
+        return last
+
+    async def _pass_whole(self, request: Admitted, outcome: Whole) -> Verdict:
+        if request.relay is not None and request.relay.started:
+            return MayHaveRun(STREAM_BROKEN, f"status {outcome.answer.status} while resuming")
+        headers = passed_headers(outcome.answer.headers)
+        await request.exchange.respond(outcome.answer.status, headers, outcome.body)
+        return Completed(outcome.answer.status)
+
+    async def _conclude(self, request: Admitted, verdict: Verdict) -> None:
+        """Give the caller the last word, if it does not have it."""
+        seconds = trio.current_time() - request.arrived_at
+        self._observe(request.service, verdict_name(verdict), seconds)
+        if isinstance(verdict, Completed):
+            self.counts["completed"] += 1
+            logger.info("completed", extra={**self._story(request), "status": verdict.status})
+            return
+        self._note_refused(verdict, request.facts.id, request)
+        if request.exchange.started:
+            await request.exchange.abort()
+        elif request.failed_answer is not None:
+            await self._pass_whole(request, request.failed_answer)
+        else:
+            await send_refusal(request.exchange, self._dialect, verdict, request.facts.id)
+
+    # Logs.
+
+    def _story(self, request: Admitted) -> dict[str, object]:
+        return {
+            "request": request.facts.id,
+            "route": request.route.name,
+            "service": request.service,
+            "version": request.configuration.version,
+            "ms": round((trio.current_time() - request.arrived_at) * 1000, 1),
+            "runs": request.runs,
+            "refusals": request.refusals,
+            "unreached": request.unreached,
+        }
+
+    def _note_refused(
+        self, refusal: Refusal, request_id: str | None, request: Admitted | None = None
+    ) -> None:
+        name = verdict_name(refusal)
+        self.counts[f"{name} {refusal.reason.code}"] += 1
+        story = self._story(request) if request is not None else {"request": request_id}
+        fields = {"verdict": name, "reason": refusal.reason.code, "detail": refusal.detail}
+        logger.info("refused", extra={**story, **fields})
+
+    def _note_attempt(self, request: Admitted, place: ReplicaState, outcome: Outcome) -> None:
+        health = place.health
+        fields: dict[str, object] = {
+            "request": request.facts.id,
+            "replica": place.replica.id,
+            "address": str(place.replica.address),
+            "load": round(place.load(), 1),
+            "told_age": round(min(999.0, place.told_age()), 2),
+            "ms": round((trio.current_time() - request.arrived_at) * 1000, 1),
+        }
+        match outcome:
+            case Whole():
+                health.failed(certain=False) if outcome.failed else health.succeeded()
+                result, detail = "answered", str(outcome.answer.status)
+            case Streamed():
+                health.succeeded()
+                result, detail = "streamed", ""
+            case DidNotRun():
+                result, detail = "did-not-run", outcome.detail
+                if outcome.arrived:
+                    place.note_full()
+                else:
+                    health.failed(certain=True)
+            case MayRun():
+                health.failed(certain=False)
+                result, detail = "may-have-run", f"{outcome.reason.code}: {outcome.detail}"
+        fields |= {"outcome": result, "detail": detail, "health_failures": health.failures}
+        logger.info("attempt", extra=fields)
+
+
+def _exact(request: Admitted) -> int | None:
+    """Return the version that a stream must go on with, if it has begun."""
+    relay = request.relay
+    return relay.weights_version if relay is not None and relay.started else None
+
+
+def _too_late(request: Admitted) -> Verdict:
+    """Return the verdict on a request whose time is up."""
+    if request.relay is not None and request.relay.started:
+        return MayHaveRun(STREAM_BROKEN, "the time is up")
+    if request.runs:
+        return MayHaveRun(DEADLINE, "the time is up")
+    return NotRun(NO_RUN_IN_TIME, "the time is up", COME_BACK_SECONDS)
--- /dev/null
+++ b/libs/gateway/src/headcross_gateway/weightsrules.py
@@ -0,0 +1,42 @@
+"""Which versions of a model's weights may still take new requests.
+
+A newer version that is named must replace the older ones within a bound. Until then both serve, so
+that replicas can change over in turns; a safety margin before the bound new requests go to the new
+version alone.
+"""
+
+from dataclasses import dataclass
+from typing import Final
+
+from headcross_base.clocks import monotonic
+from headcross_facts.facts import Facts, VersionNotice
+
+# The version was acknowledged some time before this process learned of it, and a request takes
+# some time from here to its first token.
+MARGIN_SECONDS: Final = 0.9
+# A process that starts after a version was named does not know when that was. It serves older
+# versions for so long after its start.
+AT_START_SECONDS: Final = 2.0
+
+
+@dataclass(frozen=True, slots=True)
+class WeightsRules:
+    """The bound on old versions, applied to what this process knows."""
+
+    facts: Facts
+    bound_seconds: float
+
+    def lowest_allowed(self, model: str) -> int:
+        """Return the oldest version that new requests may still run on."""
+        now = monotonic()
+        due = [
+            notice.version
+            for notice in self.facts.versions.get(model, [])
+            if now >= self._due_at(notice)
+        ]
+        return max(due, default=0)
+
+    def _due_at(self, notice: VersionNotice) -> float:
+        if notice.at_start:
+            return notice.seen_at + AT_START_SECONDS
+        return notice.seen_at + self.bound_seconds - MARGIN_SECONDS
--- /dev/null
+++ b/libs/renewal/src/headcross_renewal/renewer.py
@@ -0,0 +1,339 @@
+"""Brings one replica to the newest named version of its model, again and again.
+
+The steps to a version: its digests; its chunks, from other daemons and the origin; the chunks put
+beside the replica; its turn; all chunks read back and verified; the order; the state read back. A
+newer version that is named ends the steps to an older one at once. The order carries the number of
+orders that the replica has taken, so that one of an earlier life of this daemon cannot count twice.
+"""
+
+import logging
+import random
+from dataclasses import dataclass
+from typing import Final
+
+import trio
+from headcross_base.clocks import PauseWatch, monotonic
+from headcross_base.errors import Failure
+from headcross_facts.facts import Facts
+from headcross_fleet.fleetfile import Artifact
+from headcross_native.hostlist import Host, HostList
+from headcross_ports.configuration import Configuration
+from headcross_ports.published import LoadedModel, Replica
+from headcross_ports.replicas import OrderRefused, ReplicaControl
+from headcross_weights.chunkstore import ChunkStore, StoredArtifact
+from headcross_weights.swarm import Swarm
+
+from headcross_renewal.reporting import Reporter
+from headcross_renewal.sources import OriginSource, manifest_of, weights_name
+from headcross_renewal.staging import Staging
+from headcross_renewal.turns import first_group
+
+FIRST_VERSION: Final = 1
+IDLE_SECONDS: Final = 0.5
+RETRY_SECONDS: Final = 0.3
+TURN_CHECK_SECONDS: Final = 0.1
+LOADING_CHECK_SECONDS: Final = 0.05
+# How long an order may stay without effect before the replica is looked at anew.
+ORDER_SECONDS: Final = 6.0
+# Entries hear that the replica is about to load so long before the order.
+NOTICE_SECONDS: Final = 0.04
+# The second group loads at the latest when entries leave the old version, this long before the
+# bound.
+LAST_TURN_SECONDS: Final = 1.2
+
+logger = logging.getLogger(__name__)
+
+
+@dataclass(frozen=True, slots=True)
+class Place:
+    """Where this daemon stands, and how others reach it."""
+
+    host: str  # its IP number, which names it in the swarm
+    region_of_zone: dict[str, str]
+    replica_address: str
+    service: str
+    control_port: int
+    swarm_port: int
+
+
+class Renewer:
+    """The renewal of one replica."""
+
+    # What it is at, for dumps.
+    step: str
+    # Orders given and refused.
+    orders: int
+    refused: int
+
+    def __init__(
+        self,
+        place: Place,
+        facts: Facts,
+        replica: ReplicaControl,
+        reporter: Reporter,
+        store: ChunkStore,
+        swarm: Swarm,
+        origin: OriginSource,
+        pauses: PauseWatch,
+        bound_seconds: float,
+    ) -> None:
+        self.step = "starting"
+        self.orders = 0
+        self.refused = 0
+        self._place = place
+        self._facts = facts
+        self._replica = replica
+        self._reporter = reporter
+        self._store = store
+        self._swarm = swarm
+        self._origin = origin
+        self._pauses = pauses
+        self._bound = bound_seconds
+        self._digests: dict[LoadedModel, str] = {}
+
+    async def run(self) -> None:
+        """Renew until cancelled."""
+        while True:
+            goal = self._goal()
+            if goal is None or self._holds(goal):
+                if goal is not None:
+                    await self._offer(goal)
+                self._enter("idle", goal)
+                await self._wait_news()
+                continue
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._give_up_when_superseded, goal, nursery.cancel_scope)
+                await self._reach(goal)
+                nursery.cancel_scope.cancel()
+
+    # What to do.
+
+    def _goal(self) -> LoadedModel | None:
+        """Return the version that the replica should have."""
+        configuration = self._facts.configuration
+        report = self._reporter.report
+        if configuration is None or report is None:
+            return None
+        model = self._model(configuration)
+        if model is None:
+            return None
+        named = self._facts.newest_version(model)
+        if named is not None:
+            return LoadedModel(model, named)
+        listed = [m.version for r in self._peers() for m in r.loaded if m.model == model]
+        held = [m.version for m in report.loaded if m.model == model]
+        return LoadedModel(model, max([*listed, *held], default=FIRST_VERSION))
+
+    def _model(self, configuration: Configuration) -> str | None:
+        report = self._reporter.report
+        if report is not None and report.loaded:
+            return report.loaded[0].model
+        service = configuration.services.get(self._place.service)
+        if service is None or service.weights is None or not service.weights.models:
+            return None
+        return service.weights.models[0]
+
+    def _holds(self, goal: LoadedModel) -> bool:
+        report = self._reporter.report
+        return report is not None and any(
+            loaded.model == goal.model and loaded.version >= goal.version
+            for loaded in report.loaded
+        )
+
+    async def _wait_news(self) -> None:
+        with trio.move_on_after(IDLE_SECONDS * random.uniform(0.8, 1.2)):
+            async with trio.open_nursery() as nursery:
+
+                async def end_after_facts() -> None:
+                    await self._facts.wait_change()
+                    nursery.cancel_scope.cancel()
+
+                nursery.start_soon(end_after_facts)
+                await self._reporter.wait_change()
+                nursery.cancel_scope.cancel()
+
+    async def _give_up_when_superseded(self, goal: LoadedModel, scope: trio.CancelScope) -> None:
+        while True:
+            await self._facts.wait_change()
+            newest = self._facts.newest_version(goal.model)
+            if newest is not None and newest > goal.version:
+                logger.info(
+                    "version superseded",
+                    extra={"goal": weights_name(goal), "newest": newest, "step": self.step},
+                )
+                scope.cancel()
+
+    # The steps.
+
+    async def _reach(self, goal: LoadedModel) -> None:
+        self._enter("digests", goal)
+        stored = await self._admit(goal)
+        staging = Staging(goal.model, self._replica)
+        self._enter("adopting", goal)
+        adopted = await staging.adopt(stored) if not stored.whole else 0
+        self._enter("fetching", goal, adopted=adopted)
+        await self._fetch(goal, stored)
+        self._enter("staging", goal)
+        await staging.put_all(stored)
+        self._enter("waiting for its turn", goal)
+        await self._wait_turn(goal)
+        self._enter("verifying", goal)
+        while not await staging.verify(stored):
+            await trio.sleep(TURN_CHECK_SECONDS)
+        self._enter("ordering", goal)
+        try:
+            await self._order(goal)
+        finally:
+            self._reporter.leaving = False
+
+    async def _offer(self, goal: LoadedModel) -> None:
+        """Have the version that the replica serves ready for others, from beside the replica."""
+        if goal in self._digests:
+            return
+        held = next(
+            (
+                loaded
+                for loaded in (self._reporter.report.loaded if self._reporter.report else ())
+                if loaded.model == goal.model
+            ),
+            goal,
+        )
+        stored = await self._admit(held)
+        adopted = await Staging(held.model, self._replica).adopt(stored)
+        self._digests[goal] = stored.digest
+        self._enter("offering", held, adopted=adopted, missing=len(stored.missing))
+
+    async def _admit(self, goal: LoadedModel) -> StoredArtifact:
+        """Return the place for a version's chunks."""
+        while True:
+            known = self._store.get(self._digests.get(goal, ""))
+            if known is not None:
+                return known
+            digests = await self._origin.read_digests(goal)
+            if isinstance(digests, Failure):
+                logger.warning("digests not read", extra={"reason": digests.detail})
+                await trio.sleep(RETRY_SECONDS * random.uniform(0.5, 1.5))
+                continue
+            self._origin.use_chunk_bytes(digests.value.chunk_bytes)
+            manifest, body, digest = manifest_of(digests.value)
+            admitted = self._store.admit(digest, manifest, body)
+            if isinstance(admitted, Failure):
+                logger.error("no memory for weights", extra={"reason": admitted.detail})
+                await trio.sleep(IDLE_SECONDS)
+                continue
+            self._digests[goal] = digest
+            self._store.pin(self._place.host, {digest})
+            return admitted.value
+
+    async def _fetch(self, goal: LoadedModel, stored: StoredArtifact) -> None:
+        artifact = Artifact(name=weights_name(goal), digest=stored.digest)
+        while not stored.whole:
+            self._swarm.update_hosts(self._hosts())
+            outcome = await self._swarm.fetch(artifact, self._wanting(goal), 1)
+            if isinstance(outcome, Failure):
+                logger.warning("weights not fetched", extra={"reason": outcome.detail})
+                await trio.sleep(RETRY_SECONDS)
+
+    async def _wait_turn(self, goal: LoadedModel) -> None:
+        """Wait until this replica may load."""
+        report = self._reporter.report
+        if report is None or not report.loaded:
+            return  # it takes no requests anyway
+        mine = self._place.replica_address
+        until = self._last_turn(goal)
+        while monotonic() < until:
+            first = first_group(goal, self._peers())
+            if mine in first or mine not in {str(r.address) for r in self._peers()}:
+                return
+            if all(_has(r, goal) for r in self._peers() if str(r.address) in first):
+                return
+            await trio.sleep(TURN_CHECK_SECONDS)
+
+    def _last_turn(self, goal: LoadedModel) -> float:
+        notices = self._facts.versions.get(goal.model, [])
+        named = next((n for n in notices if n.version == goal.version and not n.at_start), None)
+        return named.seen_at + self._bound - LAST_TURN_SECONDS if named is not None else 0.0
+
+    async def _order(self, goal: LoadedModel) -> None:
+        """Order the replica to load, and wait until it has."""
+        self._reporter.leaving = True
+        pauses = self._pauses.check()
+        report = await self._reporter.refresh()
+        if report is None or self._holds(goal) or report.busy_loading:
+            await trio.sleep(LOADING_CHECK_SECONDS)
+            return
+        if report.loaded:
+            await trio.sleep(NOTICE_SECONDS)
+        if self._pauses.check() != pauses or self._goal() != goal:
+            logger.warning("order withheld", extra={"goal": weights_name(goal)})
+            return
+        self.orders += 1
+        outcome = await self._replica.start(goal.model, goal.version, report.order_sequence)
+        fields = {"goal": weights_name(goal), "sequence": report.order_sequence}
+        if isinstance(outcome, Failure):
+            logger.warning("order without an answer", extra={**fields, "reason": outcome.detail})
+        elif isinstance(outcome.value, OrderRefused):
+            self.refused += 1
+            logger.warning("order refused", extra={**fields, "reason": outcome.value.detail})
+            await trio.sleep(RETRY_SECONDS)
+            return
+        else:
+            logger.info("order taken", extra={**fields, "done": outcome.value.done})
+        await self._wait_loaded(goal)
+
+    async def _wait_loaded(self, goal: LoadedModel) -> None:
+        until = monotonic() + ORDER_SECONDS
+        while monotonic() < until:
+            report = await self._reporter.refresh()
+            if self._holds(goal):
+                self._reporter.leaving = False
+                self._reporter.tell()
+                logger.info("version loaded", extra={"goal": weights_name(goal)})
+                return
+            if report is not None and not report.loaded and not report.busy_loading:
+                logger.warning("replica lost its order", extra={"goal": weights_name(goal)})
+                return
+            await trio.sleep(LOADING_CHECK_SECONDS)
+
+    # Others.
+
+    def _peers(self) -> list[Replica]:
+        """Return the listed replicas of the service, this one's included."""
+        return [r for r in self._facts.replicas.values() if r.service == self._place.service]
+
+    def _hosts(self) -> HostList:
+        hosts: dict[str, Host] = {}
+        for replica in self._peers():
+            ip = replica.address.ip
+            hosts[ip] = Host(
+                name=ip,
+                role="upstream",
+                region=self._place.region_of_zone.get(replica.zone, replica.zone),
+                zone=replica.zone,
+                control=f"{ip}:{self._place.control_port}",
+                http=str(replica.address),
+                swarm=f"{ip}:{self._place.swarm_port}",
+            )
+        return HostList(list(hosts.values()))
+
+    def _wanting(self, goal: LoadedModel) -> list[str]:
+        """Return who takes part in bringing a version in from the origin.
+
+        Once replicas hold the version, they alone are asked: the origin need not send it again.
+        """
+        holders = [r.address.ip for r in self._peers() if _has(r, goal)]
+        others = [ip for ip in holders if ip != self._place.host]
+        return others or [r.address.ip for r in self._peers()]
+
+    def _enter(self, step: str, goal: LoadedModel | None, **more: object) -> None:
+        if step == self.step:
+            return
+        self.step = step
+        name = weights_name(goal) if goal is not None else None
+        logger.info("renewal", extra={"step": step, "goal": name, **more})
+
+
+def _has(replica: Replica, goal: LoadedModel) -> bool:
+    return any(
+        loaded.model == goal.model and loaded.version >= goal.version for loaded in replica.loaded
+    )
--- /dev/null
+++ b/libs/renewal/src/headcross_renewal/reporting.py
@@ -0,0 +1,127 @@
+"""The state of the replica beside this daemon, read often and told to those who listen."""
+
+import logging
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Final
+
+import trio
+from headcross_base.addresses import Address
+from headcross_base.clocks import monotonic
+from headcross_base.errors import Failure
+from headcross_ports.replicas import ReplicaControl, ReplicaReport
+from headcross_wire.peermessages import PeerMessage, ReplicaLoad
+from headcross_wire.peernode import Reply
+
+READ_SECONDS: Final = 0.25
+# A listener that did not ask again for so long is told nothing more.
+LISTENER_SECONDS: Final = 4.0
+
+logger = logging.getLogger(__name__)
+
+
+@dataclass(slots=True)
+class _Listener:
+    reply: Reply
+    asked_at: float
+
+
+class Reporter:
+    """Reads and tells the state of one replica."""
+
+    # The last report and when it was read; None while the replica does not answer.
+    report: ReplicaReport | None
+    read_at: float
+    # Set by the renewer before it gives an order, so that requests go elsewhere in time.
+    leaving: bool
+
+    def __init__(self, address: Address, replica: ReplicaControl) -> None:
+        self.report = None
+        self.read_at = float("-inf")
+        self.leaving = False
+        self._address = address
+        self._replica = replica
+        self._listeners: dict[str, _Listener] = {}
+        self._sequence = 0
+        self._changed = trio.Event()
+        self._on_tell: list[Callable[[], None]] = []
+
+    async def run(self) -> None:
+        """Read and tell until cancelled."""
+        while True:
+            await self.refresh()
+            await trio.sleep(READ_SECONDS)
+
+    async def refresh(self) -> ReplicaReport | None:
+        """Read the state now and tell it."""
+        outcome = await self._replica.report()
+        before = self.report
+        if isinstance(outcome, Failure):
+            self.report = None
+            if before is not None:
+                logger.warning("replica lost", extra={"reason": outcome.detail})
+        else:
+            self.report = outcome.value
+            self.read_at = monotonic()
+            if before is None:
+                logger.info("replica regained", extra=self._describe(outcome.value))
+        if _essence(before) != _essence(self.report):
+            self._changed.set()
+            self._changed = trio.Event()
+        self.tell()
+        return self.report
+
+    async def wait_change(self) -> None:
+        """Wait until the replica loads, or has loaded, something else, or comes or goes."""
+        await self._changed.wait()
+
+    def listen(self, host: str, reply: Reply) -> None:
+        """Tell a process the state from now on, for some seconds."""
+        if host not in self._listeners:
+            logger.info("listener", extra={"listener": host})
+        self._listeners[host] = _Listener(reply, monotonic())
+        reply(self._message(), None)
+
+    def tell(self) -> None:
+        """Tell all who listen."""
+        horizon = monotonic() - LISTENER_SECONDS
+        message: PeerMessage = self._message()
+        for host, listener in list(self._listeners.items()):
+            if listener.asked_at < horizon:
+                del self._listeners[host]
+            else:
+                listener.reply(message, None)
+
+    def _message(self) -> ReplicaLoad:
+        self._sequence += 1
+        report = self.report
+        if report is None:
+            return ReplicaLoad(
+                str(self._address), self._sequence, False, self.leaving, {}, 0, 0, 0.0, 1.0
+            )
+        total = max(1, report.memory_total)
+        return ReplicaLoad(
+            address=str(self._address),
+            sequence=self._sequence,
+            reachable=True,
+            leaving=self.leaving or report.busy_loading,
+            versions={loaded.model: loaded.version for loaded in report.loaded},
+            active=report.active,
+            queued=report.queued,
+            memory_share=report.memory_used / total,
+            pace=report.pace,
+        )
+
+    @staticmethod
+    def _describe(report: ReplicaReport) -> dict[str, object]:
+        return {
+            "loaded": {loaded.model: loaded.version for loaded in report.loaded},
+            "busy": report.busy_loading,
+            "orders": report.order_sequence,
+        }
+
+
+def _essence(report: ReplicaReport | None) -> object:
+    if report is None:
+        return None
+    return report.loaded, report.busy_loading, report.order_sequence
--- /dev/null
+++ b/libs/renewal/src/headcross_renewal/staging.py
@@ -0,0 +1,82 @@
+"""Chunks beside the replica: what lies there, what has to be put there, what was verified.
+
+A replica keeps one copy of each model and checks nothing. Chunks may turn bad after they were put
+there, so all are read back and verified right before an order.
+"""
+
+import logging
+from typing import Final
+
+import trio
+from headcross_base.errors import Failure, Ok
+from headcross_base.hashing import digest_of
+from headcross_ports.replicas import ReplicaControl
+from headcross_weights.chunkstore import StoredArtifact
+
+WORKERS: Final = 4
+RETRY_SECONDS: Final = 0.1
+
+logger = logging.getLogger(__name__)
+
+
+class Staging:
+    """The staged copy of one model."""
+
+    def __init__(self, model: str, replica: ReplicaControl) -> None:
+        self._model = model
+        self._replica = replica
+
+    async def adopt(self, stored: StoredArtifact) -> int:
+        """Take those staged chunks that belong to a version; return how many did."""
+        held = await self._replica.staged_chunks(self._model)
+        if isinstance(held, Failure):
+            return 0
+        adopted = 0
+        for index in sorted(held.value & stored.missing):
+            data = await self._replica.read_chunk(self._model, index)
+            if isinstance(data, Failure):
+                break
+            if data.value is not None and _is_chunk(stored, index, data.value):
+                adopted += isinstance(stored.add(index, data.value), Ok)
+        return adopted
+
+    async def put_all(self, stored: StoredArtifact) -> None:
+        """Put every chunk of a whole version beside the replica."""
+        indexes = list(range(len(stored.places)))
+        await self._in_parallel(stored, indexes)
+
+    async def verify(self, stored: StoredArtifact) -> bool:
+        """Read every chunk back; put those that are bad once more. True if none was."""
+        bad: list[int] = []
+        for index in range(len(stored.places)):
+            data = await self._replica.read_chunk(self._model, index)
+            if isinstance(data, Failure):
+                return False
+            if data.value is None or not _is_chunk(stored, index, data.value):
+                bad.append(index)
+        if bad:
+            logger.warning("staged chunks bad", extra={"model": self._model, "chunks": bad})
+            await self._in_parallel(stored, bad)
+        return not bad
+
+    async def _in_parallel(self, stored: StoredArtifact, indexes: list[int]) -> None:
+        waiting = list(reversed(indexes))
+
+        async def work() -> None:
+            while waiting:
+                await self._put(stored, waiting.pop())
+
+        async with trio.open_nursery() as nursery:
+            for _ in range(WORKERS):
+                nursery.start_soon(work)
+
+    async def _put(self, stored: StoredArtifact, index: int) -> None:
+        data = stored.chunk(index)
+        if data is None:
+            return
+        while isinstance(await self._replica.stage_chunk(self._model, index, data), Failure):
+            await trio.sleep(RETRY_SECONDS)
+
+
+def _is_chunk(stored: StoredArtifact, index: int, data: bytes) -> bool:
+    return index < len(stored.places) and digest_of(data) == stored.places[index].digest
--- a/libs/rollout/src/headcross_rollout/orders.py
+++ b/libs/rollout/src/headcross_rollout/orders.py
@@ -15,7 +15,7 @@
 from headcross_base.errors import Failure, Ok
 from headcross_fleet.documents import Documents
 from headcross_fleet.following import ConfigFollower
-from headcross_platform.engine import Engine, EngineState, Fence, Order, WeightsOrder
+from headcross_native.engine import Engine, EngineState, Fence, Order, WeightsOrder
 
 # A process that heard nothing from the service or any peer for so long gives no order.
 CONTACT_SECONDS: Final = 10.0
--- a/libs/rollout/src/headcross_rollout/placement.py
+++ b/libs/rollout/src/headcross_rollout/placement.py
@@ -11,7 +11,7 @@
 
 from headcross_base.hashing import rendezvous_order
 from headcross_fleet.fleetfile import FleetFile, Pool
-from headcross_platform.hostlist import HostList
+from headcross_native.hostlist import HostList
 
 
 @dataclass(slots=True)
--- a/libs/rollout/src/headcross_rollout/runner.py
+++ b/libs/rollout/src/headcross_rollout/runner.py
@@ -27,7 +27,7 @@
     STAGING,
     UpstreamGate,
 )
-from headcross_platform.engine import Engine, EngineState, WeightsOrder, serving_digest
+from headcross_native.engine import Engine, EngineState, WeightsOrder, serving_digest
 from headcross_weights.swarm import Swarm
 from headcross_wire.peermessages import TurnKind
 
--- a/libs/rollout/src/headcross_rollout/target.py
+++ b/libs/rollout/src/headcross_rollout/target.py
@@ -9,8 +9,8 @@
     Pool,
     pool_artifacts,
 )
-from headcross_platform.engine import serving_digest
-from headcross_platform.hostlist import HostList
+from headcross_native.engine import serving_digest
+from headcross_native.hostlist import HostList
 
 from headcross_rollout.placement import Placement, place
 
--- a/libs/routing/src/headcross_routing/answerflow.py
+++ b/libs/routing/src/headcross_routing/answerflow.py
@@ -9,11 +9,11 @@
 
 import msgspec
 from headcross_base.verdicts import COMPLETED, VERDICT_HEADER, Refusal
-from headcross_platform.eventstream import EVENT_STREAM, EventSplitter
+from headcross_native.eventstream import EVENT_STREAM, EventSplitter
 from headcross_wire.httpclient import Answer, LinkLostError
 from headcross_wire.httpserver import CallerGone, Exchange, Headers
 
-from headcross_routing.replies import error_body
+from headcross_wire.replies import error_body
 from headcross_routing.requestmeta import DIGEST_HEADER, HOP_HEADERS, INTERNAL_HEADERS
 
 KEPT_BACK_BYTES: Final = 1024 * 1024
--- a/libs/routing/src/headcross_routing/attempts.py
+++ b/libs/routing/src/headcross_routing/attempts.py
@@ -34,7 +34,7 @@
 )
 from headcross_fleet.documents import Documents
 from headcross_fleet.membership import StatusTable
-from headcross_platform.eventstream import EventTooLongError
+from headcross_native.eventstream import EventTooLongError
 from headcross_wire.httpclient import (
     Answer,
     ConnectError,
@@ -48,7 +48,7 @@
 from headcross_routing.answerflow import AnswerFlow
 from headcross_routing.ledger import REVOCATIONS_PATH
 from headcross_routing.picking import Candidate, Picker
-from headcross_routing.replies import MAX_ERROR_BYTES, read_refusal
+from headcross_wire.replies import MAX_ERROR_BYTES, read_refusal
 from headcross_routing.requestmeta import (
     DIGEST_HEADER,
     LOAD_HEADER,
--- a/libs/routing/src/headcross_routing/entrypath.py
+++ b/libs/routing/src/headcross_routing/entrypath.py
@@ -38,7 +38,7 @@
 from headcross_routing.attempts import Attempts
 from headcross_routing.keyclaims import claim_key, release_key
 from headcross_routing.picking import Candidate, Picker, prefix_of
-from headcross_routing.replies import send_refusal
+from headcross_wire.replies import send_refusal
 from headcross_routing.requestmeta import (
     RequestMeta,
     read_meta,
--- a/libs/routing/src/headcross_routing/keyclaims.py
+++ b/libs/routing/src/headcross_routing/keyclaims.py
@@ -7,11 +7,11 @@
 from headcross_base.errorcodes import CONNECT_FAILED, HOME_GONE, LINK_LOST
 from headcross_base.errors import Failure
 from headcross_base.verdicts import VERDICT_HEADER, NotRun, Refusal
-from headcross_platform.hostlist import HostList
+from headcross_native.hostlist import HostList
 from headcross_wire.httpclient import call
 
 from headcross_routing.ledger import CLAIMS_PATH, KeyClaim, home_of, key_homes
-from headcross_routing.replies import MAX_ERROR_BYTES, read_refusal
+from headcross_wire.replies import MAX_ERROR_BYTES, read_refusal
 from headcross_routing.requestmeta import RequestMeta
 
 CLAIM_SECONDS: Final = 1.0
--- a/libs/routing/src/headcross_routing/ledger.py
+++ b/libs/routing/src/headcross_routing/ledger.py
@@ -20,7 +20,7 @@
 from headcross_base.errorcodes import DUPLICATE_KEY, LEDGER_FULL, LEDGER_YOUNG
 from headcross_base.hashing import rendezvous_first
 from headcross_base.verdicts import MayHaveRun, NotRun, Refusal
-from headcross_platform.hostlist import HostList
+from headcross_native.hostlist import HostList
 
 # An id is remembered for so long after its deadline; late messages die with their connection,
 # which the transport closes within seconds.
--- a/libs/routing/src/headcross_routing/picking.py
+++ b/libs/routing/src/headcross_routing/picking.py
@@ -21,7 +21,7 @@
 from headcross_base.hashing import digest_of, rendezvous_order
 from headcross_fleet.membership import StatusTable
 from headcross_fleet.upstreamgate import SERVING
-from headcross_platform.hostlist import HostList
+from headcross_native.hostlist import HostList
 
 # An upstream that could not be reached is avoided for so long, doubling up to the second figure.
 AVOID_SECONDS: Final = 1.0
--- a/libs/routing/src/headcross_routing/upstreampath.py
+++ b/libs/routing/src/headcross_routing/upstreampath.py
@@ -39,8 +39,8 @@
 from headcross_fleet import upstreamgate
 from headcross_fleet.documents import Documents
 from headcross_fleet.upstreamgate import EMPTY, UpstreamGate
-from headcross_platform.configservice import HOSTS_KEY
-from headcross_platform.engine import (
+from headcross_native.configservice import HOSTS_KEY
+from headcross_native.engine import (
     ENGINE_MATCH_HEADER,
     ENGINE_PRIORITY_HEADER,
     ENGINE_RESUME_HEADER,
@@ -64,7 +64,7 @@
     KeyLedger,
     RequestLedger,
 )
-from headcross_routing.replies import send_refusal
+from headcross_wire.replies import send_refusal
 from headcross_routing.requestmeta import (
     DIGEST_HEADER,
     HOP_HEADERS,
--- a/libs/weights/src/headcross_weights/importduties.py
+++ b/libs/weights/src/headcross_weights/importduties.py
@@ -8,20 +8,15 @@
 
 from collections.abc import Iterable
 from typing import Final
-
 from headcross_base.clocks import monotonic
 from headcross_wire.peermessages import AskIntent, Intent
 
+from headcross_weights.pace import LARGE_WEIGHTS, SwarmPace
 from headcross_weights.sourcing import MANIFEST_INDEX, ChunkDuty, ImportOrder
 
-# A host that should bring a chunk in and was silent for so long is stood in for; the next in
-# order waits as long again. Six times the watching period.
-TAKEOVER_SECONDS: Final = 3.0
 # A region's first host waits so many take-over times before it goes to the origin itself: the
 # origin's side moves first.
 WAIT_FOR_HOME: Final = 2
-# When nothing at all came for so long, any host may go outside for a chunk nobody offers.
-STUCK_SECONDS: Final = 20.0
 
 Question = tuple[str, bool]  # host to ask, and whether only the origin's side counts
 
@@ -29,8 +24,9 @@
 class ImportDuties:
     """The duties of one host in one transfer."""
 
-    def __init__(self, order: ImportOrder) -> None:
+    def __init__(self, order: ImportOrder, pace: SwarmPace = LARGE_WEIGHTS) -> None:
         self._order = order
+        self._pace = pace
         self._started_at = monotonic()
         self._taken_over: set[int] = set()
         # When a host before this one was last known to be at work on a chunk.
@@ -90,10 +86,10 @@
         """Return how long (seconds) to wait for others before fetching the manifest oneself."""
         duty = self._order.duty(MANIFEST_INDEX)
         if duty.rank is None:
-            return STUCK_SECONDS
+            return self._pace.stuck
         if duty.from_peer:
-            return TAKEOVER_SECONDS * (duty.rank + WAIT_FOR_HOME)
-        return TAKEOVER_SECONDS * duty.rank
+            return self._pace.takeover * (duty.rank + WAIT_FOR_HOME)
+        return self._pace.takeover * duty.rank
 
     def before_manifest(self) -> tuple[str, ...]:
         """Return the hosts that fetch the manifest before this one."""
@@ -104,4 +100,4 @@
         if duty.rank is None or self.is_mine(index):
             return False
         quiet = monotonic() - self._attended_at.get(index, self._started_at)
-        return quiet >= TAKEOVER_SECONDS * (duty.rank or WAIT_FOR_HOME)
+        return quiet >= self._pace.takeover * (duty.rank or WAIT_FOR_HOME)
--- a/libs/weights/src/headcross_weights/imports.py
+++ b/libs/weights/src/headcross_weights/imports.py
@@ -6,24 +6,37 @@
 
 import logging
 from collections import Counter
-from typing import Final
+from collections.abc import Sequence
+from typing import Protocol
 
 from headcross_base.clocks import monotonic
 from headcross_base.errorcodes import SOURCE_FAILED
 from headcross_base.errors import Failure, Ok
-from headcross_platform.weightsource import TryLater, WeightSource
+from headcross_native.weightsource import TryLater
 from headcross_wire.linkrate import LinkRate
 
 from headcross_weights.manifest import ChunkPlace
-
-FAILED_PAUSE_SECONDS: Final = 2.0
-CORRUPT_PAUSE_SECONDS: Final = 5.0
-# A chunk read is given up after this long; a stalled link then costs one chunk's time.
-READ_SECONDS: Final = 20.0
+from headcross_weights.pace import LARGE_WEIGHTS, SwarmPace
 
 logger = logging.getLogger(__name__)
 
 
+class WeightSource(Protocol):
+    """Where weights come from outside."""
+
+    @property
+    def name(self) -> str:
+        """The name in dumps and metrics."""
+
+    async def read_manifest(self, weights: str) -> Ok[bytes] | TryLater | Failure:
+        """Return the bytes of a manifest, unchecked."""
+
+    async def read_range(
+        self, weights: str, path: str, offset: int, size: int, seconds: float
+    ) -> Ok[bytes] | TryLater | Failure:
+        """Return `size` bytes of a file from `offset`, unchecked."""
+
+
 class Importer:
     """Reads manifests and chunks from outside the fleet."""
 
@@ -33,11 +46,17 @@
     failures: Counter[str]
     corrupt: Counter[str]
 
-    def __init__(self, sources: list[WeightSource], downlink: LinkRate) -> None:
+    def __init__(
+        self,
+        sources: Sequence[WeightSource],
+        downlink: LinkRate,
+        pace: SwarmPace = LARGE_WEIGHTS,
+    ) -> None:
         self.received_bytes = Counter()
         self.failures = Counter()
         self.corrupt = Counter()
         self._sources = sources
+        self._pace = pace
         self._downlink = downlink
         self._paused_until = {source.name: 0.0 for source in sources}
 
@@ -58,14 +77,14 @@
             return Failure(SOURCE_FAILED, "every source is paused")
         await self._downlink.take(place.size)
         outcome = await source.read_range(
-            weights, place.path, place.offset, place.size, READ_SECONDS
+            weights, place.path, place.offset, place.size, self._pace.read
         )
         return self._take(source, outcome)
 
     def report_corrupt(self, source: WeightSource, detail: str) -> None:
         """Count bytes that failed verification against their source, and leave it alone."""
         self.corrupt[source.name] += 1
-        self._paused_until[source.name] = monotonic() + CORRUPT_PAUSE_SECONDS
+        self._paused_until[source.name] = monotonic() + self._pace.corrupt_pause
         logger.error("corrupt bytes", extra={"source": source.name, "detail": detail})
 
     def _choose(self) -> WeightSource | None:
@@ -85,5 +104,5 @@
                 return Failure(SOURCE_FAILED, f"{source.name} is at its limit")
             case Failure():
                 self.failures[source.name] += 1
-                self._paused_until[source.name] = monotonic() + FAILED_PAUSE_SECONDS
+                self._paused_until[source.name] = monotonic() + self._pace.failed_pause
                 return Failure(SOURCE_FAILED, f"{source.name}: {outcome.detail}")
--- a/libs/weights/src/headcross_weights/neighbours.py
+++ b/libs/weights/src/headcross_weights/neighbours.py
@@ -9,7 +9,7 @@
 from typing import Final
 
 from headcross_base.hashing import rendezvous_order
-from headcross_platform.hostlist import Host
+from headcross_native.hostlist import Host
 
 ZONE_PICKS: Final = 4
 REGION_PICKS: Final = 3
@@ -22,6 +22,9 @@
 ) -> list[Host]:
     """Return the hosts that `me` enters a transfer with."""
     others = {host.name: host for host in wanting if host.name != me and host.region == region}
+    if not others:
+        # Nobody in this region takes part: better far neighbours than none.
+        others = {host.name: host for host in wanting if host.name != me}
     order = rendezvous_order(f"{artifact} {me}", others)
     same_zone = [name for name in order if others[name].zone == zone]
     other_zones = [name for name in order if others[name].zone != zone]
--- a/libs/weights/src/headcross_weights/neighbourview.py
+++ b/libs/weights/src/headcross_weights/neighbourview.py
@@ -6,15 +6,13 @@
 from headcross_base.clocks import monotonic
 from headcross_wire.peermessages import PeerMessage
 
+from headcross_weights.pace import LARGE_WEIGHTS, SwarmPace
+
 # Requests in flight to one host: one being sent and one behind it.
 REQUESTS_PER_HOST: Final = 2
-# A request is given up when it takes longer than this many times the usual, but not before
-# MIN_TIMEOUT; the host is then left alone for a while that doubles with each failure.
+# A request is given up when it takes longer than this many times the usual, within the bounds of
+# the pace; the host is then left alone for a while that doubles with each failure.
 TIMEOUT_FACTOR: Final = 4.0
-MIN_TIMEOUT_SECONDS: Final = 1.5
-MAX_TIMEOUT_SECONDS: Final = 15.0
-STALL_BACKOFF_SECONDS: Final = 1.0
-MAX_BACKOFF_SECONDS: Final = 30.0
 # A host that sent so many corrupt chunks of one artifact is not asked for it again.
 QUARANTINE_CORRUPT: Final = 2
 FAILURES_TO_DOUBT: Final = 2
@@ -44,7 +42,7 @@
     # Requests that failed since the last chunk came from it.
     failures: int
 
-    def __init__(self, host: str, send: Send) -> None:
+    def __init__(self, host: str, send: Send, pace: SwarmPace = LARGE_WEIGHTS) -> None:
         self.host = host
         self.send = send
         self.has = set()
@@ -55,7 +53,8 @@
         self.corrupt = 0
         self.failures = 0
         self._blocked_until = 0.0
-        self._backoff = STALL_BACKOFF_SECONDS
+        self._pace = pace
+        self._backoff = pace.stall_backoff
 
     @property
     def quarantined(self) -> bool:
@@ -79,8 +78,8 @@
 
     def timeout(self) -> float:
         """Return the seconds after which a request to it is given up."""
-        usual = TIMEOUT_FACTOR * self.latency or MAX_TIMEOUT_SECONDS / 2
-        return min(MAX_TIMEOUT_SECONDS, max(MIN_TIMEOUT_SECONDS, usual))
+        usual = TIMEOUT_FACTOR * self.latency or self._pace.max_timeout / 2
+        return min(self._pace.max_timeout, max(self._pace.min_timeout, usual))
 
     def received(self, index: int) -> None:
         """Note that a chunk asked for has come."""
@@ -89,7 +88,7 @@
             return
         sample = monotonic() - asked_at
         self.latency += (sample - self.latency) * (LATENCY_GAIN if self.latency else 1.0)
-        self._backoff = STALL_BACKOFF_SECONDS
+        self._backoff = self._pace.stall_backoff
         self.failures = 0
 
     def busy(self, index: int, pause: float) -> None:
@@ -102,4 +101,4 @@
         self.in_flight.clear()
         self.failures += 1
         self._blocked_until = monotonic() + self._backoff
-        self._backoff = min(MAX_BACKOFF_SECONDS, 2 * self._backoff)
+        self._backoff = min(self._pace.max_backoff, 2 * self._backoff)
--- /dev/null
+++ b/libs/weights/src/headcross_weights/pace.py
@@ -0,0 +1,50 @@
+"""How patient a swarm is, in seconds.
+
+Weights of hundreds of gigabytes take minutes, and a chunk of them seconds; small weights take
+seconds altogether, and a host that is silent for three of them has cost half the time there is.
+"""
+
+from dataclasses import dataclass
+from typing import Final
+
+
+@dataclass(frozen=True, slots=True)
+class SwarmPace:
+    """The times of one swarm."""
+
+    # A host that should bring a chunk in and was silent for so long is stood in for; the next in
+    # order waits as long again. Several times the watching period.
+    takeover: float = 3.0
+    watch: float = 0.5
+    # When nothing at all came for so long, any host may go outside for a chunk nobody offers.
+    stuck: float = 20.0
+    # Neighbours are joined this often, and anew after so long without progress.
+    join: float = 1.0
+    join_again: float = 2.0
+    # A request to a neighbour is given up after some times the usual, within these bounds.
+    min_timeout: float = 1.5
+    max_timeout: float = 15.0
+    # A neighbour that did not answer is left alone for so long, doubling up to the second.
+    stall_backoff: float = 1.0
+    max_backoff: float = 30.0
+    # A read from outside is given up after this; its source then rests.
+    read: float = 20.0
+    failed_pause: float = 2.0
+    corrupt_pause: float = 5.0
+
+
+LARGE_WEIGHTS: Final = SwarmPace()
+SMALL_WEIGHTS: Final = SwarmPace(
+    takeover=0.7,
+    watch=0.15,
+    stuck=1.5,
+    join=0.4,
+    join_again=0.8,
+    min_timeout=0.6,
+    max_timeout=2.0,
+    stall_backoff=0.3,
+    max_backoff=2.0,
+    read=1.5,
+    failed_pause=0.25,
+    corrupt_pause=0.1,
+)
--- a/libs/weights/src/headcross_weights/sourcing.py
+++ b/libs/weights/src/headcross_weights/sourcing.py
@@ -15,7 +15,7 @@
 from typing import Final
 
 from headcross_base.hashing import rendezvous_weight
-from headcross_platform.hostlist import Host
+from headcross_native.hostlist import Host
 
 BUCKETS: Final = 256
 # How far down the order hosts watch those before them.
--- a/libs/weights/src/headcross_weights/swarm.py
+++ b/libs/weights/src/headcross_weights/swarm.py
@@ -12,7 +12,7 @@
 from headcross_base.addresses import Address
 from headcross_base.errors import Failure, Ok
 from headcross_fleet.fleetfile import Artifact
-from headcross_platform.hostlist import EMPTY_HOST_LIST, HostList
+from headcross_native.hostlist import EMPTY_HOST_LIST, HostList
 from headcross_wire.linkrate import LinkRate
 from headcross_wire.peermessages import (
     AskChunk,
@@ -33,6 +33,7 @@
 from headcross_weights.manifest import MAX_CHUNK_BYTES
 from headcross_weights.neighbours import pick_neighbours
 from headcross_weights.neighbourview import Send
+from headcross_weights.pace import LARGE_WEIGHTS, SwarmPace
 from headcross_weights.sourcing import ImportOrder
 from headcross_weights.transfer import Transfer, TransferContext
 from headcross_weights.uploads import Uploads
@@ -65,6 +66,7 @@
         importer: Importer,
         uplink: LinkRate,
         downlink: LinkRate,
+        pace: SwarmPace = LARGE_WEIGHTS,
     ) -> None:
         self.store = store
         self.counts = Counter()
@@ -90,6 +92,7 @@
             self._admitted,
             self._announce,
             self.counts,
+            pace,
         )
 
     async def run(self) -> None:
--- a/libs/weights/src/headcross_weights/transfer.py
+++ b/libs/weights/src/headcross_weights/transfer.py
@@ -27,7 +27,7 @@
 from headcross_base.errorcodes import MANIFEST_MISMATCH
 from headcross_base.errors import Failure, Ok
 from headcross_fleet.fleetfile import Artifact
-from headcross_platform.hostlist import Host
+from headcross_native.hostlist import Host
 from headcross_wire.linkrate import LinkRate
 from headcross_wire.peermessages import (
     AskChunk,
@@ -40,19 +40,16 @@
 
 from headcross_weights.chunkchoice import choose_chunk, chunks_in_flight, offered_chunks
 from headcross_weights.chunkstore import ChunkStore, StoredArtifact, bitmap_indexes
-from headcross_weights.importduties import STUCK_SECONDS, ImportDuties
+from headcross_weights.importduties import ImportDuties
 from headcross_weights.imports import Importer
 from headcross_weights.manifest import ChunkPlace, parse_manifest
 from headcross_weights.manifestfetch import ManifestFetch
 from headcross_weights.neighbourview import NeighbourView
+from headcross_weights.pace import SwarmPace
 from headcross_weights.sourcing import ImportOrder
 
 IMPORT_WORKERS: Final = 3
-JOIN_SECONDS: Final = 1.0
-# A transfer without progress for so long joins its neighbours anew: news may have been lost.
-JOIN_AGAIN_SECONDS: Final = 2.0
 IMPORT_RETRY_SECONDS: Final = 0.2
-WATCH_SECONDS: Final = 0.5
 EXPIRE_SECONDS: Final = 0.1
 # After a refusal a neighbour is asked again after this share of its usual time, give or take half.
 BUSY_PAUSE: Final = 0.3
@@ -83,6 +80,7 @@
     announce: Callable[[str, int], None]
     # Counts, by name: peer_bytes, duplicate_bytes, corrupt_peer, takeovers, stalled, ...
     counts: Counter[str]
+    pace: SwarmPace
 
 
 class Transfer:
@@ -108,7 +106,7 @@
         self.stored = context.store.get(artifact.digest)
         self.trouble = ""
         self._neighbours = neighbours
-        self._duties = ImportDuties(order)
+        self._duties = ImportDuties(order, context.pace)
         self._manifest = ManifestFetch(artifact, context.importer)
         self._context = context
         self._started_at = monotonic()
@@ -137,7 +135,7 @@
         """Return what is known of a host, and how it is reached from now on."""
         view = self.views.get(host)
         if view is None:
-            view = self.views[host] = NeighbourView(host, send)
+            view = self.views[host] = NeighbourView(host, send, self._context.pace)
         view.send = send
         return view
 
@@ -238,14 +236,14 @@
 
     async def _keep_joined(self) -> None:
         while True:
-            quiet = monotonic() - self._progress_at > JOIN_AGAIN_SECONDS
+            quiet = monotonic() - self._progress_at > self._context.pace.join_again
             for host in self._neighbours:
                 view = self.views.get(host.name)
                 if view is None or not view.joined or quiet:
                     self._context.connect(host.name, self._join_message())
             # The first message to a host only opens the link, so a young transfer tries often.
-            young = monotonic() - self._started_at < JOIN_SECONDS
-            await trio.sleep(JOIN_SECONDS * random.uniform(0.3, 0.6) * (0.1 if young else 1))
+            young = monotonic() - self._started_at < self._context.pace.join
+            await trio.sleep(self._context.pace.join * random.uniform(0.3, 0.6) * (0.1 if young else 1))
 
     def _join_message(self) -> Join:
         bitmap = self.stored.bitmap() if self.stored is not None else b""
@@ -293,7 +291,7 @@
         mine = [i for i in stored.missing - taken if self._duties.is_mine(i)]
         if mine:
             return random.choice(mine)
-        if monotonic() - self._progress_at < STUCK_SECONDS * random.uniform(1, 2):
+        if monotonic() - self._progress_at < self._context.pace.stuck * random.uniform(1, 2):
             return None
         orphans = list(stored.missing - offered_chunks(self.views))
         return random.choice(orphans) if orphans and not self._importing else None
@@ -327,7 +325,7 @@
                 )
                 self._context.connect(host, question)
             self._report_taken_over(self._duties.take_over(unattended))
-            await trio.sleep(WATCH_SECONDS * random.uniform(0.8, 1.2))
+            await trio.sleep(self._context.pace.watch * random.uniform(0.8, 1.2))
 
     def _report_taken_over(self, indexes: list[int]) -> None:
         if indexes:
--- a/libs/wire/src/headcross_wire/httpclient.py
+++ b/libs/wire/src/headcross_wire/httpclient.py
@@ -106,12 +106,16 @@
     def reusable(self) -> bool:
         """Tell whether the last exchange ended so that another may follow."""
         states = (self._connection.our_state, self._connection.their_state)
-        if states != (h11.DONE, h11.DONE):
+        if states != (h11.DONE, h11.DONE) or self._connection.trailing_data[0]:
             return False
         self._connection.start_next_cycle()
         self.idle_since = trio.current_time()
         return True
 
+    def quiet(self) -> bool:
+        """Tell whether nothing has come on an idle connection: no end, no stray bytes."""
+        return not self._stream.socket.is_readable()
+
     async def close(self) -> None:
         """Close at once."""
         await trio.aclose_forcefully(self._stream)
--- a/libs/wire/src/headcross_wire/httpserver.py
+++ b/libs/wire/src/headcross_wire/httpserver.py
@@ -4,8 +4,9 @@
 handler may pass it on more than once. Whatever breaks the standard or a limit gets a 4xx and the
 connection is closed. An answer may be sent whole or as a stream.
 
-A caller that closes only its sending half still gets its answer; one that is gone shows by the
-first write that fails, which cancels the handler's work by raising `CallerGone`.
+A caller that is gone shows by the first write that fails, which ends the handler's work by raising
+`CallerGone`. Where `ServerLimits.end_of_input_is_gone` is set, a caller that closes its sending half
+is gone too, and the handler is cancelled at once; elsewhere such a caller still gets its answer.
 """
 
 import logging
@@ -54,6 +55,9 @@
     idle_seconds: float = 75.0  # between two requests
     write_seconds: float = 30.0  # for a caller to take one piece of the answer
     max_connections: int = 4096
+    max_header_bytes: int = MAX_HEADER_BYTES
+    header_seconds: float = 20.0  # for the headers of a request, from its first byte
+    end_of_input_is_gone: bool = False  # a caller that stops sending has left
 
 
 @dataclass(frozen=True, slots=True)
@@ -83,6 +87,7 @@
     _connection: h11.Connection
     _stream: trio.abc.Stream
     _limits: ServerLimits
+    _last: bool = False  # no other request is taken on this connection
     started: bool = field(default=False)  # true once the status line was written
 
     async def respond(self, status: int, headers: Headers, body: bytes) -> None:
@@ -102,6 +107,8 @@
     async def start(self, status: int, headers: Headers) -> None:
         """Send the status line and headers of an answer."""
         self.started = True
+        if self._last:
+            headers = [*headers, ("connection", "close")]
         await self._write(h11.Response(status_code=status, headers=_encode(headers)))
 
     async def send(self, data: bytes) -> None:
@@ -112,6 +119,10 @@
         """End the answer."""
         await self._write(h11.EndOfMessage())
 
+    async def abort(self) -> None:
+        """Break the answer off, so that it does not look whole."""
+        await trio.aclose_forcefully(self._stream)
+
     async def _write(self, event: h11.Response | h11.Data | h11.EndOfMessage) -> None:
         data = self._connection.send(event)
         if not data:
@@ -135,13 +146,18 @@
     malformed: int
     # Requests whose handler failed unexpectedly.
     faults: int
+    # In force for requests read from now on.
+    limits: ServerLimits
+    # Whether every answer asks the caller to leave the connection.
+    sends_callers_away: bool
 
     def __init__(self, handler: HttpHandler, limits: ServerLimits) -> None:
         self.connections = 0
         self.malformed = 0
         self.faults = 0
+        self.limits = limits
+        self.sends_callers_away = False
         self._handler = handler
-        self._limits = limits
         self._closing = False
         self._all_closed = trio.Event()
         self._idle_scopes: set[trio.CancelScope] = set()
@@ -180,11 +196,13 @@
             await self._all_closed.wait()
 
     async def _serve_connection(self, stream: trio.SocketStream) -> None:
-        if self.connections >= self._limits.max_connections:
+        if self.connections >= self.limits.max_connections:
             await trio.aclose_forcefully(stream)
             return
         self.connections += 1
-        connection = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_HEADER_BYTES)
+        connection = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=self.limits.max_header_bytes
+        )
         try:
             while await self._serve_request(connection, stream):
                 connection.start_next_cycle()
@@ -208,8 +226,8 @@
             kind = HEADERS_TOO_LARGE if error.error_status_hint == 431 else BAD_REQUEST
             await self._refuse(connection, stream, kind, str(error))
             return False
-        except _TooLargeError:
-            await self._refuse(connection, stream, BODY_TOO_LARGE, "")
+        except _RefusedError as error:
+            await self._refuse(connection, stream, error.kind, error.detail)
             return False
         except trio.TooSlowError:
             await self._refuse(connection, stream, REQUEST_TIMEOUT, "")
@@ -218,33 +236,48 @@
             return False
         if request is None:
             return False
-        exchange = Exchange(request, connection, stream, self._limits)
-        await self._handler(exchange)
+        last = self._closing or self.sends_callers_away
+        exchange = Exchange(request, connection, stream, self.limits, last)
+        if self.limits.end_of_input_is_gone:
+            await self._handle_watched(exchange, connection, stream)
+        else:
+            await self._handler(exchange)
         done = connection.our_state is h11.DONE and connection.their_state is h11.DONE
         return done and not self._closing
 
+    async def _handle_watched(
+        self, exchange: Exchange, connection: h11.Connection, stream: trio.SocketStream
+    ) -> None:
+        """Run the handler; cancel it if the caller leaves."""
+        async with trio.open_nursery() as nursery:
+
+            async def watch() -> None:
+                await _wait_gone(connection, stream)
+                nursery.cancel_scope.cancel()
+
+            nursery.start_soon(watch)
+            await self._handler(exchange)
+            nursery.cancel_scope.cancel()
+
     async def _read_request(
         self, connection: h11.Connection, stream: trio.SocketStream
     ) -> Request | None:
-        head: h11.Request | None = None
-        body = bytearray()
         if not connection.trailing_data[0] and not await self._wait_first_byte(connection, stream):
             return None
-        with trio.fail_after(self._limits.receive_seconds):
+        with trio.fail_after(self.limits.header_seconds):
+            head = await _read_event(connection, stream)
+        if not isinstance(head, h11.Request):
+            return None
+        _check_head(head, self.limits)
+        body = bytearray()
+        with trio.fail_after(self.limits.receive_seconds):
             while True:
-                event = connection.next_event()
-                if event is h11.NEED_DATA:
-                    if connection.they_are_waiting_for_100_continue:
-                        reply = h11.InformationalResponse(status_code=100, headers=[])
-                        await stream.send_all(connection.send(reply))
-                    connection.receive_data(await stream.receive_some(RECEIVE_BYTES))
-                elif isinstance(event, h11.Request):
-                    head = event
-                elif isinstance(event, h11.Data):
+                event = await _read_event(connection, stream)
+                if isinstance(event, h11.Data):
                     body += event.data
-                    if len(body) > self._limits.max_body_bytes:
-                        raise _TooLargeError
-                elif isinstance(event, h11.EndOfMessage) and head is not None:
+                    if len(body) > self.limits.max_body_bytes:
+                        raise _RefusedError(BODY_TOO_LARGE)
+                elif isinstance(event, h11.EndOfMessage):
                     return _make_request(head, bytes(body))
                 else:
                     return None
@@ -252,7 +285,7 @@
     async def _wait_first_byte(
         self, connection: h11.Connection, stream: trio.SocketStream
     ) -> bool:
-        seconds = CLOSING_SECONDS if self._closing else self._limits.idle_seconds
+        seconds = CLOSING_SECONDS if self._closing else self.limits.idle_seconds
         with trio.move_on_after(seconds) as scope:
             self._idle_scopes.add(scope)
             try:
@@ -270,14 +303,57 @@
         self.malformed += 1
         if connection.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
-        exchange = Exchange(Request("", "", [], b""), connection, stream, self._limits)
+        exchange = Exchange(Request("", "", [], b""), connection, stream, self.limits)
         body = {"code": kind.code, "text": kind.text, "detail": detail, "verdict": NOT_RUN}
         headers = [(VERDICT_HEADER, NOT_RUN), ("connection", "close")]
         await exchange.respond_json(kind.status, body, headers)
 
 
-class _TooLargeError(Exception):
-    """The request body is over the limit."""
+class _RefusedError(Exception):
+    """A request is refused before it is read whole."""
+
+    kind: ErrorCode
+    detail: str
+
+    def __init__(self, kind: ErrorCode, detail: str = "") -> None:
+        super().__init__(kind.code)
+        self.kind = kind
+        self.detail = detail
+
+
+async def _read_event(connection: h11.Connection, stream: trio.SocketStream) -> object:
+    """Return the next event of a request, reading as far as needed."""
+    while True:
+        event = connection.next_event()
+        if event is not h11.NEED_DATA:
+            return event
+        if connection.they_are_waiting_for_100_continue:
+            reply = h11.InformationalResponse(status_code=100, headers=[])
+            await stream.send_all(connection.send(reply))
+        connection.receive_data(await stream.receive_some(RECEIVE_BYTES))
+
+
+async def _wait_gone(connection: h11.Connection, stream: trio.SocketStream) -> None:
+    """Return when the caller has left; keep what it sends ahead, up to a bound."""
+    while len(connection.trailing_data[0]) < RECEIVE_BYTES:
+        try:
+            data = await stream.receive_some(RECEIVE_BYTES)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            return
+        if not data:
+            return
+        connection.receive_data(data)
+    await trio.sleep_forever()
+
+
+def _check_head(head: h11.Request, limits: ServerLimits) -> None:
+    """Refuse headers that are too long, or whose two lengths could hide another request."""
+    size = sum(len(name) + len(value) + 4 for name, value in head.headers) + len(head.target)
+    if size > limits.max_header_bytes:
+        raise _RefusedError(HEADERS_TOO_LARGE, f"{size} bytes")
+    names = [name for name, _ in head.headers]
+    if b"transfer-encoding" in names and b"content-length" in names:
+        raise _RefusedError(BAD_REQUEST, "both a length and a transfer encoding")
 
 
 def _make_request(head: h11.Request, body: bytes) -> Request:
--- a/libs/wire/src/headcross_wire/peermessages.py
+++ b/libs/wire/src/headcross_wire/peermessages.py
@@ -177,7 +177,63 @@
     pending: list[int]
 
 
-ControlMessage = Hint | AskDocument | Document | Status | AskTurn | TurnAnswer | Goodbye
+class PublishedItem(_Message, frozen=True):
+    """One item that the platform published, as it was read."""
+
+    key: str
+    revision: int
+    value: bytes
+
+
+class AskFacts(_Message, frozen=True, tag=40):
+    """Ask for a topic if the receiver knows a newer state of it than this revision."""
+
+    topic: str
+    revision: int
+
+
+class TopicFacts(_Message, frozen=True, tag=41):
+    """A whole topic as the sender knows it; without items when it knows nothing newer."""
+
+    topic: str
+    revision: int
+    age: float  # seconds since the sender knew this to be the newest state
+    items: list[PublishedItem]
+
+
+class Subscribe(_Message, frozen=True, tag=42):
+    """Ask a daemon beside a replica to tell the replica's state for some seconds."""
+
+    host: str
+
+
+class ReplicaLoad(_Message, frozen=True, tag=43):
+    """The state of the replica beside the sender, read a moment ago."""
+
+    address: str  # of the replica, IP:PORT
+    sequence: int  # grows with every message of one life of the sender
+    reachable: bool  # whether the replica answered
+    leaving: bool  # it takes no new requests: an order is about to be, or being, carried out
+    versions: dict[str, int]  # model to version
+    active: int  # requests being worked on
+    queued: int
+    memory_share: float  # 0 to 1
+    pace: float  # above 1: slower than it should be
+
+
+ControlMessage = (
+    Hint
+    | AskDocument
+    | Document
+    | Status
+    | AskTurn
+    | TurnAnswer
+    | Goodbye
+    | AskFacts
+    | TopicFacts
+    | Subscribe
+    | ReplicaLoad
+)
 SwarmMessage = (
     Join | Have | AskChunk | Chunk | NoChunk | AskManifest | ManifestBody | AskIntent | Intent
 )
--- a/testing/engine.py
+++ b/testing/engine.py
@@ -13,7 +13,7 @@
 from headcross_base.addresses import parse_address
 from headcross_base.errors import Failure
 from headcross_base.hashing import digest_of
-from headcross_platform.engine import EngineState, Fence, Order, WeightsOrder, serving_digest
+from headcross_native.engine import EngineState, Fence, Order, WeightsOrder, serving_digest
 from headcross_wire.httpclient import call
 from headcross_wire.httpserver import CallerGone, Exchange
 
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -7,7 +7,7 @@
 from headcross_base.errors import Ok
 from headcross_fleet.documents import Documents
 from headcross_fleet.topology import readers_of
-from headcross_platform.hostlist import parse_host_list
+from headcross_native.hostlist import parse_host_list
 
 from testing.caller import generate
 from testing.fleet import ADMIN, CONTROL, wait_for
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -10,8 +10,8 @@
 from headcross_fleet.documents import Versions
 from headcross_fleet.fleetfile import Pool, Team, parse_fleet_file
 from headcross_fleet.membership import PoolRow, StatusTable
-from headcross_platform.eventstream import EventSplitter
-from headcross_platform.hostlist import Host, HostList, HostUpstream, parse_host_list
+from headcross_native.eventstream import EventSplitter
+from headcross_native.hostlist import Host, HostList, HostUpstream, parse_host_list
 from headcross_rollout.placement import place
 from headcross_rollout.turns import may_leave, may_swap
 from headcross_routing import ledger, teams
--- a/tests/test_swarm.py
+++ b/tests/test_swarm.py
@@ -193,7 +193,7 @@
 
 @pytest.mark.parametrize("copies", [1, 2, 3])
 def test_every_chunk_has_as_many_first_fetchers_as_asked_for(copies: int) -> None:
-    from headcross_platform.hostlist import Host
+    from headcross_native.hostlist import Host
 
     hosts = [
         Host(f"h{i}", "upstream", f"r{i % 3}", f"z{i % 6}", "127.0.0.1:1", "127.0.0.1:2")
@@ -209,7 +209,7 @@
 
 
 def test_only_a_regions_first_host_fetches_a_chunk_from_another_region() -> None:
-    from headcross_platform.hostlist import Host
+    from headcross_native.hostlist import Host
     from headcross_weights.importduties import ImportDuties
 
     hosts = [
