--- a/Makefile
+++ b/Makefile
@@ -1,9 +1,9 @@
 # Everything a developer runs. `make demo` and `make test` set up all they need.
 VENV := .venv
 PY := $(VENV)/bin/python
-LIBS := base wire native fleet weights rollout routing daemon cli
+LIBS := base wire ports native facts fleet weights rollout routing gateway renewal daemon cli
 STAMP := $(VENV)/.installed
-CODE := libs tests testing bench misc
+CODE := libs platform deploy tests testing bench misc
 SEED ?= 1
 ROUNDS ?= 5
 
@@ -11,10 +11,10 @@
 
 setup: $(STAMP)
 
-$(STAMP): requirements-dev.txt $(wildcard libs/*/pyproject.toml)
+$(STAMP): requirements-dev.txt $(wildcard libs/*/pyproject.toml) platform/pyproject.toml
 	test -x $(PY) || python3 -m venv $(VENV)
 	$(PY) -m pip install --quiet -r requirements-dev.txt
-	$(PY) -m pip install --quiet --no-build-isolation $(foreach l,$(LIBS),-e libs/$(l))
+	$(PY) -m pip install --quiet --no-build-isolation $(foreach l,$(LIBS),-e libs/$(l)) -e platform
 	touch $(STAMP)
 
 demo: setup
--- a/bench/choice.py
+++ b/bench/choice.py
@@ -11,6 +11,7 @@
 from headcross_weights.chunkstore import StoredArtifact
 from headcross_weights.manifest import Manifest, ManifestFile
 from headcross_weights.neighbourview import NeighbourView
+from headcross_weights.pace import LARGE_WEIGHTS
 
 SIZES = (128, 1024, 8345)
 NEIGHBOURS = 12
@@ -27,7 +28,7 @@
         view.has = set(random.sample(range(chunks), chunks // 2))
     started = time.perf_counter()
     for _ in range(REPEATS):
-        choose_chunk(stored, views, set())
+        choose_chunk(stored, views, set(), LARGE_WEIGHTS.requests_in_flight)
     chosen = time.perf_counter()
     sorted(stored.missing - offered_chunks(views))
     looked = time.perf_counter()
--- a/libs/daemon/src/headcross_daemon/renewalrole.py
+++ b/libs/daemon/src/headcross_daemon/renewalrole.py
@@ -26,9 +26,9 @@
 # Part of the process's memory that may hold weights.
 WEIGHTS_MEMORY_PART: Final = 0.3
 # Part of the link that chunks may fill; requests to the replica take the rest.
-LINK_PART: Final = 0.96
+LINK_PART: Final = 0.9
 BITS_PER_BYTE: Final = 8
-LINK_BURST_BYTES: Final = 64 * 1024
+LINK_BURST_BYTES: Final = 8 * 1024
 DEFAULT_CHUNK_BYTES: Final = 32 * 1024
 
 logger = logging.getLogger(__name__)
--- a/libs/facts/src/headcross_facts/topicstate.py
+++ b/libs/facts/src/headcross_facts/topicstate.py
@@ -1,4 +1,4 @@
-"""What a process knows of one topic: its items, their revision, and when that was the newest state.
+"""What a process knows of one topic: its items, their revision, and when that was the newest.
 
 Items only ever move forward within one life of the process, whatever order listings, changes and
 the word of other daemons arrive in.
--- a/libs/gateway/src/headcross_gateway/attempts.py
+++ b/libs/gateway/src/headcross_gateway/attempts.py
@@ -1,7 +1,7 @@
 """One attempt at one replica, and what is known of it afterwards.
 
-Straight down: a connection; the request; the head of the answer; its body, whole or event by event.
-How far that got decides what is known:
+Straight down: a connection; the request; the head of the answer; its body, whole or event by
+event. How far that got decides what is known:
 
 * no connection: not run, and the replica never heard of it;
 * the replica states that it did not run the request: not run;
@@ -13,7 +13,13 @@
 from typing import Final
 
 import trio
-from headcross_base.errorcodes import CONNECT_FAILED, LINK_LOST, NOT_SERVING, UPSTREAM_ERROR, ErrorCode
+from headcross_base.errorcodes import (
+    CONNECT_FAILED,
+    LINK_LOST,
+    NOT_SERVING,
+    UPSTREAM_ERROR,
+    ErrorCode,
+)
 from headcross_ports.requests import AnswerFacts, HandOver, RequestDialect
 from headcross_wire.httpclient import Answer, ConnectError, HttpConnection, LinkLostError
 from headcross_wire.httpserver import Request
--- a/libs/gateway/src/headcross_gateway/picking.py
+++ b/libs/gateway/src/headcross_gateway/picking.py
@@ -48,7 +48,9 @@
     def candidates(self, wish: Wish, configuration: Configuration) -> list[ReplicaState]:
         """Return the replicas that could serve a request, full ones too."""
         service = configuration.services.get(wish.service)
-        fitting = [s for s in self._directory.serving(wish.service) if s.replica.id not in wish.tried]
+        fitting = [
+            s for s in self._directory.serving(wish.service) if s.replica.id not in wish.tried
+        ]
         if service is not None and service.weights is not None and wish.model is not None:
             lowest = self._rules.lowest_allowed(wish.model)
             fitting = [s for s in fitting if _version_fits(s, wish, lowest)]
@@ -58,9 +60,7 @@
     def _healthy(self, states: list[ReplicaState], wish: Wish) -> list[ReplicaState]:
         """Leave out those that rest, unless that leaves nobody."""
         healthy = [
-            state
-            for state in states
-            if not state.health.resting() and self._may_try(state, wish)
+            state for state in states if not state.health.resting() and self._may_try(state, wish)
         ]
         return healthy or states
 
--- a/libs/gateway/src/headcross_gateway/requestpath.py
+++ b/libs/gateway/src/headcross_gateway/requestpath.py
@@ -1,8 +1,8 @@
 """A request from its arrival to its answer.
 
-Straight down: what the request says and which route it takes; a place at a replica; attempts, as far
-as the route, the budget and the time allow; the answer, or a refusal that says whether the request
-may have run. What an entry gives up on is answered at once.
+Straight down: what the request says and which route it takes; a place at a replica; attempts, as
+far as the route, the budget and the time allow; the answer, or a refusal that says whether the
+request may have run. What an entry gives up on is answered at once.
 """
 
 import logging
@@ -37,7 +37,15 @@
 
 from headcross_gateway.admission import Admission
 from headcross_gateway.answers import send_refusal
-from headcross_gateway.attempts import Attempts, DidNotRun, MayRun, Outcome, Patience, Streamed, Whole
+from headcross_gateway.attempts import (
+    Attempts,
+    DidNotRun,
+    MayRun,
+    Outcome,
+    Patience,
+    Streamed,
+    Whole,
+)
 from headcross_gateway.budget import RetryBudget
 from headcross_gateway.directory import ReplicaState
 from headcross_gateway.picking import Wish, wish_of
@@ -77,7 +85,9 @@
     runs: int = 0  # replicas that may have run it
     refusals: int = 0  # replicas that saw it and did not run it
     unreached: int = 0  # replicas that it did not come to
-    failed_answer: Whole | None = None  # a replica's own failure, passed on if nothing better comes
+    failed_answer: Whole | None = (
+        None  # a replica's own failure, passed on if nothing better comes
+    )
 
     @property
     def priority(self) -> int:
@@ -240,7 +250,10 @@
             health.on_trial = False
 
     def _patience(self, request: Admitted) -> Patience:
-        if not request.route.repetition.may_run_again or request.runs >= request.route.max_attempts:
+        if (
+            not request.route.repetition.may_run_again
+            or request.runs >= request.route.max_attempts
+        ):
             return Patience(float("inf"), float("inf"))
         if request.relay is not None:
             return Patience(STREAM_FIRST_SECONDS, STREAM_PAUSE_SECONDS)
--- a/libs/renewal/src/headcross_renewal/renewer.py
+++ b/libs/renewal/src/headcross_renewal/renewer.py
@@ -2,8 +2,9 @@
 
 The steps to a version: its digests; its chunks, from other daemons and the origin; the chunks put
 beside the replica; its turn; all chunks read back and verified; the order; the state read back. A
-newer version that is named ends the steps to an older one at once. The order carries the number of
-orders that the replica has taken, so that one of an earlier life of this daemon cannot count twice.
+newer version that is named ends the steps to an older one at once. The order carries the number
+of orders that the replica has taken, so that one of an earlier life of this daemon cannot count
+twice.
 """
 
 import logging
@@ -111,8 +112,7 @@
     def _goal(self) -> LoadedModel | None:
         """Return the version that the replica should have."""
         configuration = self._facts.configuration
-        report = self._reporter.report
-        if configuration is None or report is None:
+        if configuration is None:
             return None
         model = self._model(configuration)
         if model is None:
@@ -121,7 +121,8 @@
         if named is not None:
             return LoadedModel(model, named)
         listed = [m.version for r in self._peers() for m in r.loaded if m.model == model]
-        held = [m.version for m in report.loaded if m.model == model]
+        report = self._reporter.report
+        held = [m.version for m in report.loaded if m.model == model] if report else []
         return LoadedModel(model, max([*listed, *held], default=FIRST_VERSION))
 
     def _model(self, configuration: Configuration) -> str | None:
@@ -170,7 +171,9 @@
         stored = await self._admit(goal)
         staging = Staging(goal.model, self._replica)
         self._enter("adopting", goal)
-        adopted = await staging.adopt(stored) if not stored.whole else 0
+        adopted = 0
+        if not stored.whole and self._reporter.report is not None:
+            adopted = await staging.adopt(stored)
         self._enter("fetching", goal, adopted=adopted)
         await self._fetch(goal, stored)
         self._enter("staging", goal)
@@ -178,8 +181,7 @@
         self._enter("waiting for its turn", goal)
         await self._wait_turn(goal)
         self._enter("verifying", goal)
-        while not await staging.verify(stored):
-            await trio.sleep(TURN_CHECK_SECONDS)
+        await self._verify(staging, stored)
         self._enter("ordering", goal)
         try:
             await self._order(goal)
@@ -236,8 +238,9 @@
 
     async def _wait_turn(self, goal: LoadedModel) -> None:
         """Wait until this replica may load."""
-        report = self._reporter.report
-        if report is None or not report.loaded:
+        while self._reporter.report is None:
+            await self._reporter.wait_change()
+        if not self._reporter.report.loaded:
             return  # it takes no requests anyway
         mine = self._place.replica_address
         until = self._last_turn(goal)
@@ -254,6 +257,14 @@
         named = next((n for n in notices if n.version == goal.version and not n.at_start), None)
         return named.seen_at + self._bound - LAST_TURN_SECONDS if named is not None else 0.0
 
+    @staticmethod
+    async def _verify(staging: Staging, stored: StoredArtifact) -> None:
+        """Read all chunks back until none was bad."""
+        while True:
+            if await staging.verify(stored):
+                return
+            await trio.sleep(TURN_CHECK_SECONDS)
+
     async def _order(self, goal: LoadedModel) -> None:
         """Order the replica to load, and wait until it has."""
         self._reporter.leaving = True
--- a/libs/renewal/src/headcross_renewal/sources.py
+++ b/libs/renewal/src/headcross_renewal/sources.py
@@ -1,7 +1,7 @@
 """The origin of weights, as the swarm reads it, and the manifests made from its digests.
 
-The origin tells the digests of a version's chunks. Every daemon makes the same manifest of them, so
-that the digest of that manifest names the version in the swarm.
+The origin tells the digests of a version's chunks. Every daemon makes the same manifest of them,
+so that the digest of that manifest names the version in the swarm.
 """
 
 from typing import Final
--- a/libs/renewal/src/headcross_renewal/staging.py
+++ b/libs/renewal/src/headcross_renewal/staging.py
@@ -74,7 +74,10 @@
         data = stored.chunk(index)
         if data is None:
             return
-        while isinstance(await self._replica.stage_chunk(self._model, index, data), Failure):
+        while True:
+            outcome = await self._replica.stage_chunk(self._model, index, data)
+            if not isinstance(outcome, Failure):
+                return
             await trio.sleep(RETRY_SECONDS)
 
 
--- a/libs/renewal/src/headcross_renewal/turns.py
+++ b/libs/renewal/src/headcross_renewal/turns.py
@@ -1,8 +1,8 @@
 """Which replicas load at once, without a coordinator.
 
-While a replica loads it takes no requests. Every daemon computes the same two groups from the list
-of replicas; the second waits until the first has loaded, as far as its members tell, but not beyond
-the moment from which nobody sends requests to the old version anyway.
+While a replica loads it takes no requests. Every daemon computes the same two groups from the
+list of replicas; the second waits until the first has loaded, as far as its members tell, but not
+beyond the moment from which nobody sends requests to the old version anyway.
 """
 
 from collections.abc import Iterable
--- a/libs/routing/src/headcross_routing/answerflow.py
+++ b/libs/routing/src/headcross_routing/answerflow.py
@@ -12,8 +12,8 @@
 from headcross_native.eventstream import EVENT_STREAM, EventSplitter
 from headcross_wire.httpclient import Answer, LinkLostError
 from headcross_wire.httpserver import CallerGone, Exchange, Headers
-
 from headcross_wire.replies import error_body
+
 from headcross_routing.requestmeta import DIGEST_HEADER, HOP_HEADERS, INTERNAL_HEADERS
 
 KEPT_BACK_BYTES: Final = 1024 * 1024
--- a/libs/routing/src/headcross_routing/attempts.py
+++ b/libs/routing/src/headcross_routing/attempts.py
@@ -44,11 +44,11 @@
     call,
 )
 from headcross_wire.httpserver import Headers
+from headcross_wire.replies import MAX_ERROR_BYTES, read_refusal
 
 from headcross_routing.answerflow import AnswerFlow
 from headcross_routing.ledger import REVOCATIONS_PATH
 from headcross_routing.picking import Candidate, Picker
-from headcross_wire.replies import MAX_ERROR_BYTES, read_refusal
 from headcross_routing.requestmeta import (
     DIGEST_HEADER,
     LOAD_HEADER,
--- a/libs/routing/src/headcross_routing/entrypath.py
+++ b/libs/routing/src/headcross_routing/entrypath.py
@@ -33,12 +33,12 @@
 from headcross_fleet.documents import Documents
 from headcross_fleet.membership import StatusTable
 from headcross_wire.httpserver import Exchange, Headers
+from headcross_wire.replies import send_refusal
 
 from headcross_routing.answerflow import AnswerFlow
 from headcross_routing.attempts import Attempts
 from headcross_routing.keyclaims import claim_key, release_key
 from headcross_routing.picking import Candidate, Picker, prefix_of
-from headcross_wire.replies import send_refusal
 from headcross_routing.requestmeta import (
     RequestMeta,
     read_meta,
--- a/libs/routing/src/headcross_routing/keyclaims.py
+++ b/libs/routing/src/headcross_routing/keyclaims.py
@@ -9,9 +9,9 @@
 from headcross_base.verdicts import VERDICT_HEADER, NotRun, Refusal
 from headcross_native.hostlist import HostList
 from headcross_wire.httpclient import call
+from headcross_wire.replies import MAX_ERROR_BYTES, read_refusal
 
 from headcross_routing.ledger import CLAIMS_PATH, KeyClaim, home_of, key_homes
-from headcross_wire.replies import MAX_ERROR_BYTES, read_refusal
 from headcross_routing.requestmeta import RequestMeta
 
 CLAIM_SECONDS: Final = 1.0
--- a/libs/routing/src/headcross_routing/upstreampath.py
+++ b/libs/routing/src/headcross_routing/upstreampath.py
@@ -55,6 +55,7 @@
     connect,
 )
 from headcross_wire.httpserver import CallerGone, Exchange, Headers, Request
+from headcross_wire.replies import send_refusal
 
 from headcross_routing.fairqueue import FairQueue
 from headcross_routing.ledger import (
@@ -64,7 +65,6 @@
     KeyLedger,
     RequestLedger,
 )
-from headcross_wire.replies import send_refusal
 from headcross_routing.requestmeta import (
     DIGEST_HEADER,
     HOP_HEADERS,
--- a/libs/weights/src/headcross_weights/chunkchoice.py
+++ b/libs/weights/src/headcross_weights/chunkchoice.py
@@ -15,7 +15,6 @@
 from headcross_weights.neighbourview import NeighbourView
 
 SAMPLE: Final = 32  # chunks looked at to find a rare one
-REQUESTS_IN_FLIGHT: Final = 12  # over all neighbours
 # In the end game a chunk is asked of a second host when the first takes this many times the usual.
 DUPLICATE_FACTOR: Final = 2.0
 MAX_DUPLICATE_WAIT: Final = 2.0  # while the usual time is not known
@@ -24,10 +23,12 @@
 Views = Mapping[str, NeighbourView]
 
 
-def choose_chunk(stored: StoredArtifact, views: Views, importing: set[int]) -> Choice | None:
+def choose_chunk(
+    stored: StoredArtifact, views: Views, importing: set[int], most_in_flight: int
+) -> Choice | None:
     """Return which chunk to ask of whom next, or None when nothing can be asked now."""
     in_flight = chunks_in_flight(views)
-    if len(in_flight) >= REQUESTS_IN_FLIGHT:
+    if len(in_flight) >= most_in_flight:
         return None
     now = monotonic()
     ready = [view for view in views.values() if view.ready(now)]
--- a/libs/weights/src/headcross_weights/importduties.py
+++ b/libs/weights/src/headcross_weights/importduties.py
@@ -8,6 +8,7 @@
 
 from collections.abc import Iterable
 from typing import Final
+
 from headcross_base.clocks import monotonic
 from headcross_wire.peermessages import AskIntent, Intent
 
--- a/libs/weights/src/headcross_weights/neighbourview.py
+++ b/libs/weights/src/headcross_weights/neighbourview.py
@@ -52,6 +52,7 @@
         self.bitmap = b""
         self.corrupt = 0
         self.failures = 0
+        self._partial: dict[int, bytearray] = {}
         self._blocked_until = 0.0
         self._pace = pace
         self._backoff = pace.stall_backoff
@@ -91,6 +92,23 @@
         self._backoff = self._pace.stall_backoff
         self.failures = 0
 
+    def assemble(self, index: int, offset: int, size: int, part: bytes) -> bytes | None:
+        """Add a part of a chunk; return the chunk once it is whole.
+
+        Parts of one chunk come in order over one link. One that does not continue what is here
+        belongs to a sending that was given up, and drops the rest of it.
+        """
+        if offset == 0 and len(part) == size:
+            return part
+        held = bytearray() if offset == 0 else self._partial.pop(index, None)
+        if held is None or len(held) != offset:
+            return None
+        held += part
+        if len(held) >= size:
+            return bytes(held)
+        self._partial[index] = held
+        return None
+
     def busy(self, index: int, pause: float) -> None:
         """Note that it has no slot free; ask again after `pause` seconds."""
         self.in_flight.pop(index, None)
@@ -99,6 +117,7 @@
     def stalled(self) -> None:
         """Note that it did not answer in time; leave it alone for longer each time."""
         self.in_flight.clear()
+        self._partial.clear()
         self.failures += 1
         self._blocked_until = monotonic() + self._backoff
         self._backoff = min(self._pace.max_backoff, 2 * self._backoff)
--- a/libs/weights/src/headcross_weights/pace.py
+++ b/libs/weights/src/headcross_weights/pace.py
@@ -1,4 +1,4 @@
-"""How patient a swarm is, in seconds.
+"""How patient a swarm is, and how much it has under way at a time; times in seconds.
 
 Weights of hundreds of gigabytes take minutes, and a chunk of them seconds; small weights take
 seconds altogether, and a host that is silent for three of them has cost half the time there is.
@@ -7,6 +7,8 @@
 from dataclasses import dataclass
 from typing import Final
 
+from headcross_base.units import KIB, MIB
+
 
 @dataclass(frozen=True, slots=True)
 class SwarmPace:
@@ -31,6 +33,13 @@
     read: float = 20.0
     failed_pause: float = 2.0
     corrupt_pause: float = 5.0
+    # Chunks that others may have asked for and not yet been sent: enough that the link never idles
+    # between two of them, few enough that a chunk leaves within a few chunk times.
+    upload_slots: int = 6
+    # Chunks asked of others at a time, over all neighbours.
+    requests_in_flight: int = 12
+    # A chunk is sent in parts of at most so many bytes.
+    part_bytes: int = 8 * MIB
 
 
 LARGE_WEIGHTS: Final = SwarmPace()
@@ -47,4 +56,7 @@
     read=1.5,
     failed_pause=0.25,
     corrupt_pause=0.1,
+    upload_slots=3,
+    requests_in_flight=6,
+    part_bytes=8 * KIB,
 )
--- a/libs/weights/src/headcross_weights/swarm.py
+++ b/libs/weights/src/headcross_weights/swarm.py
@@ -71,7 +71,7 @@
         self.store = store
         self.counts = Counter()
         self.transfers = {}
-        self.uploads = Uploads(host, store, uplink)
+        self.uploads = Uploads(host, store, uplink, pace)
         self.node = PeerNode(address, self._handle, SWARM_QUEUE, MAX_CHUNK_BYTES)
         self._host = host
         self._hosts: HostList = EMPTY_HOST_LIST
@@ -161,8 +161,8 @@
             case AskChunk(artifact=artifact, index=index):
                 if self._nursery is not None:
                     self.uploads.ask(self._nursery, artifact, index, reply)
-            case Chunk(host=host, artifact=artifact, index=index) if payload is not None:
-                self._handle_chunk(host, artifact, index, payload)
+            case Chunk() if payload is not None:
+                self._handle_chunk(message, payload)
             case NoChunk(host=host, artifact=artifact, index=index, busy=busy):
                 if artifact in self.transfers:
                     self.transfers[artifact].receive_no_chunk(host, index, busy)
@@ -197,13 +197,13 @@
             bitmap = stored.bitmap() if stored is not None else b""
             reply(Join(self._host, join.artifact, bitmap, wants_answer=False), None)
 
-    def _handle_chunk(self, host: str, artifact: str, index: int, payload: bytes) -> None:
-        transfer = self.transfers.get(artifact)
+    def _handle_chunk(self, message: Chunk, payload: bytes) -> None:
+        transfer = self.transfers.get(message.artifact)
         if transfer is None:
             # The transfer ended or was cancelled while the chunk was on its way.
             self.counts["late_bytes"] += len(payload)
             return
-        transfer.receive_chunk(host, index, payload)
+        transfer.receive_part(message, payload)
 
     def _answer_manifest(self, artifact: str, reply: Reply) -> None:
         stored = self.store.get(artifact)
--- a/libs/weights/src/headcross_weights/transfer.py
+++ b/libs/weights/src/headcross_weights/transfer.py
@@ -33,6 +33,7 @@
     AskChunk,
     AskIntent,
     AskManifest,
+    Chunk,
     Intent,
     Join,
     PeerMessage,
@@ -161,8 +162,18 @@
         if not self._manifest.offer(body):
             self._context.counts["corrupt_peer"] += 1
 
-    def receive_chunk(self, host: str, index: int, data: bytes) -> None:
-        """A chunk arrived; keep it if it is what it should be."""
+    def receive_part(self, message: Chunk, payload: bytes) -> None:
+        """A part of a chunk arrived; take the chunk once it is there whole."""
+        view = self.views.get(message.host)
+        if view is None:
+            self._context.counts["late_bytes"] += len(payload)
+            return
+        data = view.assemble(message.index, message.offset, message.size, payload)
+        if data is not None:
+            self._receive_chunk(message.host, message.index, data)
+
+    def _receive_chunk(self, host: str, index: int, data: bytes) -> None:
+        """Keep a chunk if it is what it should be."""
         view = self.views.get(host)
         if self.stored is None or not 0 <= index < len(self.stored.places):
             return
@@ -243,7 +254,9 @@
                     self._context.connect(host.name, self._join_message())
             # The first message to a host only opens the link, so a young transfer tries often.
             young = monotonic() - self._started_at < self._context.pace.join
-            await trio.sleep(self._context.pace.join * random.uniform(0.3, 0.6) * (0.1 if young else 1))
+            await trio.sleep(
+                self._context.pace.join * random.uniform(0.3, 0.6) * (0.1 if young else 1)
+            )
 
     def _join_message(self) -> Join:
         bitmap = self.stored.bitmap() if self.stored is not None else b""
@@ -253,7 +266,9 @@
 
     async def _schedule(self, stored: StoredArtifact) -> None:
         while stored.missing:
-            choice = choose_chunk(stored, self.views, self._importing)
+            choice = choose_chunk(
+                stored, self.views, self._importing, self._context.pace.requests_in_flight
+            )
             if choice is None:
                 await self._wait_news()
                 continue
--- a/libs/wire/src/headcross_wire/httpclient.py
+++ b/libs/wire/src/headcross_wire/httpclient.py
@@ -153,13 +153,18 @@
 
     async def take(self, address: Address) -> HttpConnection:
         """Return an idle connection or a new one."""
+        return await self.take_idle(address) or await connect(address)
+
+    async def take_idle(self, address: Address) -> HttpConnection | None:
+        """Return an idle connection that seems alive, if there is one."""
         idle = self._idle.get(address, [])
         while idle:
             connection = idle.pop()
-            if trio.current_time() - connection.idle_since < IDLE_SECONDS:
+            fresh = trio.current_time() - connection.idle_since < IDLE_SECONDS
+            if fresh and connection.quiet():
                 return connection
             await connection.close()
-        return await connect(address)
+        return None
 
     async def give(self, connection: HttpConnection) -> None:
         """Take a connection back after use; close it if it cannot be used again."""
@@ -193,6 +198,66 @@
     return _Closing(connection)
 
 
+async def call_kept(
+    pool: ConnectionPool,
+    address: Address,
+    method: str,
+    target: str,
+    *,
+    body: bytes = b"",
+    seconds: float,
+    max_bytes: int,
+) -> Ok[WholeAnswer] | Failure:
+    """Make one whole call that may be made twice, on a kept connection if there is one."""
+    connection = await pool.take_idle(address)
+    if connection is not None:
+        try:
+            with trio.fail_after(seconds):
+                answer = await _exchange(connection, method, target, [], body, max_bytes)
+        except (LinkLostError, trio.TooSlowError, trio.Cancelled) as error:
+            await connection.close()
+            if isinstance(error, trio.Cancelled):
+                raise
+        else:
+            await pool.give(connection)
+            return Ok(answer)
+    try:
+        with trio.fail_after(seconds):
+            connection = await connect(address)
+            try:
+                answer = await _exchange(connection, method, target, [], body, max_bytes)
+            except BaseException:
+                await connection.close()
+                raise
+    except ConnectError as error:
+        return Failure(CONNECT_FAILED, str(error))
+    except LinkLostError as error:
+        return Failure(LINK_LOST, f"{address}{target}: {error}")
+    except trio.TooSlowError:
+        return Failure(LINK_LOST, f"{address}{target}: no whole answer in {seconds} s")
+    await pool.give(connection)
+    return Ok(answer)
+
+
+async def _exchange(
+    connection: HttpConnection,
+    method: str,
+    target: str,
+    headers: Headers,
+    body: bytes,
+    max_bytes: int,
+) -> WholeAnswer:
+    """Send a request and read its whole answer; raise LinkLostError if that breaks."""
+    await connection.send(method, target, headers, body)
+    answer = await connection.receive_answer()
+    data = bytearray()
+    while (piece := await connection.receive_piece()) is not None:
+        data += piece
+        if len(data) > max_bytes:
+            raise LinkLostError(f"over {max_bytes} bytes")
+    return WholeAnswer(answer.status, answer.headers, bytes(data))
+
+
 async def call(
     address: Address,
     method: str,
@@ -207,14 +272,9 @@
     try:
         with trio.fail_after(seconds):
             async with closing(await connect(address)) as connection:
-                await connection.send(method, target, headers or [], body)
-                answer = await connection.receive_answer()
-                data = bytearray()
-                while (piece := await connection.receive_piece()) is not None:
-                    data += piece
-                    if len(data) > max_bytes:
-                        return Failure(LINK_LOST, f"{address}{target}: over {max_bytes} bytes")
-                return Ok(WholeAnswer(answer.status, answer.headers, bytes(data)))
+                return Ok(
+                    await _exchange(connection, method, target, headers or [], body, max_bytes)
+                )
     except ConnectError as error:
         return Failure(CONNECT_FAILED, str(error))
     except LinkLostError as error:
--- a/libs/wire/src/headcross_wire/httpserver.py
+++ b/libs/wire/src/headcross_wire/httpserver.py
@@ -5,8 +5,9 @@
 connection is closed. An answer may be sent whole or as a stream.
 
 A caller that is gone shows by the first write that fails, which ends the handler's work by raising
-`CallerGone`. Where `ServerLimits.end_of_input_is_gone` is set, a caller that closes its sending half
-is gone too, and the handler is cancelled at once; elsewhere such a caller still gets its answer.
+`CallerGone`. Where `ServerLimits.end_of_input_is_gone` is set, a caller that closes its sending
+half is gone too, and the handler is cancelled at once; elsewhere such a caller still gets its
+answer.
 """
 
 import logging
@@ -119,6 +120,13 @@
         """End the answer."""
         await self._write(h11.EndOfMessage())
 
+    @property
+    def peer_ip(self) -> str:
+        """The IP number that the request came from, empty where that is not known."""
+        if not isinstance(self._stream, trio.SocketStream):
+            return ""
+        return str(self._stream.socket.getpeername()[0])
+
     async def abort(self) -> None:
         """Break the answer off, so that it does not look whole."""
         await trio.aclose_forcefully(self._stream)
--- a/libs/wire/src/headcross_wire/peermessages.py
+++ b/libs/wire/src/headcross_wire/peermessages.py
@@ -129,11 +129,13 @@
 
 
 class Chunk(_Message, frozen=True, tag=23):
-    """One chunk; its bytes are the payload frame."""
+    """One chunk, or a part of it; the bytes are the payload frame."""
 
     host: str
     artifact: str
     index: int
+    offset: int  # of the payload within the chunk, bytes
+    size: int  # of the whole chunk, bytes
 
 
 class NoChunk(_Message, frozen=True, tag=24):
--- a/libs/wire/src/headcross_wire/replies.py
+++ b/libs/wire/src/headcross_wire/replies.py
@@ -18,6 +18,7 @@
     Refusal,
     verdict_name,
 )
+
 from headcross_wire.httpserver import Exchange, Headers
 
 MAX_ERROR_BYTES: Final = 16 * 1024
--- /dev/null
+++ b/testing/machines.py
@@ -0,0 +1,447 @@
+"""The new machines on loopback: real processes of headcross, stand-ins of their platform.
+
+Every machine has an IP number of its own, in a block picked at random; ports are the same on all.
+Replicas live in the test's own process and are listed in the store like the platform does.
+"""
+
+import os
+import random
+import signal
+import subprocess
+import sys
+from collections.abc import AsyncIterator, Sequence
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any, Final
+
+import msgspec
+import trio
+from headcross_base.addresses import Address
+from headcross_base.errors import Failure
+from headcross_platform import names
+from headcross_wire.httpclient import SOURCE_IP, call
+from headcross_wire.httpserver import HttpServer, ServerLimits
+
+from testing.platformreplica import FakePlatformOrigin, FakeReplica, new_replica_id
+from testing.platformstore import FakePlatformStore
+
+CALLERS, READINESS, PEERS, SWARM, REPLICA, METRICS = 7000, 7001, 7002, 7003, 7004, 7005
+STORE, ORIGIN = 7010, 7011
+ROOT: Final = Path(__file__).resolve().parent.parent
+MODEL: Final = "m"
+MODEL_SERVICE: Final = "lm"
+PLAIN_SERVICE: Final = "api"
+ORIGIN_SERVICE: Final = "files"
+HOST: Final = "a.example"
+KEY: Final = "key-1"
+TEAM: Final = "team-1"
+CHUNKS: Final = 16
+CHUNK_BYTES: Final = 4 * 1024
+WAIT_SECONDS: Final = 30.0
+
+SETTINGS: Final = """
+host = "{name}"
+ip = "{ip}"
+zone = "{zone}"
+region = "r-{zone}"
+role = "{role}"
+log_level = "info"
+[zones]
+{zones}
+[listen]
+{listen}
+metrics = "{ip}:7005"
+[peers]
+seeds = {seeds}
+control_port = 7002
+swarm_port = 7003
+{replica}
+[store]
+address = "{store}"
+[limits]
+memory_mb = 200
+descriptors = 1024
+link_mbits = {link}
+[bounds]
+weights_milliseconds = {weights_ms}
+retry_ratio = 0.2
+retry_slack = 100
+stop_seconds = {stop}
+"""
+
+
+def default_configuration(version: int = 1) -> dict[str, Any]:
+    """Return a configuration with one route of each kind."""
+
+    def route(name: str, prefix: str, kind: str, service: str, **more: object) -> dict[str, Any]:
+        return {
+            "name": name,
+            "host": HOST,
+            "path_prefix": prefix,
+            "kind": kind,
+            "timeout_ms": 4000,
+            "slo_ms": 500,
+            "max_attempts": 2,
+            "priority": 1,
+            "service": service,
+            **more,
+        }
+
+    return {
+        "version": version,
+        "routes": [
+            route("stream", "/stream/", "streaming", MODEL_SERVICE, resumable=True),
+            route("strict", "/strict/", "streaming", MODEL_SERVICE),
+            route("again", "/again/", "idempotent", PLAIN_SERVICE),
+            route("once", "/once/", "non_idempotent", PLAIN_SERVICE, max_attempts=1),
+            route("open", "/open/", "idempotent", PLAIN_SERVICE, public=True),
+        ],
+        "services": [
+            {
+                "name": MODEL_SERVICE,
+                "max_conns": 100,
+                "engine": {
+                    "models": [{"name": MODEL}],
+                    "chunks": CHUNKS,
+                    "chunk_bytes": CHUNK_BYTES,
+                },
+            },
+            {"name": PLAIN_SERVICE, "max_conns": 100},
+        ],
+        "limits": {
+            "max_header_bytes": 4096,
+            "max_body_bytes": 65536,
+            "header_timeout_ms": 1000,
+            "idle_timeout_ms": 5000,
+        },
+        "tenants": [{"name": TEAM, "api_keys": [KEY], "priority": 2}],
+    }
+
+
+@dataclass
+class Machine:
+    """One machine with a process of the system."""
+
+    name: str
+    ip: str
+    zone: str
+    role: str
+    process: subprocess.Popen[bytes] | None = None
+
+
+@dataclass
+class ListedReplica:
+    """A replica with its place in the list."""
+
+    replica: FakeReplica
+    ip: str
+    zone: str
+    service: str
+    scope: trio.CancelScope = field(default_factory=trio.CancelScope)
+
+    @property
+    def address(self) -> Address:
+        """Where it takes requests."""
+        return Address(self.ip, REPLICA)
+
+
+@dataclass
+class Machines:
+    """A running set of machines."""
+
+    directory: Path
+    block: str
+    nursery: trio.Nursery
+    store: FakePlatformStore = field(default_factory=FakePlatformStore)
+    origin: FakePlatformOrigin = field(default_factory=lambda: FakePlatformOrigin(CHUNK_BYTES))
+    machines: dict[str, Machine] = field(default_factory=dict)
+    replicas: dict[str, ListedReplica] = field(default_factory=dict)
+    configuration: dict[str, Any] = field(default_factory=default_configuration)
+    seeds: list[str] = field(default_factory=list)
+    link_mbits: float = 1000.0
+    weights_ms: float = 8000.0
+    stop_seconds: float = 4.0
+    _numbers: int = 10
+
+    # The platform.
+
+    async def open_platform(self) -> None:
+        """Start the store and the origin."""
+        server = HttpServer(
+            self.store.handle, ServerLimits(end_of_input_is_gone=True, max_body_bytes=1024)
+        )
+        listeners, _ = await server.listen(self.address(STORE))
+        self.nursery.start_soon(server.serve, listeners)
+        await self._listen(self.address(ORIGIN), self.origin.serve_connection)
+        origin = {"name": ORIGIN_SERVICE, "max_conns": 48, "origin": str(self.address(ORIGIN))}
+        self.configuration["services"].append(origin)
+        self.publish()
+
+    def address(self, port: int) -> Address:
+        """Return an address of the platform."""
+        return Address(f"127.{self.block}.1", port)
+
+    def publish(self) -> int:
+        """Publish the configuration as it stands; return the store's revision."""
+        return self.store.put(names.CONFIGURATION_KEY, self.configuration)
+
+    def change(self, **changes: object) -> int:
+        """Publish the next version of the configuration."""
+        self.configuration = {**self.configuration, **changes}
+        self.configuration["version"] += 1
+        return self.publish()
+
+    def name_version(self, version: int) -> None:
+        """Name new weights, and put them at the origin."""
+        if version not in self.origin.versions:
+            chunks = [random.randbytes(CHUNK_BYTES) for _ in range(CHUNKS)]
+            self.origin.versions[version] = chunks
+        self.store.put(
+            f"{names.VERSION_PREFIX}{MODEL}", {"model": MODEL, "version": version}
+        )
+
+    async def add_replica(
+        self, service: str, zone: str, *, ip: str = "", version: int = 0, slots: int = 8
+    ) -> ListedReplica:
+        """Start a replica and list it."""
+        model = MODEL if service == MODEL_SERVICE else None
+        replica = FakeReplica(new_replica_id(), model=model, version=version, slots=slots)
+        if version:
+            replica.staged = dict(enumerate(self.origin.versions[version]))
+        listed = ListedReplica(replica, ip or self.new_ip(), zone, service)
+        self.replicas[replica.id] = listed
+        await self.start_replica(listed)
+        return listed
+
+    async def start_replica(self, listed: ListedReplica) -> None:
+        """Listen for a replica and keep its entry in the list."""
+        listed.scope = trio.CancelScope()
+        listeners = await trio.open_tcp_listeners(REPLICA, host=listed.ip)
+
+        async def run() -> None:
+            with listed.scope:
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(
+                        trio.serve_listeners, listed.replica.serve_connection, listeners
+                    )
+                    await self._keep_listed(listed)
+            for listener in listeners:
+                listener.socket.close()
+
+        self.nursery.start_soon(run)
+
+    def list_replica(self, listed: ListedReplica) -> None:
+        """Write a replica's entry."""
+        replica = listed.replica
+        loaded = [{"name": MODEL, "version": replica.version}] if replica.version else []
+        entry = {
+            "service": listed.service,
+            "addr": str(listed.address),
+            "zone": listed.zone,
+            "version": "v1",
+            "slots": replica.slots,
+            "state": "draining" if replica.draining else "ready",
+            "cold_left_ms": 0,
+            "models": loaded,
+            "seq": 1,
+        }
+        self.store.put(f"{names.REPLICA_PREFIX}{replica.id}", entry)
+
+    def crash_replica(self, listed: ListedReplica) -> None:
+        """End a replica without a word; its entry stays."""
+        listed.scope.cancel()
+
+    def unlist(self, listed: ListedReplica) -> None:
+        """Remove a replica's entry."""
+        self.store.remove(f"{names.REPLICA_PREFIX}{listed.replica.id}")
+
+    async def _keep_listed(self, listed: ListedReplica) -> None:
+        before: object = None
+        while True:
+            listed.replica.settle()
+            state = (listed.replica.version, listed.replica.draining)
+            if state != before:
+                before = state
+                self.list_replica(listed)
+            await trio.sleep(0.01)
+
+    async def _listen(self, address: Address, serve: Any) -> None:  # noqa: ANN401
+        listeners = await trio.open_tcp_listeners(address.port, host=address.ip)
+        self.nursery.start_soon(trio.serve_listeners, serve, listeners)
+
+    # Processes.
+
+    def new_ip(self) -> str:
+        """Return an IP number that no machine has."""
+        self._numbers += 1
+        return f"127.{self.block}.{self._numbers}"
+
+    def add_entry(self, name: str, zone: str) -> Machine:
+        """Prepare an entry."""
+        machine = Machine(name, self.new_ip(), zone, "entry")
+        self.machines[name] = machine
+        self.seeds.append(f"{machine.ip}:{PEERS}")
+        return machine
+
+    def add_daemon(self, name: str, listed: ListedReplica) -> Machine:
+        """Prepare the daemon beside a replica."""
+        machine = Machine(name, listed.ip, listed.zone, "upstream")
+        self.machines[name] = machine
+        return machine
+
+    def start(self, name: str) -> None:
+        """Start a machine's process."""
+        machine = self.machines[name]
+        path = self.directory / f"{name}.toml"
+        path.write_text(self._settings(machine))
+        environment = {**os.environ, "HEADCROSS_NODE_FILE": str(path)}
+        with (self.directory / f"{name}.log").open("ab") as log:
+            machine.process = subprocess.Popen(
+                [sys.executable, str(ROOT / "deploy" / "start.py")],
+                stdout=log,
+                stderr=subprocess.STDOUT,
+                env=environment,
+                cwd=ROOT,
+            )
+
+    def signal(self, name: str, number: signal.Signals) -> None:
+        """Send a signal to a machine's process."""
+        process = self.machines[name].process
+        assert process is not None
+        process.send_signal(number)
+
+    async def wait_exit(self, name: str) -> int:
+        """Wait until a machine's process has ended; return its exit code."""
+        process = self.machines[name].process
+        assert process is not None
+        with trio.fail_after(WAIT_SECONDS):
+            while process.poll() is None:
+                await trio.sleep(0.02)
+        return int(process.returncode)
+
+    def log(self, name: str) -> list[dict[str, Any]]:
+        """Return the log lines of a machine's processes so far."""
+        text = (self.directory / f"{name}.log").read_bytes()
+        lines = text.split(b"\n")[:-1]
+        return [msgspec.json.decode(line) for line in lines if line.startswith(b"{")]
+
+    async def state(self, name: str) -> dict[str, Any]:
+        """Return a process's state dump, empty if it does not answer."""
+        address = Address(self.machines[name].ip, METRICS)
+        outcome = await call(address, "GET", "/state", seconds=2, max_bytes=1 << 20)
+        if isinstance(outcome, Failure):
+            return {}
+        found: dict[str, Any] = msgspec.json.decode(outcome.value.body)
+        return found
+
+    async def ready(self, name: str) -> bool:
+        """Tell whether an entry calls itself ready."""
+        address = Address(self.machines[name].ip, READINESS)
+        outcome = await call(address, "GET", "/ready", seconds=1, max_bytes=1 << 16)
+        return not isinstance(outcome, Failure) and outcome.value.status == 200
+
+    async def wait_ready(self, *entries: str) -> None:
+        """Wait until entries are ready and know the listed replicas."""
+        for name in entries:
+            with trio.fail_after(WAIT_SECONDS):
+                while not await self.ready(name):
+                    await trio.sleep(0.03)
+
+    def callers(self, name: str) -> Address:
+        """Return where callers reach an entry."""
+        return Address(self.machines[name].ip, CALLERS)
+
+    def stop_all(self) -> None:
+        """End every process that was started here."""
+        for machine in self.machines.values():
+            if machine.process is not None and machine.process.poll() is None:
+                machine.process.send_signal(signal.SIGCONT)
+                machine.process.kill()
+                machine.process.wait()
+
+    def _settings(self, machine: Machine) -> str:
+        listen = f'peers = "{machine.ip}:{PEERS}"'
+        replica = ""
+        if machine.role == "entry":
+            listen += f'\ncallers = "{machine.ip}:{CALLERS}"'
+            listen += f'\nreadiness = "{machine.ip}:{READINESS}"'
+        else:
+            listen += f'\nswarm = "{machine.ip}:{SWARM}"'
+            address = f"{machine.ip}:{REPLICA}"
+            replica = f'[replica]\naddress = "{address}"\nservice = "{MODEL_SERVICE}"'
+        zones = sorted({m.zone for m in self.machines.values()})
+        return SETTINGS.format(
+            name=machine.name,
+            ip=machine.ip,
+            zone=machine.zone,
+            role=machine.role,
+            zones="\n".join(f'{zone} = "r-{zone}"' for zone in zones),
+            listen=listen,
+            seeds=msgspec.json.encode(self.seeds).decode(),
+            replica=replica,
+            store=self.address(STORE),
+            link=self.link_mbits,
+            weights_ms=self.weights_ms,
+            stop=self.stop_seconds,
+        )
+
+
+@asynccontextmanager
+async def running_machines(directory: Path) -> AsyncIterator[Machines]:
+    """Open the platform; every process started on it ends with the block."""
+    seed = random.randrange(1 << 30)
+    print(f"seed {seed}")
+    generator = random.Random(os.getpid() * 7919 + seed)
+    block = f"{generator.randrange(16, 250)}.{generator.randrange(1, 250)}"
+    async with trio.open_nursery() as nursery:
+        machines = Machines(directory, block, nursery)
+        SOURCE_IP.set(f"127.{block}.2")
+        try:
+            await machines.open_platform()
+            yield machines
+        finally:
+            SOURCE_IP.set(None)
+            machines.stop_all()
+            nursery.cancel_scope.cancel()
+
+
+@asynccontextmanager
+async def small_site(
+    directory: Path,
+    *,
+    models: int = 2,
+    plain: int = 2,
+    entries: int = 1,
+    zones: Sequence[str] = ("z0",),
+    daemons: bool = False,
+    named: int = 0,
+) -> AsyncIterator[Machines]:
+    """Run a small site whose entries are ready; replicas serve version 1."""
+    async with running_machines(directory) as site:
+        site.origin.versions[1] = [random.randbytes(CHUNK_BYTES) for _ in range(CHUNKS)]
+        if named:
+            site.name_version(named)
+        for index in range(entries):
+            site.add_entry(f"entry{index}", zones[index % len(zones)])
+        for index in range(models):
+            listed = await site.add_replica(MODEL_SERVICE, zones[index % len(zones)], version=1)
+            if daemons:
+                site.add_daemon(f"daemon{index}", listed)
+        for index in range(plain):
+            await site.add_replica(PLAIN_SERVICE, zones[index % len(zones)])
+        # A store that the replicas have not reached yet would let entries start with a short list.
+        with trio.fail_after(WAIT_SECONDS):
+            while sum(key.startswith(names.REPLICA_PREFIX) for key in site.store.items) < len(
+                site.replicas
+            ):
+                await trio.sleep(0.01)
+        for name in site.machines:
+            site.start(name)
+        await site.wait_ready(*(f"entry{index}" for index in range(entries)))
+        yield site
+
+
+def replicas_of(site: Machines, service: str) -> list[FakeReplica]:
+    """Return the replicas of a service, in the order of their start."""
+    return [r.replica for r in site.replicas.values() if r.service == service]
--- /dev/null
+++ b/testing/platformreplica.py
@@ -0,0 +1,414 @@
+"""A stand-in for a replica of the platform and for the origin of weights.
+
+It keeps what it ran, answers whole or as a stream of events, and misbehaves as the test tells it:
+each `Fault` is used for one request. Its answers are written by hand, since many of them are not
+what a library would let out.
+"""
+
+import hashlib
+import itertools
+from collections import Counter, deque
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import Final
+from urllib.parse import parse_qs
+
+import h11
+import msgspec
+import trio
+from headcross_platform import names
+
+RECEIVE_BYTES: Final = 64 * 1024
+SEAL: Final = "seal-1"
+
+
+class Fault(Enum):
+    """What a replica does wrong with one request."""
+
+    SHED = "shed"  # 503, states that it did not run the request
+    RESET_BEFORE_HEAD = "reset before head"  # runs it, then resets
+    CLOSE_BEFORE_HEAD = "close before head"  # runs it, then closes
+    SILENT = "silent"  # runs it and never answers
+    ERROR = "error"  # its own 500
+    NO_SEAL = "no seal"
+    WRONG_ID = "wrong id"  # an answer to another request
+    ENCODED = "encoded"
+    CUT_BODY = "cut body"  # half of the body, then a reset
+    EXTRA_ANSWER = "extra answer"  # a second answer after the whole one
+    UNFRAMED = "unframed"  # no length; ends with the connection
+    UNFRAMED_RESET = "unframed reset"  # no length; reset on the way
+    NOT_HTTP = "not http"  # bytes that are no answer
+    CUT_BEFORE_EVENT = "cut before event"  # head of a stream, then a reset
+    CUT_WITHIN_EVENT = "cut within event"
+    CUT_AFTER_EVENT = "cut after event"
+    STALL = "stall"  # two events, then nothing more
+    ENDS_WITHIN_EVENT = "ends within event"  # a whole answer whose last event is not
+
+
+@dataclass
+class Run:
+    """One request that a replica ran."""
+
+    id: str
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+    version: int
+
+
+@dataclass
+class FakeReplica:
+    """One replica. Its answer to a request is the request's own body, or numbered events."""
+
+    id: str
+    model: str | None = None
+    version: int = 0  # 0: nothing is loaded
+    slots: int = 8
+    events: int = 4
+    event_seconds: float = 0.0
+    service_seconds: float = 0.0
+    load_seconds: float = 0.02
+    faults: deque[Fault] = field(default_factory=deque)
+    runs: list[Run] = field(default_factory=list)
+    cancelled: list[str] = field(default_factory=list)
+    arrivals: int = 0
+    active: int = 0
+    connections: int = 0
+    opened: int = 0
+    loading: bool = False
+    draining: bool = False
+    orders: int = 0
+    staged: dict[int, bytes] = field(default_factory=dict)
+    loads: list[tuple[int, list[str]]] = field(default_factory=list)  # version, chunk digests
+
+    async def serve_connection(self, stream: trio.SocketStream) -> None:
+        """Serve one connection until it ends."""
+        self.connections += 1
+        self.opened += 1
+        try:
+            await self._serve(stream)
+        except (trio.BrokenResourceError, trio.ClosedResourceError, h11.RemoteProtocolError):
+            pass
+        finally:
+            self.connections -= 1
+            await trio.aclose_forcefully(stream)
+
+    async def _serve(self, stream: trio.SocketStream) -> None:
+        connection = h11.Connection(h11.SERVER)
+        while True:
+            request = await _read_request(connection, stream)
+            if request is None:
+                return
+            head, body = request
+            path, _, query = head.target.decode().partition("?")
+            headers = {n.decode(): v.decode() for n, v in head.headers}
+            reply = self._answer_call(head.method.decode(), path, query, body)
+            if reply is not None:
+                await stream.send_all(reply)
+                connection = _next_cycle(connection)
+                continue
+            if not await self._run(stream, head, headers, body):
+                return
+            connection = _next_cycle(connection)
+
+    # Calls of the daemon beside it.
+
+    def _answer_call(self, method: str, path: str, query: str, body: bytes) -> bytes | None:
+        number = int(parse_qs(query).get("num", ["-1"])[0])
+        if path == names.REPORT_PATH:
+            return _json(200, self._report())
+        if path.startswith(names.STAGE_PUT_PATH) and method == "PUT":
+            self.staged[number] = body
+            return _json(200, {})
+        if path.startswith(names.STAGE_GET_PATH):
+            if number < 0:
+                return _json(200, {"held": sorted(self.staged)})
+            held = self.staged.get(number)
+            return _json(404, {}) if held is None else _whole(200, [], held)
+        if path == names.ORDER_PATH:
+            return self._take_order(msgspec.json.decode(body))
+        return None
+
+    def _report(self) -> dict[str, object]:
+        loaded = [{"name": self.model, "version": self.version}] if self.version else []
+        return {
+            "stage": "colocated",
+            "models": loaded,
+            "utilization": self.loading,
+            "seq": self.orders,
+            "queued": 0,
+            "active": self.active,
+            "kv_used": 0,
+            "kv_total": 1000,
+        }
+
+    def _take_order(self, order: dict[str, object]) -> bytes:
+        if order.get("expected_rev", self.orders) != self.orders:
+            return _json(409, {"error": "seq"})
+        self.orders += 1
+        self.loading = True
+        digests = [hashlib.sha256(self.staged[i]).hexdigest() for i in sorted(self.staged)]
+        version = order["version"]
+        assert isinstance(version, int)
+        self.loads.append((version, digests))
+        self.load_due = trio.current_time() + self.load_seconds
+        self._loading_version = version
+        return _json(202, {})
+
+    def settle(self) -> None:
+        """Finish a load whose time has come and that no request holds up."""
+        if self.loading and not self.active and trio.current_time() >= self.load_due:
+            self.loading = False
+            self.version = self._loading_version
+
+    # Requests.
+
+    async def _run(
+        self, stream: trio.SocketStream, head: h11.Request, headers: dict[str, str], body: bytes
+    ) -> bool:
+        """Answer a request; return whether the connection may carry another."""
+        self.arrivals += 1
+        request_id = headers.get(names.REQUEST_ID, "")
+        base = [(names.REQUEST_ID, request_id)]
+        expected = headers.get(names.EXPECT_INSTANCE)
+        version = headers.get(names.EXPECT_VERSION)
+        if expected not in (None, self.id) or version not in (None, str(self.version)):
+            await stream.send_all(_json(421, {}, base))
+            return True
+        fault = self.faults.popleft() if self.faults else None
+        if fault is Fault.SHED or self.loading or self.active >= self.slots or self.draining:
+            await stream.send_all(_json(503, {}, [*base, (names.NOT_EXECUTED, "1")]))
+            return True
+        self.runs.append(
+            Run(request_id, head.method.decode(), head.target.decode(), headers, body, self.version)
+        )
+        self.active += 1
+        try:
+            return await self._answer(stream, headers, base, body, fault)
+        except (trio.BrokenResourceError, trio.ClosedResourceError, _CallerLeft):
+            self.cancelled.append(request_id)
+            return False
+        finally:
+            self.active -= 1
+
+    async def _answer(
+        self,
+        stream: trio.SocketStream,
+        headers: dict[str, str],
+        base: list[tuple[str, str]],
+        body: bytes,
+        fault: Fault | None,
+    ) -> bool:
+        await _sleep_watching(stream, self.service_seconds)
+        sealed = [*base, (names.SEAL, SEAL)]
+        if self.model is not None:
+            sealed.append((names.WEIGHT_VERSIONS, str(self.version)))
+        match fault:
+            case Fault.RESET_BEFORE_HEAD:
+                return await _reset(stream)
+            case Fault.CLOSE_BEFORE_HEAD:
+                return False
+            case Fault.SILENT:
+                await _sleep_watching(stream, float("inf"))
+            case Fault.NOT_HTTP:
+                await stream.send_all(b"\x00\x01 this is no answer\r\n\r\n")
+                return False
+            case Fault.ERROR:
+                await stream.send_all(_json(500, {"error": "own"}, sealed))
+                return True
+            case Fault.NO_SEAL:
+                await stream.send_all(_whole(200, base, body))
+                return True
+            case Fault.WRONG_ID:
+                other = [(names.REQUEST_ID, "another"), (names.SEAL, SEAL)]
+                await stream.send_all(_whole(200, other, body))
+                return True
+            case Fault.ENCODED:
+                await stream.send_all(_whole(200, [*sealed, ("content-encoding", "gzip")], body))
+                return True
+        if self.model is not None:
+            return await self._stream(stream, headers, sealed, fault)
+        return await self._whole(stream, sealed, body, fault)
+
+    async def _whole(
+        self,
+        stream: trio.SocketStream,
+        sealed: list[tuple[str, str]],
+        body: bytes,
+        fault: Fault | None,
+    ) -> bool:
+        answer = _whole(200, sealed, body)
+        match fault:
+            case Fault.CUT_BODY:
+                await stream.send_all(answer[: -max(1, len(body) // 2)])
+                return await _reset(stream)
+            case Fault.EXTRA_ANSWER:
+                other = [(names.REQUEST_ID, "stray"), (names.SEAL, SEAL)]
+                await stream.send_all(answer + _whole(200, other, b"stray"))
+                return True
+            case Fault.UNFRAMED:
+                await stream.send_all(_head(200, [*sealed, ("connection", "close")]) + body)
+                return False
+            case Fault.UNFRAMED_RESET:
+                await stream.send_all(_head(200, [*sealed, ("connection", "close")]) + body[:3])
+                await trio.sleep(0.02)
+                return await _reset(stream)
+        await stream.send_all(answer)
+        return True
+
+    async def _stream(
+        self,
+        stream: trio.SocketStream,
+        headers: dict[str, str],
+        sealed: list[tuple[str, str]],
+        fault: Fault | None,
+    ) -> bool:
+        head = [*sealed, ("content-type", "text/event-stream"), ("transfer-encoding", "chunked")]
+        await stream.send_all(_head(200, head))
+        first = int(headers.get(names.RESUME_AFTER, "-1")) + 1
+        if fault is Fault.CUT_BEFORE_EVENT:
+            return await _reset(stream)
+        for number in range(first, self.events):
+            await _sleep_watching(stream, self.event_seconds)
+            event = b"id: %d\ndata: %s %d\n\n" % (number, headers[names.REQUEST_ID].encode(), number)
+            if fault is Fault.CUT_WITHIN_EVENT and number == first + 1:
+                await stream.send_all(_chunk(event[:-4]))
+                return await _reset(stream)
+            if fault is Fault.ENDS_WITHIN_EVENT and number == self.events - 1:
+                event = event[:-1]
+            await stream.send_all(_chunk(event))
+            if fault is Fault.CUT_AFTER_EVENT and number == first + 1:
+                return await _reset(stream)
+            if fault is Fault.STALL and number == first + 1:
+                await _sleep_watching(stream, float("inf"))
+        await stream.send_all(b"0\r\n\r\n")
+        return True
+
+
+@dataclass
+class FakePlatformOrigin:
+    """The service that hands out weights."""
+
+    chunk_bytes: int
+    versions: dict[int, list[bytes]] = field(default_factory=dict)
+    sent: Counter[tuple[int, int]] = field(default_factory=Counter)  # by version and chunk
+    corrupt_next: int = 0
+    down: bool = False
+    seconds_per_chunk: float = 0.0
+
+    @property
+    def sent_chunks(self) -> int:
+        """Return how many chunks it sent."""
+        return sum(self.sent.values())
+
+    async def serve_connection(self, stream: trio.SocketStream) -> None:
+        """Serve one connection until it ends."""
+        connection = h11.Connection(h11.SERVER)
+        try:
+            while not self.down:
+                request = await _read_request(connection, stream)
+                if request is None or self.down:
+                    return
+                path, _, query = request[0].target.decode().partition("?")
+                await stream.send_all(await self._answer(path, parse_qs(query)))
+                connection = _next_cycle(connection)
+        except (trio.BrokenResourceError, trio.ClosedResourceError, h11.RemoteProtocolError):
+            pass
+        finally:
+            await trio.aclose_forcefully(stream)
+
+    async def _answer(self, path: str, query: dict[str, list[str]]) -> bytes:
+        version = int(query["version"][0])
+        if version not in self.versions:
+            return _json(404, {})
+        chunks = self.versions[version]
+        if path.startswith(names.MANIFEST_PATH):
+            digests = [hashlib.sha256(chunk).hexdigest() for chunk in chunks]
+            return _json(
+                200, {"version": version, "chunk_bytes": self.chunk_bytes, "digests": digests}
+            )
+        number = int(query["num"][0])
+        await trio.sleep(self.seconds_per_chunk)
+        self.sent[version, number] += 1
+        data = chunks[number]
+        if self.corrupt_next:
+            self.corrupt_next -= 1
+            data = bytes([data[0] ^ 1]) + data[1:]
+        return _whole(200, [], data)
+
+
+class _CallerLeft(Exception):
+    """The caller closed its connection."""
+
+
+async def _sleep_watching(stream: trio.SocketStream, seconds: float) -> None:
+    """Sleep; raise if the caller leaves meanwhile."""
+    if seconds <= 0:
+        return
+    with trio.move_on_after(seconds):
+        if not await stream.receive_some(1):
+            raise _CallerLeft
+
+
+async def _read_request(
+    connection: h11.Connection, stream: trio.SocketStream
+) -> tuple[h11.Request, bytes] | None:
+    head: h11.Request | None = None
+    body = bytearray()
+    while True:
+        event = connection.next_event()
+        if event is h11.NEED_DATA:
+            connection.receive_data(await stream.receive_some(RECEIVE_BYTES))
+        elif isinstance(event, h11.Request):
+            head = event
+        elif isinstance(event, h11.Data):
+            body += event.data
+        elif isinstance(event, h11.EndOfMessage) and head is not None:
+            return head, bytes(body)
+        else:
+            return None
+
+
+def _next_cycle(connection: h11.Connection) -> h11.Connection:
+    """Return a connection for the next request; answers are written past the library."""
+    fresh = h11.Connection(h11.SERVER)
+    rest = connection.trailing_data[0]
+    if rest:
+        fresh.receive_data(rest)
+    return fresh
+
+
+async def _reset(stream: trio.SocketStream) -> bool:
+    """Reset the connection."""
+    import socket
+    import struct
+
+    stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    await trio.aclose_forcefully(stream)
+    return False
+
+
+def _head(status: int, headers: list[tuple[str, str]]) -> bytes:
+    lines = [f"HTTP/1.1 {status} Answer", *(f"{name}: {value}" for name, value in headers)]
+    return "\r\n".join([*lines, "", ""]).encode()
+
+
+def _whole(status: int, headers: list[tuple[str, str]], body: bytes) -> bytes:
+    return _head(status, [*headers, ("content-length", str(len(body)))]) + body
+
+
+def _json(status: int, value: object, headers: list[tuple[str, str]] | None = None) -> bytes:
+    return _whole(status, headers or [], msgspec.json.encode(value))
+
+
+def _chunk(data: bytes) -> bytes:
+    return b"%x\r\n%s\r\n" % (len(data), data)
+
+
+_numbers = itertools.count(1)
+
+
+def new_replica_id() -> str:
+    """Return the id of a new incarnation."""
+    return f"i-{next(_numbers):06x}"
--- /dev/null
+++ b/testing/platformstore.py
@@ -0,0 +1,154 @@
+"""A stand-in for the platform's metadata store: listings in pages, watches, faults.
+
+Written from the platform's pages. The test publishes items; processes read and watch them.
+"""
+
+import base64
+from collections import Counter
+from dataclasses import dataclass, field
+from enum import Enum
+from urllib.parse import parse_qs
+
+import msgspec
+import trio
+from headcross_platform import names
+from headcross_wire.httpserver import Exchange
+
+
+class Mood(Enum):
+    """How the store treats a machine."""
+
+    WELL = "well"
+    BUSY = "busy"  # answers 503
+    LIMITED = "limited"  # answers 429
+    RESET = "reset"  # closes the connection
+    SILENT = "silent"  # never answers
+
+
+@dataclass
+class StoredItem:
+    """One item."""
+
+    value: bytes
+    revision: int
+    made: int
+
+
+@dataclass
+class FakePlatformStore:
+    """The store."""
+
+    page_size: int = 500
+    items: dict[str, StoredItem] = field(default_factory=dict)
+    revision: int = 0
+    forgotten: int = 0  # changes up to this revision are no longer known
+    mood: Mood = Mood.WELL
+    mood_of: dict[str, Mood] = field(default_factory=dict)  # by the caller's IP number
+    calls: Counter[str] = field(default_factory=Counter)
+    _log: list[tuple[int, str]] = field(default_factory=list)
+    _changed: trio.Event = field(default_factory=trio.Event)
+
+    def put(self, key: str, value: object) -> int:
+        """Write an item as JSON, or raw bytes; return the new revision."""
+        body = value if isinstance(value, bytes) else msgspec.json.encode(value)
+        self.revision += 1
+        made = self.items[key].made if key in self.items else self.revision
+        self.items[key] = StoredItem(body, self.revision, made)
+        self._note(key)
+        return self.revision
+
+    def remove(self, key: str) -> None:
+        """Remove an item."""
+        self.revision += 1
+        self.items.pop(key, None)
+        self._note(key)
+
+    def forget_history(self) -> None:
+        """Forget all changes so far."""
+        self.forgotten = self.revision
+        self._wake()
+
+    def set_mood(self, mood: Mood, ips: list[str] | None = None) -> None:
+        """Treat some machines, or all, like this from now on."""
+        if ips is None:
+            self.mood = mood
+            self.mood_of.clear()
+        else:
+            self.mood_of.update(dict.fromkeys(ips, mood))
+        self._wake()
+
+    async def handle(self, exchange: Exchange) -> None:
+        """Answer one call."""
+        path = exchange.request.path
+        query = {k: v[0] for k, v in parse_qs(exchange.request.target.partition("?")[2]).items()}
+        ip = exchange.peer_ip
+        self.calls[f"{ip} {path}"] += 1
+        if not await self._answers(exchange, ip):
+            return
+        if path == names.STORE_RANGE:
+            await exchange.respond_json(200, self._range(query))
+        elif path == names.STORE_WATCH:
+            await self._watch(exchange, ip, query)
+        else:
+            await exchange.respond_json(404, {"error": "no such call"})
+
+    async def _answers(self, exchange: Exchange, ip: str) -> bool:
+        match self.mood_of.get(ip, self.mood):
+            case Mood.WELL:
+                return True
+            case Mood.BUSY:
+                await exchange.respond_json(503, {"error": "busy"})
+            case Mood.LIMITED:
+                await exchange.respond_json(429, {"error": "too many reads"})
+            case Mood.RESET:
+                await exchange.abort()
+            case Mood.SILENT:
+                await trio.sleep_forever()
+        return False
+
+    def _range(self, query: dict[str, str]) -> dict[str, object]:
+        prefix, after = query["path_prefix"], query.get("after_rev", "")
+        keys = sorted(key for key in self.items if key.startswith(prefix) and key > after)
+        page = [self._show(key) for key in keys[: self.page_size]]
+        return {"items": page, "more": len(keys) > self.page_size, "at": self.revision}
+
+    async def _watch(self, exchange: Exchange, ip: str, query: dict[str, str]) -> None:
+        prefix, after = query["path_prefix"], int(query["after_rev"])
+        with trio.move_on_after(int(query["wait_ms"]) / 1000):
+            while True:
+                if after < self.forgotten or self.mood_of.get(ip, self.mood) is not Mood.WELL:
+                    break
+                if any(revision > after and key.startswith(prefix) for revision, key in self._log):
+                    break
+                await self._changed.wait()
+        if self.mood_of.get(ip, self.mood) is not Mood.WELL:
+            await self._answers(exchange, ip)
+            return
+        if after < self.forgotten:
+            await exchange.respond_json(410, {"error": "history is gone"})
+            return
+        changed = {key for revision, key in self._log if revision > after}
+        events = [self._show(key) for key in changed if key.startswith(prefix)]
+        await exchange.respond_json(200, {"events": events, "at": self.revision})
+
+    def _show(self, key: str) -> dict[str, object]:
+        item = self.items.get(key)
+        if item is None:
+            revision = max(revision for revision, changed in self._log if changed == key)
+            return {"key": key, "revision": revision, "gone": True}
+        value = base64.b64encode(item.value).decode()
+        return {
+            "key": key,
+            "value": value,
+            "revision": item.revision,
+            "made": item.made,
+            "lease": 0,
+        }
+
+    def _note(self, key: str) -> None:
+        self._log.append((self.revision, key))
+        self._wake()
+
+    def _wake(self) -> None:
+        self._changed.set()
+        self._changed = trio.Event()
