--- a/libs/daemon/src/headcross_daemon/renewalrole.py
+++ b/libs/daemon/src/headcross_daemon/renewalrole.py
@@ -26,7 +26,7 @@
 # Part of the process's memory that may hold weights.
 WEIGHTS_MEMORY_PART: Final = 0.3
 # Part of the link that chunks may fill; requests to the replica take the rest.
-LINK_PART: Final = 0.9
+LINK_PART: Final = 0.82
 BITS_PER_BYTE: Final = 8
 LINK_BURST_BYTES: Final = 8 * 1024
 DEFAULT_CHUNK_BYTES: Final = 32 * 1024
@@ -48,7 +48,9 @@
         self._store = ChunkStore(int(settings.limits.memory_mb * MEGABYTE * WEIGHTS_MEMORY_PART))
         rate = settings.limits.link_mbits * MEGABYTE / BITS_PER_BYTE * LINK_PART
         downlink = LinkRate(rate, LINK_BURST_BYTES)
-        origin = OriginSource(facts, adapter.origin, DEFAULT_CHUNK_BYTES)
+        origin = OriginSource(
+            facts, adapter.origin, DEFAULT_CHUNK_BYTES, lambda: self._reporter.answered
+        )
         self._importer = Importer([origin], downlink, SMALL_WEIGHTS)
         self._swarm = Swarm(
             settings.ip,
--- a/libs/gateway/src/headcross_gateway/attempts.py
+++ b/libs/gateway/src/headcross_gateway/attempts.py
@@ -9,8 +9,10 @@
 * anything else after the first byte was sent: it may have run.
 """
 
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
-from typing import Final
+from functools import partial
+from typing import Final, TypeVar
 
 import trio
 from headcross_base.errorcodes import (
@@ -30,6 +32,8 @@
 from headcross_gateway.relay import EventOutOfOrderError, StreamRelay, passed_headers
 
 MAX_BODY_BYTES: Final = 16 * 1024 * 1024
+T = TypeVar("T")
+
 SUCCESS: Final = range(200, 300)
 SERVER_ERRORS: Final = range(500, 600)
 
@@ -110,10 +114,9 @@
         except ConnectError as error:
             return DidNotRun(CONNECT_FAILED, str(error), arrived=False)
         try:
-            with trio.move_on_after(patience.first_seconds) as scope:
-                outcome = await self._exchange(
-                    connection, request, request_id, hand_over, relay, scope, patience
-                )
+            outcome = await self._exchange(
+                connection, request, request_id, hand_over, relay, patience
+            )
         except LinkLostError as error:
             outcome = MayRun(LINK_LOST, str(error))
         except (EventTooLongError, EventOutOfOrderError) as error:
@@ -121,8 +124,6 @@
         except BaseException:
             await connection.close()
             raise
-        if scope.cancelled_caught:
-            outcome = MayRun(LINK_LOST, "silent for too long")
         if not isinstance(outcome, Whole | Streamed | DidNotRun):
             await connection.close()
         return outcome
@@ -134,20 +135,21 @@
         request_id: str,
         hand_over: HandOver,
         relay: StreamRelay | None,
-        scope: trio.CancelScope,
         patience: Patience,
     ) -> Outcome:
+        until = trio.current_time() + patience.first_seconds
         headers = self._dialect.upstream_headers(passed_headers(request.headers), hand_over)
-        await connection.send(request.method, request.target, headers, request.body)
-        answer = await connection.receive_answer()
+        sending = partial(connection.send, request.method, request.target, headers, request.body)
+        await _in_time(until, sending)
+        answer = await _in_time(until, connection.receive_answer)
         facts = self._dialect.read_answer(answer.status, answer.headers)
         problem = _problem(answer, facts, request_id)
         if problem:
             return MayRun(UPSTREAM_ERROR, problem)
         if relay is not None and answer.status in SUCCESS:
             relay.begin(answer, facts.weights_version)
-            return await self._pass_stream(connection, answer, relay, scope, patience)
-        body = await _read_body(connection)
+            return await self._pass_stream(connection, answer, relay, until, patience)
+        body = await _in_time(until, partial(_read_body, connection))
         await self.connections.give(connection, answer)
         if facts.not_run:
             detail = f"status {answer.status}"
@@ -159,20 +161,29 @@
         connection: HttpConnection,
         answer: Answer,
         relay: StreamRelay,
-        scope: trio.CancelScope,
+        until: float,
         patience: Patience,
     ) -> Outcome:
-        while (piece := await connection.receive_piece()) is not None:
+        while (piece := await _in_time(until, connection.receive_piece)) is not None:
             if await relay.pass_on(piece):
-                scope.deadline = trio.current_time() + patience.pause_seconds
-        # The end may wait for a caller that reads slowly, but not for the replica any more.
-        scope.deadline = float("inf")
+                until = trio.current_time() + patience.pause_seconds
         if not await relay.finish():
             raise LinkLostError("the stream ended within an event")
         await self.connections.give(connection, answer)
         return Streamed()
 
 
+async def _in_time(until: float, act: Callable[[], Awaitable[T]]) -> T:
+    """Wait for a replica until a moment on trio's clock; raise LinkLostError after that.
+
+    Only waiting for the replica is bounded so. Sending to the caller must not be: an event whose
+    sending was cut short could neither be sent again nor left out.
+    """
+    with trio.move_on_at(until):
+        return await act()
+    raise LinkLostError("silent for too long")
+
+
 def _problem(answer: Answer, facts: AnswerFacts, request_id: str) -> str:
     """Return why an answer cannot be the one to this request, empty if it can."""
     if facts.id != request_id and not (facts.id is None and facts.not_run):
--- a/libs/gateway/src/headcross_gateway/relay.py
+++ b/libs/gateway/src/headcross_gateway/relay.py
@@ -5,6 +5,7 @@
 whole event; events that the caller already has are dropped.
 """
 
+import trio
 from headcross_wire.httpclient import Answer
 from headcross_wire.httpserver import Exchange, Headers
 
@@ -39,11 +40,17 @@
     last_id: str | None
     # The version of the weights that the stream began with, if the replica told.
     weights_version: int | None
+    # On trio's clock, for logs: when the caller got its first event, and the longest pause since.
+    first_at: float | None
+    longest_pause: float
 
     def __init__(self, exchange: Exchange, resume_after: str | None) -> None:
         self.started = False
         self.last_id = resume_after
         self.weights_version = None
+        self.first_at = None
+        self.longest_pause = 0.0
+        self._last_at = 0.0
         self._exchange = exchange
         self._answer: Answer | None = None
         self._splitter = EventSplitter()
@@ -56,14 +63,27 @@
             self.weights_version = weights_version
 
     async def pass_on(self, data: bytes) -> int:
-        """Send the events that are whole now; return how many there were."""
-        events = self._splitter.feed(data)
-        fresh = [event for event in events if self._is_next(event)]
-        if not fresh:
-            return 0
-        if not self.started:
-            await self._start()
-        await self._exchange.send(b"".join(event.data for event in fresh))
+        """Send the events that are whole now; return how many there were.
+
+        An event counts as the caller's from the moment its sending begins: a call that is
+        cancelled must not be followed by another attempt.
+        """
+        fresh: list[bytes] = []
+        problem: EventOutOfOrderError | None = None
+        for event in self._splitter.feed(data):
+            try:
+                if self._is_next(event):
+                    fresh.append(event.data)
+            except EventOutOfOrderError as error:
+                problem = error
+                break
+        if fresh:
+            if not self.started:
+                await self._start()
+            await self._exchange.send(b"".join(fresh))
+            self._note_time()
+        if problem is not None:
+            raise problem
         return len(fresh)
 
     async def finish(self) -> bool:
@@ -80,6 +100,14 @@
         self.started = True
         await self._exchange.start(self._answer.status, passed_headers(self._answer.headers))
 
+    def _note_time(self) -> None:
+        now = trio.current_time()
+        if self.first_at is None:
+            self.first_at = now
+        else:
+            self.longest_pause = max(self.longest_pause, now - self._last_at)
+        self._last_at = now
+
     def _is_next(self, event: StreamEvent) -> bool:
         """Note an event's id; tell whether the caller lacks it."""
         if event.id is None or not event.id.isdecimal():
--- a/libs/gateway/src/headcross_gateway/requestpath.py
+++ b/libs/gateway/src/headcross_gateway/requestpath.py
@@ -316,7 +316,13 @@
     # Logs.
 
     def _story(self, request: Admitted) -> dict[str, object]:
+        relay = request.relay
+        times: dict[str, object] = {}
+        if relay is not None and relay.first_at is not None:
+            times["first_ms"] = round((relay.first_at - request.arrived_at) * 1000, 1)
+            times["longest_pause_ms"] = round(relay.longest_pause * 1000, 1)
         return {
+            **times,
             "request": request.facts.id,
             "route": request.route.name,
             "service": request.service,
--- a/libs/gateway/src/headcross_gateway/weightsrules.py
+++ b/libs/gateway/src/headcross_gateway/weightsrules.py
@@ -13,7 +13,7 @@
 
 # The version was acknowledged some time before this process learned of it, and a request takes
 # some time from here to its first token.
-MARGIN_SECONDS: Final = 0.9
+MARGIN_SECONDS: Final = 1.6
 # A process that starts after a version was named does not know when that was. It serves older
 # versions for so long after its start.
 AT_START_SECONDS: Final = 2.0
--- a/libs/renewal/src/headcross_renewal/renewer.py
+++ b/libs/renewal/src/headcross_renewal/renewer.py
@@ -33,6 +33,10 @@
 IDLE_SECONDS: Final = 0.5
 RETRY_SECONDS: Final = 0.3
 TURN_CHECK_SECONDS: Final = 0.1
+# Steps that are needless once the replica turns out to hold the version.
+STEPS_BEFORE_ORDER: Final = ("digests", "adopting", "fetching", "staging")
+# A transfer that brought nothing for so long begins anew if other hosts have come meanwhile.
+STALLED_SECONDS: Final = 0.7
 LOADING_CHECK_SECONDS: Final = 0.05
 # How long an order may stay without effect before the replica is looked at anew.
 ORDER_SECONDS: Final = 6.0
@@ -91,6 +95,7 @@
         self._pauses = pauses
         self._bound = bound_seconds
         self._digests: dict[LoadedModel, str] = {}
+        self._offered: set[LoadedModel] = set()
 
     async def run(self) -> None:
         """Renew until cancelled."""
@@ -112,7 +117,7 @@
     def _goal(self) -> LoadedModel | None:
         """Return the version that the replica should have."""
         configuration = self._facts.configuration
-        if configuration is None:
+        if configuration is None or not self._facts.complete:
             return None
         model = self._model(configuration)
         if model is None:
@@ -155,7 +160,10 @@
 
     async def _give_up_when_superseded(self, goal: LoadedModel, scope: trio.CancelScope) -> None:
         while True:
-            await self._facts.wait_change()
+            await self._wait_news()
+            if self.step in STEPS_BEFORE_ORDER and self._holds(goal):
+                scope.cancel()
+                return
             newest = self._facts.newest_version(goal.model)
             if newest is not None and newest > goal.version:
                 logger.info(
@@ -163,6 +171,7 @@
                     extra={"goal": weights_name(goal), "newest": newest, "step": self.step},
                 )
                 scope.cancel()
+                return
 
     # The steps.
 
@@ -190,19 +199,14 @@
 
     async def _offer(self, goal: LoadedModel) -> None:
         """Have the version that the replica serves ready for others, from beside the replica."""
-        if goal in self._digests:
+        report = self._reporter.report
+        loaded = report.loaded if report is not None else ()
+        held = next((loaded for loaded in loaded if loaded.model == goal.model), None)
+        if held is None or held in self._offered:
             return
-        held = next(
-            (
-                loaded
-                for loaded in (self._reporter.report.loaded if self._reporter.report else ())
-                if loaded.model == goal.model
-            ),
-            goal,
-        )
         stored = await self._admit(held)
         adopted = await Staging(held.model, self._replica).adopt(stored)
-        self._digests[goal] = stored.digest
+        self._offered.add(held)
         self._enter("offering", held, adopted=adopted, missing=len(stored.missing))
 
     async def _admit(self, goal: LoadedModel) -> StoredArtifact:
@@ -230,11 +234,32 @@
     async def _fetch(self, goal: LoadedModel, stored: StoredArtifact) -> None:
         artifact = Artifact(name=weights_name(goal), digest=stored.digest)
         while not stored.whole:
+            wanting = self._wanting(goal)
             self._swarm.update_hosts(self._hosts())
-            outcome = await self._swarm.fetch(artifact, self._wanting(goal), 1)
-            if isinstance(outcome, Failure):
-                logger.warning("weights not fetched", extra={"reason": outcome.detail})
-                await trio.sleep(RETRY_SECONDS)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(
+                    self._give_up_when_others_have_it, goal, stored, wanting, nursery.cancel_scope
+                )
+                outcome = await self._swarm.fetch(artifact, wanting, 1)
+                if isinstance(outcome, Failure):
+                    logger.warning("weights not fetched", extra={"reason": outcome.detail})
+                    await trio.sleep(RETRY_SECONDS)
+                nursery.cancel_scope.cancel()
+
+    async def _give_up_when_others_have_it(
+        self,
+        goal: LoadedModel,
+        stored: StoredArtifact,
+        wanting: list[str],
+        scope: trio.CancelScope,
+    ) -> None:
+        """End a transfer that does not get on, once other hosts should take part in it."""
+        while True:
+            missing = len(stored.missing)
+            await trio.sleep(STALLED_SECONDS)
+            if len(stored.missing) == missing and set(self._wanting(goal)) != set(wanting):
+                logger.info("transfer begun anew", extra={"goal": weights_name(goal)})
+                scope.cancel()
 
     async def _wait_turn(self, goal: LoadedModel) -> None:
         """Wait until this replica may load."""
--- a/libs/renewal/src/headcross_renewal/reporting.py
+++ b/libs/renewal/src/headcross_renewal/reporting.py
@@ -32,12 +32,15 @@
     # The last report and when it was read; None while the replica does not answer.
     report: ReplicaReport | None
     read_at: float
+    # Whether the replica has answered at least once.
+    answered: bool
     # Set by the renewer before it gives an order, so that requests go elsewhere in time.
     leaving: bool
 
     def __init__(self, address: Address, replica: ReplicaControl) -> None:
         self.report = None
         self.read_at = float("-inf")
+        self.answered = False
         self.leaving = False
         self._address = address
         self._replica = replica
@@ -62,6 +65,7 @@
                 logger.warning("replica lost", extra={"reason": outcome.detail})
         else:
             self.report = outcome.value
+            self.answered = True
             self.read_at = monotonic()
             if before is None:
                 logger.info("replica regained", extra=self._describe(outcome.value))
--- a/libs/renewal/src/headcross_renewal/sources.py
+++ b/libs/renewal/src/headcross_renewal/sources.py
@@ -4,6 +4,7 @@
 so that the digest of that manifest names the version in the swarm.
 """
 
+from collections.abc import Callable
 from typing import Final
 
 import msgspec
@@ -51,8 +52,15 @@
 
     name: str
 
-    def __init__(self, facts: Facts, origin: WeightsOrigin, chunk_bytes: int) -> None:
+    def __init__(
+        self,
+        facts: Facts,
+        origin: WeightsOrigin,
+        chunk_bytes: int,
+        may_send_chunks: Callable[[], bool],
+    ) -> None:
         self.name = "origin"
+        self._may_send_chunks = may_send_chunks
         self._facts = facts
         self._origin = origin
         self._chunk_bytes = chunk_bytes
@@ -80,6 +88,8 @@
         address = self._address()
         if address is None:
             return Failure(SOURCE_FAILED, "no configuration names an origin")
+        if not self._may_send_chunks():
+            return Failure(SOURCE_FAILED, "the replica may hold these chunks already")
         goal = read_weights_name(weights)
         index = offset // self._chunk_bytes
         return await self._origin.read_chunk(address, goal.model, goal.version, index, seconds)
--- a/libs/weights/src/headcross_weights/pace.py
+++ b/libs/weights/src/headcross_weights/pace.py
@@ -57,6 +57,6 @@
     failed_pause=0.25,
     corrupt_pause=0.1,
     upload_slots=3,
-    requests_in_flight=6,
+    requests_in_flight=4,
     part_bytes=8 * KIB,
 )
--- a/testing/machines.py
+++ b/testing/machines.py
@@ -197,9 +197,7 @@
         if version not in self.origin.versions:
             chunks = [random.randbytes(CHUNK_BYTES) for _ in range(CHUNKS)]
             self.origin.versions[version] = chunks
-        self.store.put(
-            f"{names.VERSION_PREFIX}{MODEL}", {"model": MODEL, "version": version}
-        )
+        self.store.put(f"{names.VERSION_PREFIX}{MODEL}", {"model": MODEL, "version": version})
 
     async def add_replica(
         self, service: str, zone: str, *, ip: str = "", version: int = 0, slots: int = 8
--- a/testing/platformreplica.py
+++ b/testing/platformreplica.py
@@ -181,7 +181,9 @@
             await stream.send_all(_json(503, {}, [*base, (names.NOT_EXECUTED, "1")]))
             return True
         self.runs.append(
-            Run(request_id, head.method.decode(), head.target.decode(), headers, body, self.version)
+            Run(
+                request_id, head.method.decode(), head.target.decode(), headers, body, self.version
+            )
         )
         self.active += 1
         try:
@@ -271,7 +273,11 @@
             return await _reset(stream)
         for number in range(first, self.events):
             await _sleep_watching(stream, self.event_seconds)
-            event = b"id: %d\ndata: %s %d\n\n" % (number, headers[names.REQUEST_ID].encode(), number)
+            event = b"id: %d\ndata: %s %d\n\n" % (
+                number,
+                headers[names.REQUEST_ID].encode(),
+                number,
+            )
             if fault is Fault.CUT_WITHIN_EVENT and number == first + 1:
                 await stream.send_all(_chunk(event[:-4]))
                 return await _reset(stream)
