--- a/libs/gateway/src/headcross_gateway/picking.py
+++ b/libs/gateway/src/headcross_gateway/picking.py
@@ -19,6 +19,8 @@
 # A replica of another zone is taken when it has this share of its places freer.
 OTHER_ZONE_SHARE: Final = 0.12
 CHANCE_SHARE: Final = 0.04
+# Below this share of its places a replica starts a request without delay.
+SOON_SHARE: Final = 0.6
 
 
 @dataclass(frozen=True, slots=True)
@@ -54,6 +56,9 @@
         if service is not None and service.weights is not None and wish.model is not None:
             lowest = self._rules.lowest_allowed(wish.model)
             fitting = [s for s in fitting if _version_fits(s, wish, lowest)]
+            closing = self._rules.lowest_with_queue(wish.model)
+            if closing > lowest:
+                fitting = [s for s in fitting if _starts_soon(s, wish.model, closing)]
         taking = [state for state in fitting if state.takes_requests()] or fitting
         return self._healthy(taking, wish)
 
@@ -88,6 +93,13 @@
     return version >= lowest
 
 
+def _starts_soon(state: ReplicaState, model: str, lowest: int) -> bool:
+    """Tell whether a request would start soon, or its version need not be hurried."""
+    version = state.version_of(model)
+    newer = version is not None and version >= lowest
+    return newer or state.load() < SOON_SHARE * state.replica.slots
+
+
 def wish_of(facts: RequestFacts, service: str, may_run_again: bool) -> Wish:
     """Return what a request needs before anything was tried."""
     return Wish(service, facts.model, None, (), may_run_again)
--- a/libs/gateway/src/headcross_gateway/weightsrules.py
+++ b/libs/gateway/src/headcross_gateway/weightsrules.py
@@ -13,7 +13,9 @@
 
 # The version was acknowledged some time before this process learned of it, and a request takes
 # some time from here to its first token.
-MARGIN_SECONDS: Final = 1.6
+MARGIN_SECONDS: Final = 0.5
+# In the last moments before the bound a request goes to an old version only where it need not wait.
+CLOSING_SECONDS: Final = 1.3
 # A process that starts after a version was named does not know when that was. It serves older
 # versions for so long after its start.
 AT_START_SECONDS: Final = 2.0
@@ -28,11 +30,17 @@
 
     def lowest_allowed(self, model: str) -> int:
         """Return the oldest version that new requests may still run on."""
-        now = monotonic()
+        return self._lowest_at(model, monotonic())
+
+    def lowest_with_queue(self, model: str) -> int:
+        """Return the oldest version on which a request may still have to wait for its start."""
+        return self._lowest_at(model, monotonic() + CLOSING_SECONDS)
+
+    def _lowest_at(self, model: str, moment: float) -> int:
         due = [
             notice.version
             for notice in self.facts.versions.get(model, [])
-            if now >= self._due_at(notice)
+            if moment >= self._due_at(notice)
         ]
         return max(due, default=0)
 
--- a/libs/ports/src/headcross_ports/replicas.py
+++ b/libs/ports/src/headcross_ports/replicas.py
@@ -53,11 +53,11 @@
         """Put a chunk beside it, over whatever was there."""
 
     async def start(
-        self, model: str, version: int, expected_sequence: int
+        self, model: str, version: int, expected_sequence: int, *, break_off: bool
     ) -> Ok[OrderTaken | OrderRefused] | Failure:
-        """Order it to load what is staged after the requests it runs; it takes nothing new.
+        """Order it to load what is staged; it takes no requests meanwhile.
 
-        A failure means that nobody knows whether the order was taken.
+        It loads after the requests that it runs, or at once, breaking them off. A failure means that nobody knows whether the order was taken.
         """
 
 
--- a/libs/renewal/src/headcross_renewal/renewer.py
+++ b/libs/renewal/src/headcross_renewal/renewer.py
@@ -193,7 +193,7 @@
         await self._verify(staging, stored)
         self._enter("ordering", goal)
         try:
-            await self._order(goal)
+            await self._order(goal, self._may_break_off(goal))
         finally:
             self._reporter.leaving = False
 
@@ -277,6 +277,17 @@
                 return
             await trio.sleep(TURN_CHECK_SECONDS)
 
+    def _may_break_off(self, goal: LoadedModel) -> bool:
+        """Tell whether the streams that run here can go on at replicas of their version.
+
+        Only the first group may break them off; the second has nobody left to go on at.
+        """
+        others = [r for r in self._peers() if str(r.address) != self._place.replica_address]
+        old = [r for r in others if r.loaded and not _has(r, goal) and not r.draining]
+        return self._place.replica_address in first_group(goal, self._peers()) and 2 * len(
+            old
+        ) >= len(others)
+
     def _last_turn(self, goal: LoadedModel) -> float:
         notices = self._facts.versions.get(goal.model, [])
         named = next((n for n in notices if n.version == goal.version and not n.at_start), None)
@@ -290,7 +301,7 @@
                 return
             await trio.sleep(TURN_CHECK_SECONDS)
 
-    async def _order(self, goal: LoadedModel) -> None:
+    async def _order(self, goal: LoadedModel, break_off: bool) -> None:
         """Order the replica to load, and wait until it has."""
         self._reporter.leaving = True
         pauses = self._pauses.check()
@@ -304,8 +315,15 @@
             logger.warning("order withheld", extra={"goal": weights_name(goal)})
             return
         self.orders += 1
-        outcome = await self._replica.start(goal.model, goal.version, report.order_sequence)
-        fields = {"goal": weights_name(goal), "sequence": report.order_sequence}
+        outcome = await self._replica.start(
+            goal.model, goal.version, report.order_sequence, break_off=break_off
+        )
+        fields = {
+            "goal": weights_name(goal),
+            "sequence": report.order_sequence,
+            "break_off": break_off,
+            "running": report.active,
+        }
         if isinstance(outcome, Failure):
             logger.warning("order without an answer", extra={**fields, "reason": outcome.detail})
         elif isinstance(outcome.value, OrderRefused):
