--- a/libs/daemon/src/headcross_daemon/machinemain.py
+++ b/libs/daemon/src/headcross_daemon/machinemain.py
@@ -19,6 +19,7 @@
 from headcross_base.linelog import LineLog, configure_line_log
 from headcross_base.version import VERSION
 from headcross_ports.adapter import Adapter
+from headcross_wire.httpclient import SOURCE_IP
 from headcross_wire.httpserver import BindError
 
 from headcross_daemon.machinecommon import MachineProcess
@@ -65,6 +66,7 @@
 async def _run_until_stopped(
     settings: MachineSettings, path: Path, adapter: Adapter, log: LineLog
 ) -> None:
+    SOURCE_IP.set(settings.ip)
     stop = trio.Event()
     role = _make_role(settings, path, adapter)
     # What was built so far lives as long as the process; the collector need not look at it again.
--- a/libs/gateway/src/headcross_gateway/picking.py
+++ b/libs/gateway/src/headcross_gateway/picking.py
@@ -20,7 +20,9 @@
 OTHER_ZONE_SHARE: Final = 0.12
 CHANCE_SHARE: Final = 0.04
 # Below this share of its places a replica starts a request without delay.
-SOON_SHARE: Final = 0.6
+SOON_SHARE: Final = 0.5
+# ... provided that its daemon told so a moment ago.
+SOON_TOLD_SECONDS: Final = 0.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -97,7 +99,10 @@
     """Tell whether a request would start soon, or its version need not be hurried."""
     version = state.version_of(model)
     newer = version is not None and version >= lowest
-    return newer or state.load() < SOON_SHARE * state.replica.slots
+    if newer:
+        return True
+    known = state.told_age() < SOON_TOLD_SECONDS
+    return known and state.load() < SOON_SHARE * state.replica.slots
 
 
 def wish_of(facts: RequestFacts, service: str, may_run_again: bool) -> Wish:
--- a/libs/ports/src/headcross_ports/replicas.py
+++ b/libs/ports/src/headcross_ports/replicas.py
@@ -57,7 +57,8 @@
     ) -> Ok[OrderTaken | OrderRefused] | Failure:
         """Order it to load what is staged; it takes no requests meanwhile.
 
-        It loads after the requests that it runs, or at once, breaking them off. A failure means that nobody knows whether the order was taken.
+        It loads after the requests that it runs, or at once, breaking them off. A failure means
+        that nobody knows whether the order was taken.
         """
 
 
--- a/libs/renewal/src/headcross_renewal/renewer.py
+++ b/libs/renewal/src/headcross_renewal/renewer.py
@@ -105,6 +105,8 @@
                 if goal is not None:
                     await self._offer(goal)
                 self._enter("idle", goal)
+                self._swarm.update_hosts(self._hosts())
+                self._swarm.open_links()
                 await self._wait_news()
                 continue
             async with trio.open_nursery() as nursery:
@@ -181,7 +183,8 @@
         staging = Staging(goal.model, self._replica)
         self._enter("adopting", goal)
         adopted = 0
-        if not stored.whole and self._reporter.report is not None:
+        # What lies beside the replica can only be of use to a process that does not know it yet.
+        if not stored.whole and self._reporter.report is not None and not self._offered:
             adopted = await staging.adopt(stored)
         self._enter("fetching", goal, adopted=adopted)
         await self._fetch(goal, stored)
--- a/libs/weights/src/headcross_weights/swarm.py
+++ b/libs/weights/src/headcross_weights/swarm.py
@@ -107,6 +107,12 @@
         self._hosts = hosts
         self._addresses = {h.name: h.swarm_address for h in hosts.hosts if h.swarm}
 
+    def open_links(self) -> None:
+        """Open the links to all hosts ahead of the next transfer."""
+        for host, address in self._addresses.items():
+            if host != self._host:
+                self.node.connect(address)
+
     async def fetch(
         self, artifact: Artifact, wanting: list[str], origin_copies: int
     ) -> Ok[StoredArtifact] | Failure:
--- /dev/null
+++ b/tests/test_machine_attempts.py
@@ -0,0 +1,236 @@
+"""Every way an attempt at a replica can end, and what the caller is told.
+
+One entry as a real process, replicas that misbehave on demand. For each fault and each kind of
+route: how often the request ran, what the caller got, and that a promise of "not run" is true.
+"""
+
+from collections import Counter
+from pathlib import Path
+
+import pytest
+import trio
+from headcross_platform import names
+
+from testing.machinecaller import Reply, ask
+from testing.machines import MODEL_SERVICE, PLAIN_SERVICE, Machines, replicas_of, small_site
+from testing.platformreplica import FakeReplica, Fault
+
+PROMISES = (429, 503, 408, 421)
+RAN_AND_LOST = [
+    Fault.RESET_BEFORE_HEAD,
+    Fault.CLOSE_BEFORE_HEAD,
+    Fault.NO_SEAL,
+    Fault.WRONG_ID,
+    Fault.ENCODED,
+    Fault.CUT_BODY,
+    Fault.UNFRAMED_RESET,
+    Fault.NOT_HTTP,
+]
+STREAM_BREAKS = [
+    Fault.CUT_BEFORE_EVENT,
+    Fault.CUT_WITHIN_EVENT,
+    Fault.CUT_AFTER_EVENT,
+    Fault.ENDS_WITHIN_EVENT,
+    Fault.RESET_BEFORE_HEAD,
+]
+
+
+def runs_of(replicas: list[FakeReplica]) -> Counter[str]:
+    """Return how often each request ran, over all replicas."""
+    return Counter(run.id for replica in replicas for run in replica.runs)
+
+
+def all_plain(site: Machines, fault: Fault) -> list[FakeReplica]:
+    """Have every plain replica misbehave once; return them."""
+    replicas = replicas_of(site, PLAIN_SERVICE)
+    for replica in replicas:
+        replica.faults.append(fault)
+    return replicas
+
+
+def is_own_whole_answer(reply: Reply, body: bytes) -> bool:
+    """Tell whether a caller got its own answer, whole and signed."""
+    own = reply.headers.get(names.REQUEST_ID) == reply.id
+    return reply.status == 200 and reply.whole and reply.sealed and own and reply.body == body
+
+
+@pytest.mark.parametrize("fault", RAN_AND_LOST)
+async def test_what_must_run_once_runs_once_and_is_never_said_not_to_have_run(
+    tmp_path: Path, fault: Fault
+) -> None:
+    async with small_site(tmp_path) as site:
+        replicas = all_plain(site, fault)
+        reply = await ask(site.callers("entry0"), "/once/x")
+        assert runs_of(replicas)[reply.id] == 1
+        assert reply.status == 502, reply
+        assert not reply.sealed
+
+
+@pytest.mark.parametrize("fault", RAN_AND_LOST)
+async def test_what_may_run_again_is_tried_at_another_replica(
+    tmp_path: Path, fault: Fault
+) -> None:
+    async with small_site(tmp_path) as site:
+        replicas = replicas_of(site, PLAIN_SERVICE)
+        replicas[0].faults.append(fault)
+        replies = [await ask(site.callers("entry0"), "/again/x", b"body!") for _ in range(6)]
+        assert all(is_own_whole_answer(reply, b"body!") for reply in replies), replies
+        assert not replicas[0].faults
+        assert max(runs_of(replicas).values()) == 2
+
+
+async def test_a_refusal_that_did_not_run_goes_on_elsewhere(tmp_path: Path) -> None:
+    async with small_site(tmp_path) as site:
+        replicas = replicas_of(site, PLAIN_SERVICE)
+        replicas[0].faults.append(Fault.SHED)
+        replies = [await ask(site.callers("entry0"), "/once/x", b"b") for _ in range(6)]
+        assert all(is_own_whole_answer(reply, b"b") for reply in replies)
+        assert max(runs_of(replicas).values()) == 1
+
+
+async def test_a_request_that_every_replica_refused_is_promised_not_to_have_run(
+    tmp_path: Path,
+) -> None:
+    async with small_site(tmp_path) as site:
+        replicas = replicas_of(site, PLAIN_SERVICE)
+        for replica in replicas:
+            replica.draining = True  # it refuses, and the list does not say so yet
+        reply = await ask(site.callers("entry0"), "/once/x")
+        assert reply.status == 503
+        assert float(reply.headers[names.RETRY_AFTER]) > 0
+        assert not runs_of(replicas)
+
+
+async def test_a_replica_s_own_failure_is_passed_on_with_its_seal(tmp_path: Path) -> None:
+    async with small_site(tmp_path) as site:
+        all_plain(site, Fault.ERROR)
+        once = await ask(site.callers("entry0"), "/once/x")
+        assert (once.status, once.sealed) == (500, True)
+        for replica in replicas_of(site, PLAIN_SERVICE):
+            replica.faults.clear()
+            replica.faults.append(Fault.ERROR)
+        again = await ask(site.callers("entry0"), "/again/x")
+        assert (again.status, again.sealed) == (500, True)
+
+
+async def test_an_answer_without_a_length_that_ends_well_is_whole(tmp_path: Path) -> None:
+    async with small_site(tmp_path, plain=1) as site:
+        all_plain(site, Fault.UNFRAMED)
+        reply = await ask(site.callers("entry0"), "/once/x", b"to the end")
+        assert is_own_whole_answer(reply, b"to the end")
+        assert "connection" not in reply.headers
+
+
+async def test_bytes_after_a_whole_answer_never_reach_another_caller(tmp_path: Path) -> None:
+    async with small_site(tmp_path, plain=1) as site:
+        replica = replicas_of(site, PLAIN_SERVICE)[0]
+        replica.faults.extend([Fault.EXTRA_ANSWER] * 5)
+        for number in range(10):
+            body = b"body %d" % number
+            reply = await ask(site.callers("entry0"), "/again/x", body)
+            assert is_own_whole_answer(reply, body)
+
+
+@pytest.mark.parametrize("fault", STREAM_BREAKS)
+async def test_a_resumable_stream_goes_on_elsewhere_without_gap_or_double(
+    tmp_path: Path, fault: Fault
+) -> None:
+    async with small_site(tmp_path) as site:
+        replicas = replicas_of(site, MODEL_SERVICE)
+        replicas[0].faults.append(fault)
+        replies = [await ask(site.callers("entry0"), "/stream/x") for _ in range(6)]
+        for reply in replies:
+            assert reply.status == 200 and reply.whole and reply.sealed
+            assert reply.events == [0, 1, 2, 3], (fault, reply.body)
+        assert not replicas[0].faults
+        assert max(runs_of(replicas).values()) == 2
+
+
+@pytest.mark.parametrize("fault", [Fault.CUT_WITHIN_EVENT, Fault.CUT_AFTER_EVENT])
+async def test_a_stream_that_must_run_once_breaks_off_and_does_not_look_whole(
+    tmp_path: Path, fault: Fault
+) -> None:
+    async with small_site(tmp_path, models=1) as site:
+        replicas = replicas_of(site, MODEL_SERVICE)
+        replicas[0].faults.append(fault)
+        reply = await ask(site.callers("entry0"), "/strict/x")
+        assert not reply.whole
+        assert runs_of(replicas)[reply.id] == 1
+
+
+async def test_a_stream_that_stands_still_goes_on_elsewhere(tmp_path: Path) -> None:
+    async with small_site(tmp_path) as site:
+        for replica in replicas_of(site, MODEL_SERVICE):
+            replica.faults.append(Fault.STALL)
+        reply = await ask(site.callers("entry0"), "/stream/x", deadline_ms=6000)
+        # The second attempt stalls too; the third event comes from nobody in time.
+        assert not reply.whole
+        runs = runs_of(replicas_of(site, MODEL_SERVICE))
+        assert runs[reply.id] == 2
+        replies = [await ask(site.callers("entry0"), "/stream/x") for _ in range(2)]
+        assert all(r.whole and r.events == [0, 1, 2, 3] for r in replies)
+
+
+async def test_a_caller_s_last_event_is_where_its_stream_goes_on(tmp_path: Path) -> None:
+    async with small_site(tmp_path) as site:
+        reply = await ask(site.callers("entry0"), "/stream/x", headers=[(names.RESUME_AFTER, "1")])
+        assert reply.events == [2, 3]
+
+
+async def test_a_caller_who_leaves_ends_the_work_at_the_replica(tmp_path: Path) -> None:
+    async with small_site(tmp_path, models=1) as site:
+        replica = replicas_of(site, MODEL_SERVICE)[0]
+        replica.event_seconds = 0.3
+        with trio.move_on_after(0.6):
+            await ask(site.callers("entry0"), "/stream/x")
+        with trio.fail_after(3):
+            while not replica.cancelled:
+                await trio.sleep(0.01)
+
+
+async def test_what_is_left_of_the_time_is_passed_on(tmp_path: Path) -> None:
+    async with small_site(tmp_path, plain=1) as site:
+        replica = replicas_of(site, PLAIN_SERVICE)[0]
+        await ask(site.callers("entry0"), "/once/x", deadline_ms=2500)
+        assert 0 < int(replica.runs[0].headers[names.DEADLINE_MS]) <= 2500
+        await ask(site.callers("entry0"), "/once/x", deadline_ms=60_000)
+        assert int(replica.runs[1].headers[names.DEADLINE_MS]) <= 4000
+
+
+async def test_at_the_route_s_time_limit_the_caller_is_told_at_once(tmp_path: Path) -> None:
+    async with small_site(tmp_path, plain=1) as site:
+        replica = replicas_of(site, PLAIN_SERVICE)[0]
+        replica.faults.append(Fault.SILENT)
+        reply = await ask(site.callers("entry0"), "/once/x", deadline_ms=700)
+        assert reply.status == 504
+        assert replica.cancelled == [reply.id]
+
+
+async def test_a_replica_s_name_and_the_team_are_set_by_the_system_alone(tmp_path: Path) -> None:
+    async with small_site(tmp_path, plain=1) as site:
+        replica = replicas_of(site, PLAIN_SERVICE)[0]
+        forged = [
+            (names.TENANT, "somebody"),
+            (names.EXPECT_INSTANCE, "another"),
+            (names.EXPECT_VERSION, "7"),
+            (names.PRIORITY, "0"),
+        ]
+        await ask(site.callers("entry0"), "/once/x", headers=forged)
+        run = replica.runs[0]
+        assert run.headers[names.TENANT] == "team-1"
+        assert run.headers[names.EXPECT_INSTANCE] == replica.id
+        assert run.headers[names.PRIORITY] == "2"
+        assert names.KEY not in run.headers and names.EXPECT_VERSION not in run.headers
+
+
+async def test_an_address_that_another_replica_has_now_runs_nothing(tmp_path: Path) -> None:
+    async with small_site(tmp_path, plain=1) as site:
+        replica = replicas_of(site, PLAIN_SERVICE)[0]
+        listed = site.replicas[replica.id]
+        site.crash_replica(listed)
+        stranger = FakeReplica("i-stranger")
+        listeners = await trio.open_tcp_listeners(listed.address.port, host=listed.ip)
+        site.nursery.start_soon(trio.serve_listeners, stranger.serve_connection, listeners)
+        reply = await ask(site.callers("entry0"), "/once/x")
+        assert reply.status == 503
+        assert not stranger.runs
--- /dev/null
+++ b/tests/test_machine_stopping.py
@@ -0,0 +1,108 @@
+"""Stopping, reloading and starting processes on the machines."""
+
+import signal
+from pathlib import Path
+
+import pytest
+import trio
+from headcross_wire.httpclient import LinkLostError, connect
+
+from testing.machinecaller import Reply, ask
+from testing.machines import MODEL_SERVICE, replicas_of, small_site
+
+
+async def test_a_planned_stop_cuts_nothing_and_ends_in_time(tmp_path: Path) -> None:
+    async with small_site(tmp_path, models=1, plain=0) as site:
+        replicas_of(site, MODEL_SERVICE)[0].event_seconds = 0.3
+        replies: list[Reply] = []
+
+        async def stream() -> None:
+            replies.append(await ask(site.callers("entry0"), "/stream/x"))
+
+        async with trio.open_nursery() as nursery:
+            for _ in range(4):
+                nursery.start_soon(stream)
+            with trio.fail_after(10):
+                while replicas_of(site, MODEL_SERVICE)[0].active < 4:
+                    await trio.sleep(0.01)
+            site.signal("entry0", signal.SIGTERM)
+            with trio.fail_after(3):
+                while await site.ready("entry0"):
+                    await trio.sleep(0.02)
+            # Whoever still comes is served, and asked to go.
+            late = await ask(site.callers("entry0"), "/stream/x")
+            assert late.whole and late.events == [0, 1, 2, 3]
+            assert late.headers["connection"] == "close"
+        assert all(reply.whole and reply.events == [0, 1, 2, 3] for reply in replies)
+        assert await site.wait_exit("entry0") == 0
+        messages = [line["message"] for line in site.log("entry0")]
+        assert messages.index("stop requested") < messages.index("stopped")
+
+
+async def test_an_idle_connection_is_closed_by_a_planned_stop_without_a_reset(
+    tmp_path: Path,
+) -> None:
+    async with small_site(tmp_path, models=0) as site:
+        connection = await connect(site.callers("entry0"))
+        await connection.send("GET", "/nowhere/", [("host", "a.example")], b"")
+        await connection.receive_answer()
+        while await connection.receive_piece() is not None:
+            pass
+        assert connection.quiet()
+        site.signal("entry0", signal.SIGTERM)
+        assert await site.wait_exit("entry0") == 0
+        # The end of the connection can be read; a reset would raise something else.
+        assert connection.reusable()
+        await connection.send("GET", "/nowhere/", [("host", "a.example")], b"")
+        with pytest.raises(LinkLostError) as lost:
+            await connection.receive_answer()
+        assert "reset" not in str(lost.value).lower()
+        await connection.close()
+
+
+@pytest.mark.parametrize("by_signal", [True, False])
+async def test_settings_that_change_are_read_and_bad_ones_change_nothing(
+    tmp_path: Path, by_signal: bool
+) -> None:
+    async with small_site(tmp_path, models=0) as site:
+        path = tmp_path / "entry0.toml"
+        good = path.read_text()
+        path.write_text(good.replace('role = "entry"', 'role = "king"'))
+        if by_signal:
+            site.signal("entry0", signal.SIGHUP)
+
+        async def wait_line(message: str) -> None:
+            with trio.fail_after(10):
+                while not any(line["message"] == message for line in site.log("entry0")):
+                    await trio.sleep(0.03)
+
+        await wait_line("settings rejected")
+        assert (await ask(site.callers("entry0"), "/again/x")).status == 200
+        path.write_text(good.replace("retry_slack = 100", "retry_slack = 90"))
+        if by_signal:
+            site.signal("entry0", signal.SIGHUP)
+        await wait_line("settings read")
+        assert (await ask(site.callers("entry0"), "/again/x")).status == 200
+
+
+async def test_an_entry_killed_and_started_again_serves(tmp_path: Path) -> None:
+    async with small_site(tmp_path, models=1, daemons=True) as site:
+        for name in ("entry0", "daemon0"):
+            site.signal(name, signal.SIGKILL)
+            await site.wait_exit(name)
+            site.start(name)
+        await site.wait_ready("entry0")
+        assert (await ask(site.callers("entry0"), "/stream/x")).status == 200
+
+
+async def test_an_entry_that_stood_still_serves_by_the_newest_facts(tmp_path: Path) -> None:
+    async with small_site(tmp_path, models=0) as site:
+        site.signal("entry0", signal.SIGSTOP)
+        site.change(tenants=[{"name": "team-1", "api_keys": ["new-key"]}])
+        site.change()
+        await trio.sleep(1.5)
+        site.signal("entry0", signal.SIGCONT)
+        with trio.fail_after(10):
+            while (await site.state("entry0")).get("configuration") != 3:
+                await trio.sleep(0.03)
+        assert (await ask(site.callers("entry0"), "/again/x", key="new-key")).status == 200
--- /dev/null
+++ b/tests/test_machine_weights.py
@@ -0,0 +1,184 @@
+"""New weights on the machines: whole and verified, in time, with requests going on."""
+
+import hashlib
+import signal
+from pathlib import Path
+
+import trio
+
+from testing.machinecaller import ask
+from testing.machines import CHUNKS, MODEL_SERVICE, Machines, replicas_of, small_site
+from testing.platformreplica import FakeReplica
+
+LOADED_SECONDS = 25.0
+
+
+async def wait_loaded(replicas: list[FakeReplica], version: int) -> None:
+    """Wait until all of some replicas serve a version."""
+    with trio.fail_after(LOADED_SECONDS):
+        while not all(replica.version == version for replica in replicas):
+            await trio.sleep(0.02)
+
+
+async def wait_offered(site: Machines) -> None:
+    """Wait until every daemon has its replica's chunks ready for others."""
+    with trio.fail_after(LOADED_SECONDS):
+        for name, machine in site.machines.items():
+            while machine.role == "upstream":
+                weights = (await site.state(name)).get("weights", {})
+                if weights and all(share == 1 for share in weights.values()):
+                    break
+                await trio.sleep(0.02)
+
+
+def check_loads(site: Machines) -> None:
+    """Check that no replica was ever ordered to load anything but one whole version."""
+    for replica in replicas_of(site, MODEL_SERVICE):
+        for version, digests in replica.loads:
+            chunks = site.origin.versions[version]
+            assert digests == [hashlib.sha256(chunk).hexdigest() for chunk in chunks]
+
+
+async def test_a_named_version_reaches_all_replicas_and_the_origin_sends_it_about_once(
+    tmp_path: Path,
+) -> None:
+    async with small_site(tmp_path, models=4, zones=("z0", "z1"), daemons=True) as site:
+        await wait_offered(site)
+        site.name_version(2)
+        await wait_loaded(replicas_of(site, MODEL_SERVICE), 2)
+        check_loads(site)
+        sent = sum(n for (version, _), n in site.origin.sent.items() if version == 2)
+        assert CHUNKS <= sent <= 1.5 * CHUNKS
+        assert not any(version == 1 for version, _ in site.origin.sent)
+
+
+async def test_an_added_replica_is_filled_by_the_others(tmp_path: Path) -> None:
+    async with small_site(tmp_path, models=2, daemons=True) as site:
+        await wait_offered(site)
+        added = await site.add_replica(MODEL_SERVICE, "z0")
+        site.add_daemon("added", added)
+        site.start("added")
+        await wait_loaded([added.replica], 1)
+        check_loads(site)
+        assert not site.origin.sent_chunks
+
+
+async def test_requests_go_on_while_the_version_changes(tmp_path: Path) -> None:
+    async with small_site(tmp_path, models=4, daemons=True) as site:
+        for replica in replicas_of(site, MODEL_SERVICE):
+            replica.event_seconds = 0.01
+            replica.load_seconds = 0.2
+        site.name_version(2)
+        entry = site.callers("entry0")
+        replies = []
+        with trio.fail_after(LOADED_SECONDS):
+            while not all(r.version == 2 for r in replicas_of(site, MODEL_SERVICE)):
+                replies.append(await ask(entry, "/stream/x"))
+        replies += [await ask(entry, "/stream/x") for _ in range(5)]
+        assert all(r.status == 200 and r.whole and r.events == [0, 1, 2, 3] for r in replies)
+        check_loads(site)
+
+
+async def test_chunks_that_rot_beside_the_replica_are_not_loaded(tmp_path: Path) -> None:
+    async with small_site(tmp_path, models=1, daemons=True) as site:
+        await wait_offered(site)
+        replica = replicas_of(site, MODEL_SERVICE)[0]
+        put = replica.staged
+
+        class Rotting(dict[int, bytes]):
+            """Spoils the first copy of one chunk right after it was put there."""
+
+            spoilt = False
+
+            def __setitem__(self, number: int, data: bytes) -> None:
+                if number == 3 and not self.spoilt:
+                    self.spoilt = True
+                    data = b"\x00" + data[1:]
+                super().__setitem__(number, data)
+
+        replica.staged = Rotting(put)
+        site.name_version(2)
+        await wait_loaded([replica], 2)
+        check_loads(site)
+
+
+async def test_spoilt_chunks_from_the_origin_are_fetched_anew(tmp_path: Path) -> None:
+    async with small_site(tmp_path, models=2, daemons=True) as site:
+        site.origin.corrupt_next = 3
+        site.name_version(2)
+        await wait_loaded(replicas_of(site, MODEL_SERVICE), 2)
+        check_loads(site)
+
+
+async def test_an_origin_that_was_away_costs_time_and_nothing_else(tmp_path: Path) -> None:
+    async with small_site(tmp_path, models=2, daemons=True) as site:
+        site.origin.down = True
+        site.name_version(2)
+        await trio.sleep(0.5)
+        site.origin.down = False
+        await wait_loaded(replicas_of(site, MODEL_SERVICE), 2)
+        check_loads(site)
+
+
+async def test_a_newer_version_ends_the_way_to_an_older_one(tmp_path: Path) -> None:
+    async with small_site(tmp_path, models=2, daemons=True) as site:
+        site.origin.seconds_per_chunk = 0.05
+        site.name_version(2)
+        await trio.sleep(0.3)
+        site.name_version(3)
+        await wait_loaded(replicas_of(site, MODEL_SERVICE), 3)
+        check_loads(site)
+
+
+async def test_a_daemon_killed_on_the_way_goes_on_with_what_lies_beside_its_replica(
+    tmp_path: Path,
+) -> None:
+    async with small_site(tmp_path, models=1, daemons=True) as site:
+        await wait_offered(site)
+        replica = replicas_of(site, MODEL_SERVICE)[0]
+        replica.load_seconds = 3600.0
+        site.name_version(2)
+        with trio.fail_after(LOADED_SECONDS):
+            while not replica.loading:
+                await trio.sleep(0.02)
+        site.signal("daemon0", signal.SIGKILL)
+        await site.wait_exit("daemon0")
+        sent = site.origin.sent_chunks
+        replica.loading = False  # the replica was restarted and forgot its order
+        replica.orders = 0
+        replica.load_seconds = 0.02
+        site.start("daemon0")
+        await wait_loaded([replica], 2)
+        check_loads(site)
+        assert site.origin.sent_chunks == sent
+
+
+async def test_a_daemon_that_stood_still_does_no_harm_when_it_wakes_up(tmp_path: Path) -> None:
+    async with small_site(tmp_path, models=3, daemons=True) as site:
+        await wait_offered(site)
+        site.signal("daemon0", signal.SIGSTOP)
+        site.name_version(2)
+        await wait_loaded(replicas_of(site, MODEL_SERVICE)[1:], 2)
+        site.name_version(3)
+        site.signal("daemon0", signal.SIGCONT)
+        await wait_loaded(replicas_of(site, MODEL_SERVICE), 3)
+        check_loads(site)
+
+
+async def test_after_the_bound_no_request_starts_on_an_old_version(tmp_path: Path) -> None:
+    async with small_site(tmp_path, models=2) as site:
+        # No daemon renews these; one of them is brought to the version by hand.
+        site.name_version(2)
+        old, new = replicas_of(site, MODEL_SERVICE)
+        new.version = 2
+        await trio.sleep(8.0)
+        before = len(old.runs)
+        replies = [await ask(site.callers("entry0"), "/stream/x") for _ in range(6)]
+        assert all(reply.status == 200 for reply in replies)
+        assert len(old.runs) == before
+        new.version = 0
+        site.crash_replica(site.replicas[new.id])
+        site.unlist(site.replicas[new.id])
+        reply = await ask(site.callers("entry0"), "/stream/x")
+        assert reply.status == 503
+        assert len(old.runs) == before
