--- a/libs/gateway/src/headcross_gateway/attempts.py
+++ b/libs/gateway/src/headcross_gateway/attempts.py
@@ -122,10 +122,10 @@
         except (EventTooLongError, EventOutOfOrderError) as error:
             outcome = MayRun(UPSTREAM_ERROR, f"broken events: {error}")
         except BaseException:
-            await connection.close()
+            await connection.abandon()
             raise
         if not isinstance(outcome, Whole | Streamed | DidNotRun):
-            await connection.close()
+            await connection.abandon()
         return outcome
 
     async def _exchange(
--- a/libs/gateway/src/headcross_gateway/directory.py
+++ b/libs/gateway/src/headcross_gateway/directory.py
@@ -18,6 +18,8 @@
 
 # What a daemon told of its replica counts for so long.
 TOLD_SECONDS: Final = 1.5
+# Daemons tell four times a second; one that is silent for so long is late.
+LATE_SECONDS: Final = 0.8
 # A replica that refused a request for want of room is not tried again for so long.
 FULL_SECONDS: Final = 0.12
 
@@ -45,6 +47,10 @@
         """Return how old the last word of its daemon is, in seconds."""
         return monotonic() - self.told.at if self.told is not None else float("inf")
 
+    def told_late(self) -> bool:
+        """Tell whether its daemon spoke before and has been silent for too long since."""
+        return self.told is not None and self.told_age() > LATE_SECONDS
+
     def fresh_load(self) -> ReplicaLoad | None:
         """Return what its daemon told, if that is recent."""
         if self.told is None or self.told_age() > TOLD_SECONDS:
--- a/libs/gateway/src/headcross_gateway/picking.py
+++ b/libs/gateway/src/headcross_gateway/picking.py
@@ -19,6 +19,8 @@
 # A replica of another zone is taken when it has this share of its places freer.
 OTHER_ZONE_SHARE: Final = 0.12
 CHANCE_SHARE: Final = 0.04
+# A replica whose daemon was heard before and is late now may be behind a slow or broken link.
+SILENT_SHARE: Final = 0.5
 # Below this share of its places a replica starts a request without delay.
 SOON_SHARE: Final = 0.5
 # ... provided that its daemon told so a moment ago.
@@ -82,7 +84,8 @@
         zone = 0.0 if state.replica.zone == self._zone else OTHER_ZONE_SHARE
         told = state.fresh_load()
         pace = max(1.0, told.pace) if told is not None else 1.0
-        return share * pace + zone + random.uniform(0.0, CHANCE_SHARE)
+        silence = SILENT_SHARE if state.told_late() else 0.0
+        return share * pace + zone + silence + random.uniform(0.0, CHANCE_SHARE)
 
 
 def _version_fits(state: ReplicaState, wish: Wish, lowest: int) -> bool:
--- a/libs/wire/src/headcross_wire/httpclient.py
+++ b/libs/wire/src/headcross_wire/httpclient.py
@@ -4,6 +4,9 @@
 `send` writes, the request may run; `Answer` is then read piece by piece.
 """
 
+import socket
+import struct
+from contextlib import suppress
 from contextvars import ContextVar
 from dataclasses import dataclass
 from types import TracebackType
@@ -17,6 +20,8 @@
 
 from headcross_wire.httpserver import RECEIVE_BYTES, Headers
 
+# Closing then drops what is still to be sent and resets the connection (socket(7)).
+LINGER_NOT: Final = struct.pack("ii", 1, 0)
 CONNECT_SECONDS: Final = 2.0
 IDLE_SECONDS: Final = 20.0  # an idle connection older than this is not used again
 IDLE_CONNECTIONS: Final = 16  # kept for one address
@@ -120,6 +125,12 @@
         """Close at once."""
         await trio.aclose_forcefully(self._stream)
 
+    async def abandon(self) -> None:
+        """Close with a reset: what has not left yet never will, and nothing more is wanted."""
+        with suppress(OSError):
+            self._stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_NOT)
+        await trio.aclose_forcefully(self._stream)
+
     async def _next_event(self) -> object:
         try:
             while True:
--- a/tests/test_gateway_rules.py
+++ b/tests/test_gateway_rules.py
@@ -86,6 +86,9 @@
     async def close(self) -> None:
         """Close."""
 
+    async def abandon(self) -> None:
+        """Close."""
+
 
 def place() -> ReplicaState:
     """Return a replica."""
