Go on with an older version while a newer one cannot be had; keep what came over a kill

Every daemon had dropped version 2, which the swarm held almost whole, and waited 7 s for the digests of version 3; no replica was usable from 26 to 41 s. Then all processes were killed and chunks that were in their memories only came again. Now a newer version takes over once its digests are known, an older one goes on while the newer cannot be had, chunks are put beside the replica as they come, and digests come from other daemons too, and count once two answers agree.

--- a/libs/daemon/src/headcross_daemon/renewalrole.py
+++ b/libs/daemon/src/headcross_daemon/renewalrole.py
@@ -7,6 +7,7 @@
 import trio
 from headcross_base.addresses import Address, parse_address
 from headcross_ports.adapter import Adapter
+from headcross_renewal.digestbook import DigestBook
 from headcross_renewal.renewer import Place, Renewer
 from headcross_renewal.reporting import Reporter
 from headcross_renewal.sources import OriginSource
@@ -15,7 +16,7 @@
 from headcross_weights.pace import SMALL_WEIGHTS
 from headcross_weights.swarm import Swarm
 from headcross_wire.linkrate import LinkRate
-from headcross_wire.peermessages import Subscribe
+from headcross_wire.peermessages import AskDigests, KnownDigests, Subscribe
 from headcross_wire.peernode import Incoming
 
 from headcross_daemon.machinecommon import AdminPages, MachineProcess
@@ -69,6 +70,7 @@
             control_port=settings.peers.control_port,
             swarm_port=settings.peers.swarm_port,
         )
+        self._book = DigestBook(origin, self.process.node, self._daemons)
         self._renewer = Renewer(
             place,
             facts,
@@ -77,6 +79,7 @@
             self._store,
             self._swarm,
             origin,
+            self._book,
             self.process.pauses,
             settings.bounds.weights_seconds,
         )
@@ -120,6 +123,10 @@
         match incoming.message:
             case Subscribe(host=host):
                 self._reporter.listen(host, incoming.reply)
+            case AskDigests() as question:
+                self._book.answer(question, incoming.reply)
+            case KnownDigests() as known:
+                self._book.receive(known)
             case _:
                 self.process.node.malformed += 1
 
--- a/libs/renewal/src/headcross_renewal/renewer.py
+++ b/libs/renewal/src/headcross_renewal/renewer.py
@@ -1,10 +1,11 @@
 """Brings one replica to the newest named version of its model, again and again.
 
-The steps to a version: its digests; its chunks, from other daemons and the origin; the chunks put
-beside the replica; its turn; all chunks read back and verified; the order; the state read back. A
-newer version that is named ends the steps to an older one at once. The order carries the number
-of orders that the replica has taken, so that one of an earlier life of this daemon cannot count
-twice.
+The steps to a version: its digests; its chunks, from other daemons and the origin, each put beside
+the replica as it comes; its turn; all chunks read back and verified; the order; the state read
+back. A newer version that is named ends the fetching of an older one as soon as its digests are
+known; while the origin gives nothing of it, the older one is gone on with. The order carries the
+number of orders that the replica has taken, so that one of an earlier life of this daemon cannot
+count twice.
 """
 
 import logging
@@ -24,6 +25,7 @@
 from headcross_weights.chunkstore import ChunkStore, StoredArtifact
 from headcross_weights.swarm import Swarm
 
+from headcross_renewal.digestbook import DigestBook
 from headcross_renewal.reporting import Reporter
 from headcross_renewal.sources import OriginSource, manifest_of, weights_name
 from headcross_renewal.staging import Staging
@@ -34,7 +36,14 @@
 RETRY_SECONDS: Final = 0.3
 TURN_CHECK_SECONDS: Final = 0.1
 # Steps that are needless once the replica turns out to hold the version.
-STEPS_BEFORE_ORDER: Final = ("digests", "adopting", "fetching", "staging")
+STEPS_BEFORE_ORDER: Final = ("digests", "adopting", "fetching")
+# While digests cannot be had for so long, or chunks do not come, an older version goes first for
+# a moment.
+DIGESTS_SECONDS: Final = 0.8
+WITHHELD_SECONDS: Final = 1.5
+STAGE_SECONDS: Final = 0.05
+# News are looked at again after this, while the digests of the held version cannot be had.
+OFFER_SECONDS: Final = 1.0
 # A transfer that brought nothing for so long begins anew if other hosts have come meanwhile.
 STALLED_SECONDS: Final = 0.7
 LOADING_CHECK_SECONDS: Final = 0.05
@@ -79,6 +88,7 @@
         store: ChunkStore,
         swarm: Swarm,
         origin: OriginSource,
+        book: DigestBook,
         pauses: PauseWatch,
         bound_seconds: float,
     ) -> None:
@@ -92,9 +102,12 @@
         self._store = store
         self._swarm = swarm
         self._origin = origin
+        self._book = book
         self._pauses = pauses
         self._bound = bound_seconds
-        self._digests: dict[LoadedModel, str] = {}
+        self._pinned: set[str] = set()
+        # Versions that could not be had lately, with the moment until which others go first.
+        self._withheld: dict[LoadedModel, float] = {}
         self._offered: set[LoadedModel] = set()
 
     async def run(self) -> None:
@@ -117,21 +130,33 @@
     # What to do.
 
     def _goal(self) -> LoadedModel | None:
-        """Return the version that the replica should have."""
+        """Return the version that the replica should be brought to now."""
         configuration = self._facts.configuration
         if configuration is None or not self._facts.complete:
             return None
         model = self._model(configuration)
         if model is None:
             return None
-        named = self._facts.newest_version(model)
-        if named is not None:
-            return LoadedModel(model, named)
+        named = [LoadedModel(model, n.version) for n in self._facts.versions.get(model, [])]
+        if not named:
+            return self._goal_without_name(model)
+        newest = named[-1]
+        if newest in self._withheld and self._withheld[newest] > monotonic():
+            older = [goal for goal in named[:-1] if self._is_under_way(goal)]
+            return older[-1] if older else newest
+        return newest
+
+    def _goal_without_name(self, model: str) -> LoadedModel:
+        """Return the version that others serve, where the operators named none."""
         listed = [m.version for r in self._peers() for m in r.loaded if m.model == model]
         report = self._reporter.report
         held = [m.version for m in report.loaded if m.model == model] if report else []
         return LoadedModel(model, max([*listed, *held], default=FIRST_VERSION))
 
+    def _is_under_way(self, goal: LoadedModel) -> bool:
+        """Tell whether an older version is wanted still and can be had."""
+        return goal in self._book.settled and not self._holds(goal)
+
     def _model(self, configuration: Configuration) -> str | None:
         report = self._reporter.report
         if report is not None and report.loaded:
@@ -161,17 +186,24 @@
                 nursery.cancel_scope.cancel()
 
     async def _give_up_when_superseded(self, goal: LoadedModel, scope: trio.CancelScope) -> None:
+        """End the steps to a version that is held already, or give way to a newer one."""
         while True:
             await self._wait_news()
-            if self.step in STEPS_BEFORE_ORDER and self._holds(goal):
+            if self.step not in STEPS_BEFORE_ORDER:
+                continue
+            if self._holds(goal):
                 scope.cancel()
                 return
             newest = self._facts.newest_version(goal.model)
-            if newest is not None and newest > goal.version:
-                logger.info(
-                    "version superseded",
-                    extra={"goal": weights_name(goal), "newest": newest, "step": self.step},
-                )
+            if newest is None or newest <= goal.version:
+                continue
+            newer = LoadedModel(goal.model, newest)
+            await self._book.obtain(newer)
+            if self._withheld.get(newer, 0.0) > monotonic():
+                continue
+            fields = {"goal": weights_name(goal), "newest": newest, "step": self.step}
+            logger.info("version superseded", extra=fields)
+            if self.step in STEPS_BEFORE_ORDER:
                 scope.cancel()
                 return
 
@@ -179,6 +211,8 @@
 
     async def _reach(self, goal: LoadedModel) -> None:
         self._enter("digests", goal)
+        if not await self._settle_digests(goal):
+            return
         stored = await self._admit(goal)
         staging = Staging(goal.model, self._replica)
         self._enter("adopting", goal)
@@ -187,9 +221,13 @@
         if not stored.whole and self._reporter.report is not None and not self._offered:
             adopted = await staging.adopt(stored)
         self._enter("fetching", goal, adopted=adopted)
-        await self._fetch(goal, stored)
-        self._enter("staging", goal)
-        await staging.put_all(stored)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._stage_as_they_come, staging, stored)
+            fetched = await self._fetch(goal, stored)
+            if not fetched:
+                nursery.cancel_scope.cancel()
+        if not fetched:
+            return
         self._enter("waiting for its turn", goal)
         await self._wait_turn(goal)
         self._enter("verifying", goal)
@@ -200,6 +238,28 @@
         finally:
             self._reporter.leaving = False
 
+    async def _settle_digests(self, goal: LoadedModel) -> bool:
+        """Get the digests; return False if an older version should be gone on with meanwhile."""
+        with trio.move_on_after(DIGESTS_SECONDS):
+            await self._book.obtain(goal)
+            return True
+        self._withhold(goal)
+        return False
+
+    def _withhold(self, goal: LoadedModel) -> None:
+        """Leave a version alone for a moment, if there is an older one to go on with."""
+        self._withheld[goal] = monotonic() + WITHHELD_SECONDS
+        logger.info("version cannot be had", extra={"goal": weights_name(goal)})
+
+    async def _stage_as_they_come(self, staging: Staging, stored: StoredArtifact) -> None:
+        """Put every chunk beside the replica as soon as it is here, until all are."""
+        waiting = set(range(len(stored.places)))
+        while waiting:
+            here = sorted(waiting - stored.missing)
+            await staging.put(stored, here)
+            waiting -= set(here)
+            await trio.sleep(STAGE_SECONDS)
+
     async def _offer(self, goal: LoadedModel) -> None:
         """Have the version that the replica serves ready for others, from beside the replica."""
         report = self._reporter.report
@@ -207,34 +267,30 @@
         held = next((loaded for loaded in loaded if loaded.model == goal.model), None)
         if held is None or held in self._offered:
             return
-        stored = await self._admit(held)
-        adopted = await Staging(held.model, self._replica).adopt(stored)
-        self._offered.add(held)
-        self._enter("offering", held, adopted=adopted, missing=len(stored.missing))
+        with trio.move_on_after(OFFER_SECONDS):
+            stored = await self._admit(held)
+            adopted = await Staging(held.model, self._replica).adopt(stored)
+            self._offered.add(held)
+            self._enter("offering", held, adopted=adopted, missing=len(stored.missing))
 
     async def _admit(self, goal: LoadedModel) -> StoredArtifact:
         """Return the place for a version's chunks."""
+        digests = await self._book.obtain(goal)
+        self._origin.use_chunk_bytes(digests.chunk_bytes)
+        manifest, body, digest = manifest_of(digests)
+        self._pinned.add(digest)
+        self._store.pin(self._place.host, self._pinned)
         while True:
-            known = self._store.get(self._digests.get(goal, ""))
-            if known is not None:
-                return known
-            digests = await self._origin.read_digests(goal)
-            if isinstance(digests, Failure):
-                logger.warning("digests not read", extra={"reason": digests.detail})
-                await trio.sleep(RETRY_SECONDS * random.uniform(0.5, 1.5))
-                continue
-            self._origin.use_chunk_bytes(digests.value.chunk_bytes)
-            manifest, body, digest = manifest_of(digests.value)
             admitted = self._store.admit(digest, manifest, body)
-            if isinstance(admitted, Failure):
-                logger.error("no memory for weights", extra={"reason": admitted.detail})
-                await trio.sleep(IDLE_SECONDS)
-                continue
-            self._digests[goal] = digest
-            self._store.pin(self._place.host, {digest})
-            return admitted.value
-
-    async def _fetch(self, goal: LoadedModel, stored: StoredArtifact) -> None:
+            if not isinstance(admitted, Failure):
+                return admitted.value
+            logger.error("no memory for weights", extra={"reason": admitted.detail})
+            self._pinned = {digest}
+            self._store.pin(self._place.host, self._pinned)
+            await trio.sleep(IDLE_SECONDS)
+
+    async def _fetch(self, goal: LoadedModel, stored: StoredArtifact) -> bool:
+        """Fetch a version whole; return False if it cannot be had and an older one can."""
         artifact = Artifact(name=weights_name(goal), digest=stored.digest)
         while not stored.whole:
             wanting = self._wanting(goal)
@@ -248,6 +304,22 @@
                     logger.warning("weights not fetched", extra={"reason": outcome.detail})
                     await trio.sleep(RETRY_SECONDS)
                 nursery.cancel_scope.cancel()
+            if not stored.whole and self._older_is_closer(goal, stored):
+                self._withhold(goal)
+                return False
+        return True
+
+    def _older_is_closer(self, goal: LoadedModel, stored: StoredArtifact) -> bool:
+        """Tell whether more of an older version that is still wanted is here."""
+        named = [n.version for n in self._facts.versions.get(goal.model, [])]
+        for version in named:
+            older = LoadedModel(goal.model, version)
+            if version >= goal.version or not self._is_under_way(older):
+                continue
+            held = self._store.get(manifest_of(self._book.settled[older])[2])
+            if held is not None and held.progress > stored.progress:
+                return True
+        return False
 
     async def _give_up_when_others_have_it(
         self,
@@ -256,13 +328,17 @@
         wanting: list[str],
         scope: trio.CancelScope,
     ) -> None:
-        """End a transfer that does not get on, once other hosts should take part in it."""
+        """End a transfer that does not get on, to look anew what may be had from whom."""
         while True:
             missing = len(stored.missing)
             await trio.sleep(STALLED_SECONDS)
-            if len(stored.missing) == missing and set(self._wanting(goal)) != set(wanting):
+            if len(stored.missing) != missing:
+                continue
+            others = set(self._wanting(goal)) != set(wanting)
+            if others or self._older_is_closer(goal, stored):
                 logger.info("transfer begun anew", extra={"goal": weights_name(goal)})
                 scope.cancel()
+                return
 
     async def _wait_turn(self, goal: LoadedModel) -> None:
         """Wait until this replica may load."""
@@ -296,6 +372,15 @@
         named = next((n for n in notices if n.version == goal.version and not n.at_start), None)
         return named.seen_at + self._bound - LAST_TURN_SECONDS if named is not None else 0.0
 
+    def _is_outdated(self, goal: LoadedModel) -> bool:
+        """Tell whether a newer version is here whole, so that this one need not be loaded."""
+        newest = self._facts.newest_version(goal.model)
+        if newest is None or newest <= goal.version:
+            return False
+        digests = self._book.settled.get(LoadedModel(goal.model, newest))
+        held = self._store.get(manifest_of(digests)[2]) if digests is not None else None
+        return held is not None and held.whole
+
     @staticmethod
     async def _verify(staging: Staging, stored: StoredArtifact) -> None:
         """Read all chunks back until none was bad."""
@@ -314,7 +399,7 @@
             return
         if report.loaded:
             await trio.sleep(NOTICE_SECONDS)
-        if self._pauses.check() != pauses or self._goal() != goal:
+        if self._pauses.check() != pauses or self._is_outdated(goal):
             logger.warning("order withheld", extra={"goal": weights_name(goal)})
             return
         self.orders += 1
--- a/libs/renewal/src/headcross_renewal/staging.py
+++ b/libs/renewal/src/headcross_renewal/staging.py
@@ -40,9 +40,8 @@
                 adopted += isinstance(stored.add(index, data.value), Ok)
         return adopted
 
-    async def put_all(self, stored: StoredArtifact) -> None:
-        """Put every chunk of a whole version beside the replica."""
-        indexes = list(range(len(stored.places)))
+    async def put(self, stored: StoredArtifact, indexes: list[int]) -> None:
+        """Put chunks that are here beside the replica."""
         await self._in_parallel(stored, indexes)
 
     async def verify(self, stored: StoredArtifact) -> bool:
@@ -60,6 +59,8 @@
         return not bad
 
     async def _in_parallel(self, stored: StoredArtifact, indexes: list[int]) -> None:
+        if not indexes:
+            return
         waiting = list(reversed(indexes))
 
         async def work() -> None:
--- a/libs/wire/src/headcross_wire/peermessages.py
+++ b/libs/wire/src/headcross_wire/peermessages.py
@@ -223,6 +223,20 @@
     pace: float  # above 1: slower than it should be
 
 
+class AskDigests(_Message, frozen=True, tag=44):
+    """Ask a daemon for the digests of a version, if it knows them."""
+
+    weights: str
+
+
+class KnownDigests(_Message, frozen=True, tag=45):
+    """The digests of a version's chunks, in order, as the sender goes by them."""
+
+    weights: str
+    chunk_bytes: int
+    digests: list[str]
+
+
 ControlMessage = (
     Hint
     | AskDocument
@@ -235,6 +249,8 @@
     | TopicFacts
     | Subscribe
     | ReplicaLoad
+    | AskDigests
+    | KnownDigests
 )
 SwarmMessage = (
     Join | Have | AskChunk | Chunk | NoChunk | AskManifest | ManifestBody | AskIntent | Intent
--- a/testing/platformreplica.py
+++ b/testing/platformreplica.py
@@ -300,6 +300,7 @@
     versions: dict[int, list[bytes]] = field(default_factory=dict)
     sent: Counter[tuple[int, int]] = field(default_factory=Counter)  # by version and chunk
     corrupt_next: int = 0
+    spoilt_digests: int = 0  # answers with digests that are not right
     down: bool = False
     seconds_per_chunk: float = 0.0
 
@@ -331,6 +332,9 @@
         chunks = self.versions[version]
         if path.startswith(names.MANIFEST_PATH):
             digests = [hashlib.sha256(chunk).hexdigest() for chunk in chunks]
+            if self.spoilt_digests:
+                self.spoilt_digests -= 1
+                digests[1] = digests[0]
             return _json(
                 200, {"version": version, "chunk_bytes": self.chunk_bytes, "digests": digests}
             )
--- a/tests/test_machine_weights.py
+++ b/tests/test_machine_weights.py
@@ -182,3 +182,62 @@
         reply = await ask(site.callers("entry0"), "/stream/x")
         assert reply.status == 503
         assert len(old.runs) == before
+
+
+async def test_a_newer_version_that_cannot_be_had_does_not_stop_an_older_one(
+    tmp_path: Path,
+) -> None:
+    """The origin went away right after a second version was named (scale-1)."""
+    async with small_site(tmp_path, models=2, daemons=True) as site:
+        await wait_offered(site)
+        site.origin.seconds_per_chunk = 0.03
+        site.name_version(2)
+        with trio.fail_after(LOADED_SECONDS):
+            while len({n for v, n in site.origin.sent if v == 2}) < CHUNKS:
+                await trio.sleep(0.005)
+        site.origin.down = True
+        site.name_version(3)
+        await wait_loaded(replicas_of(site, MODEL_SERVICE), 2)
+        site.origin.down = False
+        await wait_loaded(replicas_of(site, MODEL_SERVICE), 3)
+        check_loads(site)
+
+
+async def test_what_came_before_a_kill_need_not_come_again(tmp_path: Path) -> None:
+    async with small_site(tmp_path, models=1, daemons=True) as site:
+        await wait_offered(site)
+        site.origin.seconds_per_chunk = 0.1
+        site.name_version(2)
+        with trio.fail_after(LOADED_SECONDS):
+            while site.origin.sent_chunks < CHUNKS // 2:
+                await trio.sleep(0.005)
+        site.signal("daemon0", signal.SIGKILL)
+        await site.wait_exit("daemon0")
+        site.start("daemon0")
+        await wait_loaded(replicas_of(site, MODEL_SERVICE), 2)
+        check_loads(site)
+        # Those under way when it was killed came for nothing, and no others.
+        assert site.origin.sent_chunks <= CHUNKS + 4
+
+
+async def test_spoilt_digests_are_not_gone_by(tmp_path: Path) -> None:
+    async with small_site(tmp_path, models=2, daemons=True) as site:
+        await wait_offered(site)
+        site.origin.spoilt_digests = 1
+        site.name_version(2)
+        await wait_loaded(replicas_of(site, MODEL_SERVICE), 2)
+        check_loads(site)
+        assert site.origin.sent_chunks <= 1.5 * CHUNKS
+
+
+async def test_a_daemon_that_starts_while_the_origin_is_away_learns_digests_from_others(
+    tmp_path: Path,
+) -> None:
+    async with small_site(tmp_path, models=2, daemons=True) as site:
+        await wait_offered(site)
+        site.origin.down = True
+        added = await site.add_replica(MODEL_SERVICE, "z0")
+        site.add_daemon("added", added)
+        site.start("added")
+        await wait_loaded([added.replica], 1)
+        check_loads(site)
