--- a/libs/gateway/src/headcross_gateway/picking.py
+++ b/libs/gateway/src/headcross_gateway/picking.py
@@ -93,8 +93,8 @@
     version = state.version_of(wish.model)
     if version is None:
         return False
-    if wish.exact_version is not None:
-        return version == wish.exact_version
+    if wish.exact_version is not None and version != wish.exact_version:
+        return False
     return version >= lowest
 
 
--- a/tests/test_gateway_rules.py
+++ b/tests/test_gateway_rules.py
@@ -228,11 +228,20 @@
 
 
 @pytest.mark.parametrize(
-    ("age", "busy", "taken"),
-    [(5.0, 7, True), (6.0, 7, False), (6.0, 2, True), (7.0, 2, False), (9.0, 0, False)],
+    ("age", "busy", "exact", "taken"),
+    [
+        (5.0, 7, None, True),
+        (6.0, 7, None, False),
+        (6.0, 2, None, True),
+        (7.0, 2, None, False),
+        (9.0, 0, None, False),
+        # A stream that began on the old version does not go on with it either.
+        (5.0, 2, 1, True),
+        (9.0, 0, 1, False),
+    ],
 )
 def test_shortly_before_the_bound_an_old_version_takes_only_what_starts_at_once(
-    age: float, busy: int, taken: bool
+    age: float, busy: int, exact: int | None, taken: bool
 ) -> None:
     """A request that waited at its replica started on an old version after the bound (VERSION)."""
     state = model_place("old", 1, busy)
@@ -246,5 +255,5 @@
     assert state.told is not None
     directory.hear(state.told.load)
     picker = Picker("z", directory, weights_rules)
-    picked = picker.pick(Wish("lm", "m", None, (), True), configuration)
+    picked = picker.pick(Wish("lm", "m", exact, (), True), configuration)
     assert (picked is not None) == taken
