--- a/libs/daemon/src/headcross_daemon/gatewayrole.py
+++ b/libs/daemon/src/headcross_daemon/gatewayrole.py
@@ -10,6 +10,7 @@
 
 import trio
 from headcross_base.addresses import Address, parse_address
+from headcross_facts.following import ENTRY_PACE
 from headcross_gateway.admission import Admission
 from headcross_gateway.budget import RetryBudget
 from headcross_gateway.directory import Directory
@@ -49,7 +50,9 @@
     process: MachineProcess
 
     def __init__(self, settings: MachineSettings, path: Path, adapter: Adapter) -> None:
-        self.process = MachineProcess(settings, path, adapter, self._daemons, self._hear)
+        self.process = MachineProcess(
+            settings, path, adapter, self._daemons, self._hear, ENTRY_PACE
+        )
         facts = self.process.facts
         self._directory = Directory(facts)
         rules = WeightsRules(facts, settings.bounds.weights_seconds)
--- a/libs/daemon/src/headcross_daemon/machinecommon.py
+++ b/libs/daemon/src/headcross_daemon/machinecommon.py
@@ -45,11 +45,12 @@
         adapter: Adapter,
         peers: Callable[[], list[Address]],
         handle_rest: Handler,
+        pace: FollowingPace,
     ) -> None:
         self.settings = settings
         self.facts = Facts(adapter.store)
         self.pauses = PauseWatch(limit_seconds=0.8)
-        self.follower = Follower(adapter.store, self.facts, self.pauses, FollowingPace())
+        self.follower = Follower(adapter.store, self.facts, self.pauses, pace)
         self.node = PeerNode(parse_address(settings.listen.peers), self._handle)
         self.peer_facts = PeerFacts(self.facts, self.follower, self.node, self._known_peers)
         self._path = path
--- a/libs/daemon/src/headcross_daemon/renewalrole.py
+++ b/libs/daemon/src/headcross_daemon/renewalrole.py
@@ -6,6 +6,7 @@
 
 import trio
 from headcross_base.addresses import Address, parse_address
+from headcross_facts.following import DAEMON_PACE
 from headcross_ports.adapter import Adapter
 from headcross_renewal.digestbook import DigestBook
 from headcross_renewal.renewer import Place, Renewer
@@ -28,6 +29,8 @@
 WEIGHTS_MEMORY_PART: Final = 0.3
 # Part of the link that chunks may fill; requests to the replica take the rest.
 LINK_PART: Final = 0.82
+# ... and while a version is so late that the older ones serve no more.
+HURRIED_LINK_PART: Final = 0.96
 BITS_PER_BYTE: Final = 8
 LINK_BURST_BYTES: Final = 8 * 1024
 DEFAULT_CHUNK_BYTES: Final = 32 * 1024
@@ -42,13 +45,17 @@
 
     def __init__(self, settings: MachineSettings, path: Path, adapter: Adapter) -> None:
         assert settings.replica is not None and adapter.replica is not None
-        self.process = MachineProcess(settings, path, adapter, self._daemons, self._hear)
+        self.process = MachineProcess(
+            settings, path, adapter, self._daemons, self._hear, DAEMON_PACE
+        )
         facts = self.process.facts
         address = parse_address(settings.replica.address)
         self._reporter = Reporter(address, adapter.replica)
         self._store = ChunkStore(int(settings.limits.memory_mb * MEGABYTE * WEIGHTS_MEMORY_PART))
         rate = settings.limits.link_mbits * MEGABYTE / BITS_PER_BYTE * LINK_PART
         downlink = LinkRate(rate, LINK_BURST_BYTES)
+        uplink = LinkRate(rate, LINK_BURST_BYTES)
+        self._links = (downlink, uplink)
         origin = OriginSource(
             facts, adapter.origin, DEFAULT_CHUNK_BYTES, lambda: self._reporter.answered
         )
@@ -58,7 +65,7 @@
             parse_address(settings.listen.swarm),
             self._store,
             self._importer,
-            LinkRate(rate, LINK_BURST_BYTES),
+            uplink,
             downlink,
             SMALL_WEIGHTS,
         )
@@ -82,6 +89,7 @@
             self._book,
             self.process.pauses,
             settings.bounds.weights_seconds,
+            self._set_hurry,
         )
         self._service = settings.replica.service
         self._pages = AdminPages(self.dump, self._samples)
@@ -114,6 +122,13 @@
             "origin_bytes": sum(self._importer.received_bytes.values()),
         }
 
+    def _set_hurry(self, hurried: bool) -> None:
+        """Fill more of the link with chunks while nothing can be served without them."""
+        part = HURRIED_LINK_PART if hurried else LINK_PART
+        rate = self.process.settings.limits.link_mbits * MEGABYTE / BITS_PER_BYTE * part
+        for link in self._links:
+            link.set_rate(rate)
+
     def _daemons(self) -> list[Address]:
         port = self.process.settings.peers.control_port
         replicas = self.process.facts.replicas.values()
--- a/libs/facts/src/headcross_facts/following.py
+++ b/libs/facts/src/headcross_facts/following.py
@@ -28,8 +28,27 @@
 class FollowingPace:
     """How often the store is asked."""
 
-    watch_seconds: float = 3.0  # a watch without news ends after this
-    rest_seconds: float = 0.15  # after news, so that a burst of changes comes in one answer
+    # A watch without news ends after this; a store that went silent is noticed no sooner.
+    watch_seconds: float = 3.0
+    # After news, so that a burst of changes comes in one answer.
+    rest_seconds: float = 0.15
+    # The same for the list of replicas, which a daemon beside one needs less urgently.
+    list_watch_seconds: float = 3.0
+    list_rest_seconds: float = 0.15
+
+    def watch_of(self, topic: Topic) -> float:
+        """Return how long a watch of a topic lasts without news."""
+        return self.list_watch_seconds if topic is Topic.REPLICAS else self.watch_seconds
+
+    def rest_of(self, topic: Topic) -> float:
+        """Return the pause after news of a topic."""
+        return self.list_rest_seconds if topic is Topic.REPLICAS else self.rest_seconds
+
+
+ENTRY_PACE: Final = FollowingPace()
+DAEMON_PACE: Final = FollowingPace(
+    watch_seconds=4.0, list_watch_seconds=6.0, list_rest_seconds=0.8
+)
 
 
 class Follower:
@@ -80,12 +99,12 @@
             self._facts.take_listing(topic, listing.value, 0.0, FROM_STORE)
             return True
         revision = self._facts.topics[topic].revision
-        outcome = await self._store.watch(topic, revision, self._pace.watch_seconds)
+        outcome = await self._store.watch(topic, revision, self._pace.watch_of(topic))
         match outcome:
             case Ok(value=changes):
                 self._regained(topic)
                 if self._facts.take_changes(topic, changes):
-                    await trio.sleep(self._pace.rest_seconds)
+                    await trio.sleep(self._pace.rest_of(topic))
                 return True
             case HistoryLost():
                 logger.info("history lost", extra={"topic": topic.value, "revision": revision})
--- a/libs/gateway/src/headcross_gateway/picking.py
+++ b/libs/gateway/src/headcross_gateway/picking.py
@@ -17,7 +17,7 @@
 from headcross_gateway.weightsrules import WeightsRules
 
 # A replica of another zone is taken when it has this share of its places freer.
-OTHER_ZONE_SHARE: Final = 0.12
+OTHER_ZONE_SHARE: Final = 0.22
 CHANCE_SHARE: Final = 0.04
 # A replica whose daemon was heard before and is late now may be behind a slow or broken link.
 SILENT_SHARE: Final = 0.5
--- a/libs/renewal/src/headcross_renewal/renewer.py
+++ b/libs/renewal/src/headcross_renewal/renewer.py
@@ -10,6 +10,7 @@
 
 import logging
 import random
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Final
 
@@ -42,6 +43,8 @@
 DIGESTS_SECONDS: Final = 0.8
 WITHHELD_SECONDS: Final = 1.5
 STAGE_SECONDS: Final = 0.05
+# The share of a version from which a newer one does not end its transfer.
+NEARLY_HERE: Final = 0.55
 # News are looked at again after this, while the digests of the held version cannot be had.
 OFFER_SECONDS: Final = 1.0
 # A transfer that brought nothing for so long begins anew if other hosts have come meanwhile.
@@ -92,6 +95,7 @@
         book: DigestBook,
         pauses: PauseWatch,
         bound_seconds: float,
+        set_hurry: Callable[[bool], None],
     ) -> None:
         self.step = "starting"
         self.orders = 0
@@ -106,6 +110,7 @@
         self._book = book
         self._pauses = pauses
         self._bound = bound_seconds
+        self._set_hurry = set_hurry
         self._pinned: set[str] = set()
         # Versions that could not be had lately, with the moment until which others go first.
         self._withheld: dict[LoadedModel, float] = {}
@@ -199,7 +204,7 @@
             if newest is None or newest <= goal.version:
                 continue
             newer = LoadedModel(goal.model, newest)
-            if not await self._can_be_had(newer):
+            if not await self._can_be_had(newer) or self._is_nearly_here(goal):
                 continue
             fields = {"goal": weights_name(goal), "newest": newest, "step": self.step}
             logger.info("version superseded", extra=fields)
@@ -207,6 +212,15 @@
                 scope.cancel()
                 return
 
+    def _is_nearly_here(self, goal: LoadedModel) -> bool:
+        """Tell whether so much of a version is here that it is better gone on with.
+
+        Until the newer one were here nobody could serve; this one can serve until its own bound.
+        """
+        digests = self._book.settled.get(goal)
+        held = self._store.get(manifest_of(digests)[2]) if digests is not None else None
+        return held is not None and held.progress >= NEARLY_HERE
+
     async def _can_be_had(self, goal: LoadedModel) -> bool:
         """Tell whether a version's chunks would come now: from the origin, or others hold it."""
         await self._book.obtain(goal)
@@ -227,7 +241,9 @@
         # What lies beside the replica can only be of use to a process that does not know it yet.
         if not stored.whole and self._reporter.report is not None and not self._offered:
             adopted = await staging.adopt(stored)
-        self._enter("fetching", goal, adopted=adopted)
+        hurried = self._is_hurried(goal)
+        self._set_hurry(hurried)
+        self._enter("fetching", goal, adopted=adopted, hurried=hurried)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._stage_as_they_come, staging, stored)
             fetched = await self._fetch(goal, stored)
@@ -245,6 +261,12 @@
         finally:
             self._reporter.leaving = False
 
+    def _is_hurried(self, goal: LoadedModel) -> bool:
+        """Tell whether the bound on an older version ends first, since that one was skipped."""
+        named = self._facts.versions.get(goal.model, [])
+        skipped = [LoadedModel(goal.model, n.version) for n in named if n.version < goal.version]
+        return any(not self._holds(older) for older in skipped)
+
     async def _settle_digests(self, goal: LoadedModel) -> bool:
         """Get the digests; return False if an older version should be gone on with meanwhile."""
         with trio.move_on_after(DIGESTS_SECONDS):
