Share the free places of a replica among the entries

Entries now stop at 0.86 of the places and place six requests together between two words of a replica's daemon, which tells how many listen and speaks every 0.15 s.

--- a/libs/gateway/src/headcross_gateway/admission.py
+++ b/libs/gateway/src/headcross_gateway/admission.py
@@ -59,7 +59,7 @@
         if not queue:
             place = self._picker.pick(wish, configuration)
             if place is not None:
-                place.in_flight += 1
+                place.take_place()
                 return place
         if len(queue) >= MAX_WAITING or until <= trio.current_time():
             return None
@@ -92,7 +92,7 @@
                 place = self._picker.pick(waiter.wish, waiter.configuration)
                 if place is None:
                     return
-                place.in_flight += 1
+                place.take_place()
                 waiter.place = place
                 waiter.left = True
                 waiter.came.set()
--- a/libs/gateway/src/headcross_gateway/directory.py
+++ b/libs/gateway/src/headcross_gateway/directory.py
@@ -20,6 +20,11 @@
 TOLD_SECONDS: Final = 1.5
 # Daemons tell four times a second; one that is silent for so long is late.
 LATE_SECONDS: Final = 0.8
+# Several entries fill a replica at once, and each learns of the others a moment later. They stop
+# short of the last places: a request that waits at its replica is late, one refused may come back.
+FILLED_SHARE: Final = 0.86
+# Requests that all entries together may place at a replica between two words of its daemon.
+PLACED_TOGETHER: Final = 6
 # A replica that refused a request for want of room is not tried again for so long.
 FULL_SECONDS: Final = 0.12
 
@@ -31,6 +36,7 @@
     load: ReplicaLoad
     at: float  # monotonic
     own_in_flight: int  # requests of this entry at that moment
+    own_placed: int = 0  # requests that this entry placed there since
 
 
 @dataclass(slots=True)
@@ -67,7 +73,27 @@
 
     def has_room(self) -> bool:
         """Tell whether a place is free, as far as is known."""
-        return self.load() < self.replica.slots and monotonic() >= self.full_until
+        if monotonic() < self.full_until:
+            return False
+        if self.told is None:
+            return self.load() < self.replica.slots
+        free = self.replica.slots * FILLED_SHARE - self.load()
+        return free > 0 and (self.fresh_load() is None or self.told.own_placed < self._own_part())
+
+    def take_place(self) -> None:
+        """Count a request of this entry as under way there."""
+        self.in_flight += 1
+        if self.told is not None:
+            self.told.own_placed += 1
+
+    def _own_part(self) -> int:
+        """Return how many requests this entry may place before it is told the load again.
+
+        All entries see the same free places. A replica reads the prompts of what it is given one
+        after the other, so a place that many rush to is no place for most of them.
+        """
+        assert self.told is not None
+        return max(1, PLACED_TOGETHER // max(1, self.told.load.listeners))
 
     def takes_requests(self) -> bool:
         """Tell whether its daemon, if it says anything, says that it takes requests."""
--- a/libs/renewal/src/headcross_renewal/reporting.py
+++ b/libs/renewal/src/headcross_renewal/reporting.py
@@ -13,7 +13,7 @@
 from headcross_wire.peermessages import PeerMessage, ReplicaLoad
 from headcross_wire.peernode import Reply
 
-READ_SECONDS: Final = 0.25
+READ_SECONDS: Final = 0.15
 # A listener that did not ask again for so long is told nothing more.
 LISTENER_SECONDS: Final = 4.0
 
@@ -101,7 +101,16 @@
         report = self.report
         if report is None:
             return ReplicaLoad(
-                str(self._address), self._sequence, False, self.leaving, {}, 0, 0, 0.0, 1.0
+                str(self._address),
+                self._sequence,
+                False,
+                self.leaving,
+                {},
+                0,
+                0,
+                0.0,
+                1.0,
+                len(self._listeners),
             )
         total = max(1, report.memory_total)
         return ReplicaLoad(
@@ -114,6 +123,7 @@
             queued=report.queued,
             memory_share=report.memory_used / total,
             pace=report.pace,
+            listeners=len(self._listeners),
         )
 
     @staticmethod
--- a/libs/wire/src/headcross_wire/peermessages.py
+++ b/libs/wire/src/headcross_wire/peermessages.py
@@ -221,6 +221,7 @@
     queued: int
     memory_share: float  # 0 to 1
     pace: float  # above 1: slower than it should be
+    listeners: int  # processes that are told this
 
 
 class AskDigests(_Message, frozen=True, tag=44):
