Refuse in a planned stop what could not be answered before its end

After 2.6 s an entry takes only what its time limit ends before that; the rest is refused at once as not run, to come back at another entry. The new test fails on the code before.

--- a/libs/daemon/src/headcross_daemon/gatewayrole.py
+++ b/libs/daemon/src/headcross_daemon/gatewayrole.py
@@ -35,6 +35,9 @@
 # After a stop signal callers still come for this long: the platform asks for readiness once a
 # second and needs two answers.
 STILL_TAKING_SECONDS: Final = 4.0
+# Until then requests are taken whose time limit ends after the process; later ones are refused as
+# not run, since they could be cut.
+TAKING_ALL_SECONDS: Final = 2.6
 # The process ends this long before the platform would kill it.
 STOP_MARGIN_SECONDS: Final = 0.5
 # Callers rest on connections for less than the idle time they are told; this much is added to it.
@@ -159,8 +162,14 @@
         self._server.sends_callers_away = True
         logger.info("stopping", extra={"in_flight": self._path.in_flight})
         limit = self.process.settings.bounds.stop_seconds - STOP_MARGIN_SECONDS
+        started_at = trio.current_time()
         with trio.move_on_after(limit):
-            await trio.sleep(min(STILL_TAKING_SECONDS, limit / 2))
+            # At first everything is taken: callers still come, and most requests are short.
+            await trio.sleep(min(TAKING_ALL_SECONDS, limit / 3))
+            self._path.end_by(started_at + limit)
+            await trio.sleep(
+                min(STILL_TAKING_SECONDS, limit / 2) - min(TAKING_ALL_SECONDS, limit / 3)
+            )
             accepting.cancel()
             self._server.close_idle()
             await self._server.wait_closed()
--- a/libs/gateway/src/headcross_gateway/requestpath.py
+++ b/libs/gateway/src/headcross_gateway/requestpath.py
@@ -15,6 +15,7 @@
 from headcross_base.errorcodes import (
     BAD_REQUEST,
     DEADLINE,
+    DRAINING,
     NO_REPLICA,
     NO_ROOM,
     NO_ROUTE,
@@ -57,6 +58,8 @@
 # When a caller is told to come back: where all places are taken, and where nobody has any.
 COME_BACK_SECONDS: Final = 0.5
 COME_BACK_LATER_SECONDS: Final = 1.8
+# ... and where another entry will serve it.
+COME_BACK_SOON_SECONDS: Final = 0.02
 # Refusals that one request is carried on after; each is an arrival that the budget pays for.
 MAX_REFUSALS: Final = 3
 MAX_UNREACHED: Final = 4
@@ -126,6 +129,7 @@
         self.in_flight = 0
         self.budget = budget
         self.attempts = Attempts(dialect)
+        self._last_moment: float | None = None
         self._facts = facts
         self._dialect = dialect
         self._admission = admission
@@ -153,6 +157,10 @@
         finally:
             self.in_flight -= 1
 
+    def end_by(self, moment: float) -> None:
+        """Take nothing from now on that may not be answered by a moment on trio's clock."""
+        self._last_moment = moment
+
     # Admission.
 
     def _admit(self, exchange: Exchange) -> Admitted | tuple[NotRun, str | None]:
@@ -174,6 +182,8 @@
         seconds = route.timeout_seconds
         if facts.deadline_seconds is not None:
             seconds = min(seconds, facts.deadline_seconds)
+        if self._last_moment is not None and now + seconds > self._last_moment:
+            return NotRun(DRAINING, "this entry stops", COME_BACK_SOON_SECONDS), facts.id
         relay = StreamRelay(exchange, facts.resume_after) if route.repetition.is_stream else None
         service = route.pick_service()
         self.budget.earn(service)
--- a/tests/test_machine_stopping.py
+++ b/tests/test_machine_stopping.py
@@ -106,3 +106,34 @@
             while (await site.state("entry0")).get("configuration") != 3:
                 await trio.sleep(0.03)
         assert (await ask(site.callers("entry0"), "/again/x", key="new-key")).status == 200
+
+
+async def test_what_comes_late_in_a_planned_stop_is_answered_whole_or_refused_as_not_run(
+    tmp_path: Path,
+) -> None:
+    """A stream taken 3.7 s after the stop signal was cut at the end (LOST)."""
+    async with small_site(tmp_path, models=1, plain=1) as site:
+        replica = replicas_of(site, MODEL_SERVICE)[0]
+        replica.event_seconds = 0.55
+        replica.slots = 64
+        site.list_replica(site.replicas[replica.id])
+        replies: list[Reply] = []
+
+        async def stream() -> None:
+            replies.append(await ask(site.callers("entry0"), "/stream/x"))
+
+        async with trio.open_nursery() as nursery:
+            site.signal("entry0", signal.SIGTERM)
+            process = site.machines["entry0"].process
+            assert process is not None
+            while process.poll() is None:
+                nursery.start_soon(stream)
+                await trio.sleep(0.1)
+        ran = {run.id for run in replica.runs}
+        assert not replica.cancelled
+        for reply in replies:
+            if reply.id in ran:
+                assert reply.whole and reply.events == [0, 1, 2, 3], reply
+            else:
+                assert reply.status in (0, 503), reply
+        assert any(reply.status == 503 for reply in replies)
