Queue by the earliest deadline; let what has run wait longer, and first, for its second place

Tests: a broken stream whose only other replica is busy for 0.4 s (fails on the code before); the order of places.

--- a/libs/daemon/src/headcross_daemon/gatewayrole.py
+++ b/libs/daemon/src/headcross_daemon/gatewayrole.py
@@ -110,6 +110,7 @@
                     "service": state.replica.service,
                     "address": str(state.replica.address),
                     "in_flight": state.in_flight,
+                    "slots": state.replica.slots,
                     "load": round(state.load(), 2),
                     "told_age": round(min(state.told_age(), 1e9), 3),
                     "draining": state.replica.draining,
--- a/libs/gateway/src/headcross_gateway/admission.py
+++ b/libs/gateway/src/headcross_gateway/admission.py
@@ -1,7 +1,9 @@
 """Places at replicas, and the queue for them.
 
 A request that finds a replica with room goes there at once. Otherwise it waits for a moment, in
-order of priority, and is refused while its caller still has time to come back.
+order of priority, and is refused while its caller still has time to come back. Among equals the
+one with the earliest deadline goes first: callers that were refused before come back with less
+time.
 """
 
 import heapq
@@ -24,6 +26,7 @@
     """A request in the queue."""
 
     priority: int
+    deadline: float  # trio's clock
     number: int
     wish: Wish = field(compare=False)
     configuration: Configuration = field(compare=False)
@@ -49,7 +52,12 @@
         return bool(self._picker.candidates(wish, configuration))
 
     async def take_place(
-        self, wish: Wish, configuration: Configuration, priority: int, until: float
+        self,
+        wish: Wish,
+        configuration: Configuration,
+        priority: int,
+        deadline: float,
+        until: float,
     ) -> ReplicaState | None:
         """Return a replica with a place reserved on it, None if there is none by `until`.
 
@@ -63,7 +71,7 @@
                 return place
         if len(queue) >= MAX_WAITING or until <= trio.current_time():
             return None
-        waiter = _Waiter(priority, next(self._numbers), wish, configuration)
+        waiter = _Waiter(priority, deadline, next(self._numbers), wish, configuration)
         heapq.heappush(queue, waiter)
         self.notify(wish.service)
         try:
@@ -85,18 +93,19 @@
 
     def notify(self, service: str) -> None:
         """Hand places to those who wait, now that something about the service has changed."""
-        queue = self._queues.get(service)
-        while queue:
-            waiter = queue[0]
-            if not waiter.left:
-                place = self._picker.pick(waiter.wish, waiter.configuration)
-                if place is None:
-                    return
-                place.take_place()
-                waiter.place = place
-                waiter.left = True
-                waiter.came.set()
-            heapq.heappop(queue)
+        for waiter in sorted(self._queues.get(service, [])):
+            if waiter.left:
+                continue
+            place = self._picker.pick(waiter.wish, waiter.configuration)
+            if place is None:
+                if waiter.wish.is_particular:
+                    continue
+                break
+            place.take_place()
+            waiter.place = place
+            waiter.left = True
+            waiter.came.set()
+        self._drop_left(service)
 
     def _drop_left(self, service: str) -> None:
         queue = self._queues.get(service)
--- a/libs/gateway/src/headcross_gateway/picking.py
+++ b/libs/gateway/src/headcross_gateway/picking.py
@@ -37,6 +37,11 @@
     tried: Collection[str]  # replicas that had their chance
     may_run_again: bool
 
+    @property
+    def is_particular(self) -> bool:
+        """Whether other requests may find a place where this one finds none."""
+        return self.exact_version is not None or bool(self.tried)
+
 
 class Picker:
     """Chooses replicas for one entry."""
--- a/libs/gateway/src/headcross_gateway/requestpath.py
+++ b/libs/gateway/src/headcross_gateway/requestpath.py
@@ -55,6 +55,9 @@
 
 # Of the time in which an answer is worth most, a request waits for a place at most this part.
 WAIT_PART: Final = 0.22
+# A request that may have run waits so long for its second place, and goes first.
+RUN_AGAIN_WAIT_SECONDS: Final = 1.0
+RUN_AGAIN_PRIORITY: Final = -1
 # When a caller is told to come back: where all places are taken, and where nobody has any.
 COME_BACK_SECONDS: Final = 0.5
 COME_BACK_LATER_SECONDS: Final = 1.8
@@ -232,11 +235,18 @@
         return NotRun(NO_REPLICA, "no replica may serve this now", COME_BACK_LATER_SECONDS)
 
     async def _take_place(self, request: Admitted, wish: Wish) -> ReplicaState | None:
-        first = not request.tried and not request.refusals and not request.unreached
-        since = request.arrived_at if first else trio.current_time()
-        until = min(since + WAIT_PART * request.route.aim_seconds, request.deadline)
+        now = trio.current_time()
+        priority = request.priority
+        if request.tried:
+            # It has run somewhere: without a place it fails for good, so it goes first.
+            until, priority = now + RUN_AGAIN_WAIT_SECONDS, RUN_AGAIN_PRIORITY
+        elif request.refusals or request.unreached:
+            until = now + WAIT_PART * request.route.aim_seconds
+        else:
+            until = request.arrived_at + WAIT_PART * request.route.aim_seconds
+        until = min(until, request.deadline)
         return await self._admission.take_place(
-            wish, request.configuration, request.priority, until
+            wish, request.configuration, priority, request.deadline, until
         )
 
     async def _attempt(self, request: Admitted, place: ReplicaState) -> Outcome:
--- a/tests/test_gateway_rules.py
+++ b/tests/test_gateway_rules.py
@@ -2,6 +2,7 @@
 
 import random
 from collections.abc import Callable
+from dataclasses import replace
 
 import pytest
 import trio
@@ -10,6 +11,7 @@
 from headcross_base.clocks import monotonic
 from headcross_facts.facts import Facts, VersionNotice
 from headcross_gateway import attempts as attempts_module
+from headcross_gateway.admission import Admission
 from headcross_gateway.attempts import Attempts, MayRun, Patience, Streamed
 from headcross_gateway.budget import ENTRIES_COUNTED_ON, RetryBudget
 from headcross_gateway.directory import PLACED_TOGETHER, Directory, ReplicaState, Told
@@ -272,3 +274,40 @@
         assert state.told is not None
         state.told = Told(state.told.load, monotonic(), state.in_flight)
         assert state.has_room()
+
+
+async def test_places_go_by_priority_then_to_whoever_has_least_time(
+    mock_clock: trio.testing.MockClock,
+) -> None:
+    mock_clock.autojump_threshold = 0
+    facts = rules([]).facts
+    replica = Replica("r", "api", Address("127.0.0.1", 1), "z", 1, False)
+    facts.replicas["r"] = replica
+    directory = Directory(facts)
+    directory.update()
+    admission = Admission(Picker("z", directory, WeightsRules(facts, 8.0)))
+    limits = CallerLimits(1, 1, 1.0, 1.0)
+    configuration = Configuration(1, (), {"api": Service("api", 1)}, (), limits)
+    order: list[str] = []
+
+    async def wait(name: str, priority: int, deadline: float, wish: Wish, until: float) -> None:
+        place = await admission.take_place(wish, configuration, priority, deadline, until)
+        order.append(name if place is not None else f"{name} refused")
+        if place is not None:
+            await trio.sleep(0.01)
+            admission.give_back(place)
+
+    any_wish = Wish("api", None, None, (), True)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(wait, "first", 1, 9.0, any_wish, 5.0)
+        await trio.testing.wait_all_tasks_blocked()
+        for name, priority, deadline, wish in [
+            ("fresh", 1, 8.0, any_wish),
+            ("returned", 1, 7.0, any_wish),
+            ("urgent", 0, 9.0, any_wish),
+            ("tried there", 0, 1.0, replace(any_wish, tried=("r",))),
+        ]:
+            nursery.start_soon(wait, name, priority, deadline, wish, 5.0)
+    assert order == ["first", "urgent", "returned", "fresh", "tried there refused"]
+    assert admission.waiting("api") == 0
+    assert next(iter(directory.states())).in_flight == 0
--- a/tests/test_machine_attempts.py
+++ b/tests/test_machine_attempts.py
@@ -234,3 +234,29 @@
         reply = await ask(site.callers("entry0"), "/once/x")
         assert reply.status == 503
         assert not stranger.runs
+
+
+async def test_a_broken_stream_waits_for_a_place_to_go_on_at(tmp_path: Path) -> None:
+    async with small_site(tmp_path, plain=0) as site:
+        replicas = replicas_of(site, MODEL_SERVICE)
+        for replica in replicas:
+            replica.slots = 1
+            replica.event_seconds = 0.15
+            site.list_replica(site.replicas[replica.id])
+        with trio.fail_after(10):
+            while any(row["slots"] != 1 for row in (await site.state("entry0"))["replica_states"]):
+                await trio.sleep(0.02)
+        replies: list[Reply] = []
+
+        async def stream() -> None:
+            replies.append(await ask(site.callers("entry0"), "/stream/x"))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(stream)
+            with trio.fail_after(5):
+                while not any(replica.active for replica in replicas):
+                    await trio.sleep(0.005)
+            idle = next(replica for replica in replicas if not replica.active)
+            idle.faults.append(Fault.CUT_WITHIN_EVENT)
+            nursery.start_soon(stream)
+        assert all(r.whole and r.events == [0, 1, 2, 3] for r in replies), replies
