--- a/libs/gateway/src/headcross_gateway/requestpath.py
+++ b/libs/gateway/src/headcross_gateway/requestpath.py
@@ -15,6 +15,7 @@
 from headcross_base.errorcodes import (
     BAD_REQUEST,
     DEADLINE,
+    DRAINING,
     NO_REPLICA,
     NO_ROOM,
     NO_ROUTE,
@@ -54,9 +55,14 @@
 
 # Of the time in which an answer is worth most, a request waits for a place at most this part.
 WAIT_PART: Final = 0.22
+# A request that may have run waits so long for its second place, and goes first.
+RUN_AGAIN_WAIT_SECONDS: Final = 1.0
+RUN_AGAIN_PRIORITY: Final = -1
 # When a caller is told to come back: where all places are taken, and where nobody has any.
 COME_BACK_SECONDS: Final = 0.5
 COME_BACK_LATER_SECONDS: Final = 1.8
+# ... and where another entry will serve it.
+COME_BACK_SOON_SECONDS: Final = 0.02
 # Refusals that one request is carried on after; each is an arrival that the budget pays for.
 MAX_REFUSALS: Final = 3
 MAX_UNREACHED: Final = 4
@@ -126,6 +132,7 @@
         self.in_flight = 0
         self.budget = budget
         self.attempts = Attempts(dialect)
+        self._last_moment: float | None = None
         self._facts = facts
         self._dialect = dialect
         self._admission = admission
@@ -153,6 +160,10 @@
         finally:
             self.in_flight -= 1
 
+    def end_by(self, moment: float) -> None:
+        """Take nothing from now on that may not be answered by a moment on trio's clock."""
+        self._last_moment = moment
+
     # Admission.
 
     def _admit(self, exchange: Exchange) -> Admitted | tuple[NotRun, str | None]:
@@ -174,6 +185,8 @@
         seconds = route.timeout_seconds
         if facts.deadline_seconds is not None:
             seconds = min(seconds, facts.deadline_seconds)
+        if self._last_moment is not None and now + seconds > self._last_moment:
+            return NotRun(DRAINING, "this entry stops", COME_BACK_SOON_SECONDS), facts.id
         relay = StreamRelay(exchange, facts.resume_after) if route.repetition.is_stream else None
         service = route.pick_service()
         self.budget.earn(service)
@@ -222,11 +235,18 @@
         return NotRun(NO_REPLICA, "no replica may serve this now", COME_BACK_LATER_SECONDS)
 
     async def _take_place(self, request: Admitted, wish: Wish) -> ReplicaState | None:
-        first = not request.tried and not request.refusals and not request.unreached
-        since = request.arrived_at if first else trio.current_time()
-        until = min(since + WAIT_PART * request.route.aim_seconds, request.deadline)
+        now = trio.current_time()
+        priority = request.priority
+        if request.tried:
+            # It has run somewhere: without a place it fails for good, so it goes first.
+            until, priority = now + RUN_AGAIN_WAIT_SECONDS, RUN_AGAIN_PRIORITY
+        elif request.refusals or request.unreached:
+            until = now + WAIT_PART * request.route.aim_seconds
+        else:
+            until = request.arrived_at + WAIT_PART * request.route.aim_seconds
+        until = min(until, request.deadline)
         return await self._admission.take_place(
-            wish, request.configuration, request.priority, until
+            wish, request.configuration, priority, request.deadline, until
         )
 
     async def _attempt(self, request: Admitted, place: ReplicaState) -> Outcome:
