--- a/Makefile
+++ b/Makefile
@@ -19,6 +19,7 @@
 
 demo: setup
 	@$(PY) -m testing.demo
+	@$(PY) -m testing.machinedemo
 
 test: setup
 	$(PY) -m pytest
--- /dev/null
+++ b/testing/machinedemo.py
@@ -0,0 +1,125 @@
+"""The demo of the new machines: six replicas in three zones move to new weights under requests.
+
+Real processes with the links of those machines; the platform is stood in for. Ends with one JSON
+line on standard output; the exit code is 0 only if every replica serves the new version and no
+answer was lost, doubled or broken.
+"""
+
+import json
+import random
+import sys
+import tempfile
+from collections import Counter
+from pathlib import Path
+from typing import Final
+
+import trio
+
+from testing.machinecaller import Reply, ask
+from testing.machines import MODEL_SERVICE, Machines, replicas_of, small_site
+
+ZONES: Final = ("honam", "yeongnam", "jeju")
+REPLICAS: Final = 6
+CHUNKS: Final = 64
+CHUNK_BYTES: Final = 32 * 1024
+LINK_MBITS: Final = 3.8
+ORIGIN_MBITS: Final = 9.9
+REQUEST_EVERY_SECONDS: Final = 0.05
+LIMIT_SECONDS: Final = 60.0
+
+
+class Trickle:
+    """Callers that ask at a steady rate and come back once when they are told to."""
+
+    def __init__(self, site: Machines) -> None:
+        self.replies: list[Reply] = []
+        self.lost: list[str] = []
+        self.stopped = False
+        self._site = site
+
+    async def run(self) -> None:
+        """Ask until told to stop."""
+        entries = [
+            name for name, machine in self._site.machines.items() if machine.role == "entry"
+        ]
+        async with trio.open_nursery() as nursery:
+            while not self.stopped:
+                nursery.start_soon(self._ask, random.choice(entries))
+                await trio.sleep(REQUEST_EVERY_SECONDS)
+
+    async def _ask(self, entry: str) -> None:
+        reply = await ask(self._site.callers(entry), "/stream/x")
+        if reply.status == 503:
+            await trio.sleep(float(reply.headers.get("retry-after", "1")))
+            reply = await ask(self._site.callers(entry), "/stream/x")
+        self.replies.append(reply)
+        if reply.status != 200 or not reply.whole or reply.events != [0, 1, 2, 3]:
+            self.lost.append(f"{reply.id} {reply.status} {reply.body[:80]!r}")
+
+
+async def run_demo(directory: Path) -> bool:
+    """Run the demo; return whether all went well."""
+    async with small_site(
+        directory,
+        models=REPLICAS,
+        plain=0,
+        entries=len(ZONES),
+        zones=ZONES,
+        daemons=True,
+        link_mbits=LINK_MBITS,
+    ) as site:
+        site.origin.chunk_bytes = CHUNK_BYTES
+        site.origin.seconds_per_chunk = CHUNK_BYTES * 8 / (ORIGIN_MBITS * 1e6)
+        site.origin.versions[2] = [random.randbytes(CHUNK_BYTES) for _ in range(CHUNKS)]
+        replicas = replicas_of(site, MODEL_SERVICE)
+        for replica in replicas:
+            replica.event_seconds = 0.02
+            replica.load_seconds = 0.3
+        trickle = Trickle(site)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(trickle.run)
+            await trio.sleep(1.0)
+            named_at = trio.current_time()
+            site.name_version(2)
+            taken: list[float] = []
+            with trio.fail_after(LIMIT_SECONDS):
+                while len(taken) < REPLICAS:
+                    done = sum(replica.version == 2 for replica in replicas)
+                    taken += [trio.current_time() - named_at] * (done - len(taken))
+                    await trio.sleep(0.01)
+            await trio.sleep(1.0)
+            trickle.stopped = True
+        return report(site, trickle, taken)
+
+
+def report(site: Machines, trickle: Trickle, taken: list[float]) -> bool:
+    """Print the figures; return whether nothing went wrong."""
+    runs: Counter[tuple[str, str | None]] = Counter()
+    for replica in replicas_of(site, MODEL_SERVICE):
+        runs.update((run.id, run.headers.get("last-event-id")) for run in replica.runs)
+    doubled = sum(count > 1 for count in runs.values())
+    for lost in trickle.lost:
+        print(f"lost: {lost}", file=sys.stderr)
+    line = {
+        "replicas": len(taken),
+        "first_seconds": round(taken[0], 1),
+        "half_seconds": round(taken[len(taken) // 2 - 1], 1),
+        "last_seconds": round(taken[-1], 1),
+        "floor_seconds": round(CHUNKS * CHUNK_BYTES * 8 / (LINK_MBITS * 1e6), 1),
+        "origin_copies": round(site.origin.sent_chunks / CHUNKS, 2),
+        "requests": len(trickle.replies),
+        "lost": len(trickle.lost),
+        "doubled": doubled,
+    }
+    print(json.dumps(line))
+    return not trickle.lost and not doubled
+
+
+def main() -> int:
+    """Run the demo; return the exit code."""
+    with tempfile.TemporaryDirectory() as directory:
+        return 0 if trio.run(run_demo, Path(directory)) else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/testing/machines.py
+++ b/testing/machines.py
@@ -23,6 +23,7 @@
 from headcross_wire.httpclient import SOURCE_IP, call
 from headcross_wire.httpserver import HttpServer, ServerLimits
 
+from deploy.start import SETTINGS_VARIABLE
 from testing.platformreplica import FakePlatformOrigin, FakeReplica, new_replica_id
 from testing.platformstore import FakePlatformStore
 
@@ -81,7 +82,7 @@
             "path_prefix": prefix,
             "kind": kind,
             "timeout_ms": 4000,
-            "slo_ms": 500,
+            names.AIM_MS: 500,
             "max_attempts": 2,
             "priority": 1,
             "service": service,
@@ -91,11 +92,11 @@
     return {
         "version": version,
         "routes": [
-            route("stream", "/stream/", "streaming", MODEL_SERVICE, resumable=True),
-            route("strict", "/strict/", "streaming", MODEL_SERVICE),
-            route("again", "/again/", "idempotent", PLAIN_SERVICE),
-            route("once", "/once/", "non_idempotent", PLAIN_SERVICE, max_attempts=1),
-            route("open", "/open/", "idempotent", PLAIN_SERVICE, public=True),
+            route("stream", "/stream/", names.KIND_STREAM, MODEL_SERVICE, resumable=True),
+            route("strict", "/strict/", names.KIND_STREAM, MODEL_SERVICE),
+            route("again", "/again/", names.KIND_REPEATABLE, PLAIN_SERVICE),
+            route("once", "/once/", names.KIND_ONCE, PLAIN_SERVICE, max_attempts=1),
+            route("open", "/open/", names.KIND_REPEATABLE, PLAIN_SERVICE, public=True),
         ],
         "services": [
             {
@@ -240,7 +241,7 @@
             "version": "v1",
             "slots": replica.slots,
             "state": "draining" if replica.draining else "ready",
-            "cold_left_ms": 0,
+            names.COLD_MS: 0,
             "models": loaded,
             "seq": 1,
         }
@@ -293,7 +294,7 @@
         machine = self.machines[name]
         path = self.directory / f"{name}.toml"
         path.write_text(self._settings(machine))
-        environment = {**os.environ, "HEADCROSS_NODE_FILE": str(path)}
+        environment = {**os.environ, SETTINGS_VARIABLE: str(path)}
         with (self.directory / f"{name}.log").open("ab") as log:
             machine.process = subprocess.Popen(
                 [sys.executable, str(ROOT / "deploy" / "start.py")],
@@ -414,9 +415,11 @@
     zones: Sequence[str] = ("z0",),
     daemons: bool = False,
     named: int = 0,
+    link_mbits: float = 1000.0,
 ) -> AsyncIterator[Machines]:
     """Run a small site whose entries are ready; replicas serve version 1."""
     async with running_machines(directory) as site:
+        site.link_mbits = link_mbits
         site.origin.versions[1] = [random.randbytes(CHUNK_BYTES) for _ in range(CHUNKS)]
         if named:
             site.name_version(named)
--- a/testing/platformreplica.py
+++ b/testing/platformreplica.py
@@ -144,7 +144,7 @@
         }
 
     def _take_order(self, order: dict[str, object]) -> bytes:
-        if order.get("expected_rev", self.orders) != self.orders:
+        if order.get(names.EXPECTED_SEQUENCE, self.orders) != self.orders:
             return _json(409, {"error": "seq"})
         self.orders += 1
         self.loading = True
