Ask for one chunk at a time while one's own link is slow

Resetting the connection does not empty the link; the swarm kept it full: chunks that were late were given up after 0.6 to 2 s and asked for again, so four more joined the queue each time, and reads from the origin did the same. Late chunks now teach how long to wait, and while several neighbours are late and nothing comes on time, one chunk is asked for at a time. The test fails on the code before (no such rule).

--- a/libs/weights/src/headcross_weights/chunkchoice.py
+++ b/libs/weights/src/headcross_weights/chunkchoice.py
@@ -17,8 +17,10 @@
 SAMPLE: Final = 32  # chunks looked at to find a rare one
 # In the end game a chunk is asked of a second host when the first takes this many times the usual.
 DUPLICATE_FACTOR: Final = 2.0
-# So many late requests at once mean that this host's own link is slow.
-SLOW_MOST: Final = 2
+# So many neighbours that are late at once mean that this host's own link is slow, unless a chunk
+# came on time within so many seconds.
+SLOW_NEIGHBOURS: Final = 2
+ON_TIME_SECONDS: Final = 0.6
 MAX_DUPLICATE_WAIT: Final = 2.0  # while the usual time is not known
 
 Choice = tuple[NeighbourView, int]
@@ -30,16 +32,13 @@
     views: Views,
     importing: set[int],
     most_in_flight: int,
-    slow_seconds: float = float("inf"),
 ) -> Choice | None:
     """Return which chunk to ask of whom next, or None when nothing can be asked now."""
     in_flight = chunks_in_flight(views)
     if len(in_flight) >= most_in_flight:
         return None
     now = monotonic()
-    if sum(now - at > slow_seconds for times in in_flight.values() for at in times) >= SLOW_MOST:
-        # Several are late at once: this host's own link is the slow one, and asking for more would
-        # only lengthen the queue in it, which requests to the replica share.
+    if in_flight and is_link_slow(views, now):
         return None
     ready = [view for view in views.values() if view.ready(now)]
     random.shuffle(ready)
@@ -52,6 +51,17 @@
     return _choose_duplicate(ready, stored, in_flight, now) if not free else None
 
 
+def is_link_slow(views: Views, now: float) -> bool:
+    """Tell whether this host's own link seems to be the slow one.
+
+    Chunks of several neighbours are late at once and none comes on time. Asking for more than one
+    would only lengthen the queue in the link, which requests to the replica share.
+    """
+    late = sum(view.is_late(now) for view in views.values())
+    on_time = max((view.on_time_at for view in views.values()), default=float("-inf"))
+    return late >= SLOW_NEIGHBOURS and now - on_time > ON_TIME_SECONDS
+
+
 def chunks_in_flight(views: Views) -> dict[int, list[float]]:
     """Return the chunks asked for, with the times of asking."""
     asked: dict[int, list[float]] = {}
--- a/libs/weights/src/headcross_weights/neighbourview.py
+++ b/libs/weights/src/headcross_weights/neighbourview.py
@@ -14,6 +14,8 @@
 # the pace; the host is then left alone for a while that doubles with each failure.
 TIMEOUT_FACTOR: Final = 4.0
 # A host that sent so many corrupt chunks of one artifact is not asked for it again.
+# A chunk that did not come for so long will not come any more.
+GIVEN_UP_SECONDS: Final = 6.0
 QUARANTINE_CORRUPT: Final = 2
 FAILURES_TO_DOUBT: Final = 2
 LATENCY_GAIN: Final = 0.25  # weight of a new sample in the average
@@ -31,6 +33,8 @@
     has: set[int]
     # Chunks asked of it, with the time of the asking.
     in_flight: dict[int, float]
+    # When a chunk last came from it without delay.
+    on_time_at: float
     # Average seconds from asking to receiving, 0 before the first.
     latency: float
     # Whether it answered in this transfer, so that it need not be asked to join again.
@@ -53,6 +57,9 @@
         self.corrupt = 0
         self.failures = 0
         self._partial: dict[int, bytearray] = {}
+        # Requests given up lately, with the time of the asking: their chunks may still come.
+        self._given_up: dict[int, float] = {}
+        self.on_time_at = float("-inf")
         self._blocked_until = 0.0
         self._pace = pace
         self._backoff = pace.stall_backoff
@@ -71,6 +78,11 @@
         """
         return not self.quarantined and self.failures < FAILURES_TO_DOUBT
 
+    def is_late(self, now: float) -> bool:
+        """Tell whether a chunk of it is late and may still be on its way."""
+        waiting = [*self.in_flight.values(), *self._given_up.values()]
+        return any(self._pace.slow_request < now - at < GIVEN_UP_SECONDS for at in waiting)
+
     def ready(self, now: float) -> bool:
         """Tell whether it may be asked for another chunk."""
         if self.quarantined or now < self._blocked_until:
@@ -85,9 +97,17 @@
     def received(self, index: int) -> None:
         """Note that a chunk asked for has come."""
         asked_at = self.in_flight.pop(index, None)
+        given_up_at = self._given_up.pop(index, None)
+        if asked_at is None and given_up_at is not None:
+            # It was slow, not lost: from now on it is waited for as long as that.
+            self.latency = max(self.latency, monotonic() - given_up_at)
+            return
         if asked_at is None:
             return
-        sample = monotonic() - asked_at
+        now = monotonic()
+        sample = now - asked_at
+        if sample < self._pace.slow_request:
+            self.on_time_at = now
         self.latency += (sample - self.latency) * (LATENCY_GAIN if self.latency else 1.0)
         self._backoff = self._pace.stall_backoff
         self.failures = 0
@@ -116,6 +136,7 @@
 
     def stalled(self) -> None:
         """Note that it did not answer in time; leave it alone for longer each time."""
+        self._given_up = dict(self.in_flight)
         self.in_flight.clear()
         self._partial.clear()
         self.failures += 1
--- a/libs/weights/src/headcross_weights/transfer.py
+++ b/libs/weights/src/headcross_weights/transfer.py
@@ -39,7 +39,12 @@
     PeerMessage,
 )
 
-from headcross_weights.chunkchoice import choose_chunk, chunks_in_flight, offered_chunks
+from headcross_weights.chunkchoice import (
+    choose_chunk,
+    chunks_in_flight,
+    is_link_slow,
+    offered_chunks,
+)
 from headcross_weights.chunkstore import ChunkStore, StoredArtifact, bitmap_indexes
 from headcross_weights.importduties import ImportDuties
 from headcross_weights.imports import Importer
@@ -271,7 +276,6 @@
                 self.views,
                 self._importing,
                 self._context.pace.requests_in_flight,
-                self._context.pace.slow_request,
             )
             if choice is None:
                 await self._wait_news()
@@ -306,6 +310,8 @@
                 await trio.sleep(IMPORT_RETRY_SECONDS * random.uniform(0.5, 1.5))
 
     def _choose_import(self, stored: StoredArtifact) -> int | None:
+        if self._importing and is_link_slow(self.views, monotonic()):
+            return None
         taken = chunks_in_flight(self.views).keys() | self._importing
         mine = [i for i in stored.missing - taken if self._duties.is_mine(i)]
         if mine:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -5,6 +5,7 @@
 import pytest
 import trio
 import trio.lowlevel
+from headcross_base.clocks import monotonic
 from headcross_base.errors import Failure, Ok
 from headcross_base.verdicts import MayHaveRun, NotRun
 from headcross_fleet.documents import Versions
@@ -18,7 +19,11 @@
 from headcross_routing.fairqueue import FairQueue
 from headcross_routing.ledger import KeyClaim, KeyLedger, RequestLedger, home_of, key_homes
 from headcross_routing.teams import TeamLimits
-from headcross_weights.manifest import parse_manifest
+from headcross_weights.chunkchoice import choose_chunk, is_link_slow
+from headcross_weights.chunkstore import StoredArtifact
+from headcross_weights.manifest import Manifest, ManifestFile, parse_manifest
+from headcross_weights.neighbourview import NeighbourView
+from headcross_weights.pace import SMALL_WEIGHTS
 from headcross_wire import peermessages
 from headcross_wire.peermessages import Status
 from hypothesis import given
@@ -296,3 +301,31 @@
         bad[rng.randrange(len(bad))] ^= 1 << rng.randrange(8)
         decoded = peermessages.decode(bytes(bad))
         assert decoded is None or isinstance(decoded, peermessages.PeerMessage)
+
+
+def test_a_host_behind_a_slow_link_asks_for_one_chunk_at_a_time() -> None:
+    """A squeezed link held five seconds of chunks, and requests to the replica behind them."""
+    stored = StoredArtifact("d", Manifest(1, 1, [ManifestFile("f", 8, ["0" * 64] * 8)]), b"")
+    pace = SMALL_WEIGHTS
+    views = {name: NeighbourView(name, lambda message: True, pace) for name in "abc"}
+    for view in views.values():
+        view.has = set(range(8))
+    most = pace.requests_in_flight
+    assert choose_chunk(stored, views, set(), most) is not None
+    late = monotonic() - 2 * pace.slow_request
+    views["a"].in_flight[0] = late
+    assert choose_chunk(stored, views, set(), most) is not None
+    views["b"].in_flight[1] = late
+    assert choose_chunk(stored, views, set(), most) is None
+    # Giving them up does not empty the link: one chunk at a time from now on.
+    for view in views.values():
+        view.stalled()
+    assert is_link_slow(views, monotonic())
+    views["c"].in_flight[2] = monotonic()
+    assert choose_chunk(stored, views, set(), most) is None
+    # One that comes on time shows that the link is not the slow one.
+    views["c"].received(2)
+    assert not is_link_slow(views, monotonic())
+    # A late one that comes after all teaches how long to wait.
+    views["a"].received(0)
+    assert views["a"].latency >= 2 * pace.slow_request
