--- a/testing/platformreplica.py
+++ b/testing/platformreplica.py
@@ -7,6 +7,8 @@
 
 import hashlib
 import itertools
+import socket
+import struct
 from collections import Counter, deque
 from dataclasses import dataclass, field
 from enum import Enum
@@ -77,6 +79,8 @@
     connections: int = 0
     opened: int = 0
     loading: bool = False
+    loading_version: int = 0
+    load_due: float = 0.0  # trio's clock
     draining: bool = False
     orders: int = 0
     staged: dict[int, bytes] = field(default_factory=dict)
@@ -153,14 +157,14 @@
         assert isinstance(version, int)
         self.loads.append((version, digests))
         self.load_due = trio.current_time() + self.load_seconds
-        self._loading_version = version
+        self.loading_version = version
         return _json(202, {})
 
     def settle(self) -> None:
         """Finish a load whose time has come and that no request holds up."""
         if self.loading and not self.active and trio.current_time() >= self.load_due:
             self.loading = False
-            self.version = self._loading_version
+            self.version = self.loading_version
 
     # Requests.
 
@@ -391,9 +395,6 @@
 
 async def _reset(stream: trio.SocketStream) -> bool:
     """Reset the connection."""
-    import socket
-    import struct
-
     stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
     await trio.aclose_forcefully(stream)
     return False
--- /dev/null
+++ b/tests/test_linelog.py
@@ -0,0 +1,94 @@
+"""The log on standard output: bounded, and never waited for."""
+
+import json
+import logging
+import os
+
+import pytest
+from headcross_base import linelog
+from headcross_base.linelog import LineLog
+from pythonjsonlogger.msgspec import MsgspecFormatter
+
+
+def make_log(descriptor: int, lines_per_second: int) -> LineLog:
+    """Return a log that writes JSON lines."""
+    log = LineLog(descriptor, lines_per_second)
+    log.setFormatter(MsgspecFormatter("%(levelname)s %(message)s"))
+    return log
+
+
+def record(text: str, level: int = logging.INFO, created: float = 1000.0) -> logging.LogRecord:
+    """Return a record made at a given time."""
+    made = logging.LogRecord("t", level, "", 0, text, None, None)
+    made.created = created
+    return made
+
+
+def read_now(descriptor: int) -> bytes:
+    """Return what can be read without waiting."""
+    os.set_blocking(descriptor, False)
+    try:
+        return os.read(descriptor, 1 << 20)
+    except BlockingIOError:
+        return b""
+
+
+def read_lines(descriptor: int) -> list[dict[str, object]]:
+    """Return the lines written so far."""
+    return [json.loads(line) for line in read_now(descriptor).splitlines()]
+
+
+def test_lines_over_the_bound_of_a_second_are_counted_and_the_count_is_written() -> None:
+    reader, writer = os.pipe()
+    log = make_log(writer, 5)
+    for number in range(20):
+        log.emit(record(f"line {number}"))
+    log.emit(record("a warning has a reserve", logging.WARNING))
+    assert log.dropped == 15
+    log.emit(record("next second", created=1001.0))
+    log.flush()
+    messages = [line["message"] for line in read_lines(reader)]
+    assert messages[:5] == [f"line {number}" for number in range(5)]
+    assert messages[5:] == ["a warning has a reserve", "log lines dropped", "next second"]
+
+
+def test_a_full_pipe_is_not_waited_for_and_its_lines_wait_within_a_bound(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(linelog, "MAX_WAITING_BYTES", 256 * 1024)
+    reader, writer = os.pipe()
+    os.set_blocking(writer, False)
+    log = make_log(writer, 10_000)
+    for number in range(9_000):
+        log.emit(record(f"{number} " + "x" * 200))
+        log.flush()
+    assert log.dropped > 0
+    # Once somebody reads, what waited comes whole and in order.
+    got = b""
+    while data := read_now(reader):
+        got += data
+        log.flush()
+    lines = [json.loads(line) for line in got.splitlines()]
+    numbers = [int(line["message"].split()[0]) for line in lines]
+    assert numbers == sorted(numbers)
+    assert len(numbers) + log.dropped == 9_000
+
+
+def test_a_reader_that_is_gone_does_no_harm() -> None:
+    reader, writer = os.pipe()
+    os.close(reader)
+    log = make_log(writer, 5)
+    log.emit(record("nobody reads this"))
+    log.flush()
+    log.flush()
+
+
+def test_a_value_that_cannot_be_written_costs_its_own_line_only() -> None:
+    reader, writer = os.pipe()
+    log = make_log(writer, 5)
+    bad = record("bad")
+    bad.odd = object()
+    log.emit(bad)
+    log.emit(record("good"))
+    log.flush()
+    assert [line["message"] for line in read_lines(reader)][-1] == "good"
