--- a/libs/gateway/src/headcross_gateway/attempts.py
+++ b/libs/gateway/src/headcross_gateway/attempts.py
@@ -63,6 +63,7 @@
     reason: ErrorCode
     detail: str
     arrived: bool  # the replica has seen the request
+    elsewhere: bool = False  # another incarnation, or other weights, are at that address
 
 
 @dataclass(frozen=True, slots=True)
@@ -153,7 +154,7 @@
         await self.connections.give(connection, answer)
         if facts.not_run:
             detail = f"status {answer.status}"
-            return DidNotRun(NOT_SERVING, detail, arrived=True)
+            return DidNotRun(NOT_SERVING, detail, arrived=True, elsewhere=facts.elsewhere)
         return Whole(answer, body)
 
     async def _pass_stream(
--- a/libs/gateway/src/headcross_gateway/directory.py
+++ b/libs/gateway/src/headcross_gateway/directory.py
@@ -48,6 +48,8 @@
     told: Told | None = None
     full_until: float = 0.0
     health: Health = field(default_factory=Health)
+    # Another incarnation answered at its address: this one will not come back.
+    gone: bool = False
 
     def told_age(self) -> float:
         """Return how old the last word of its daemon is, in seconds."""
--- a/libs/gateway/src/headcross_gateway/picking.py
+++ b/libs/gateway/src/headcross_gateway/picking.py
@@ -60,7 +60,9 @@
         """Return the replicas that could serve a request, full ones too."""
         service = configuration.services.get(wish.service)
         fitting = [
-            s for s in self._directory.serving(wish.service) if s.replica.id not in wish.tried
+            s
+            for s in self._directory.serving(wish.service)
+            if s.replica.id not in wish.tried and not s.gone
         ]
         if service is not None and service.weights is not None and wish.model is not None:
             lowest = self._rules.lowest_allowed(wish.model)
--- a/libs/gateway/src/headcross_gateway/requestpath.py
+++ b/libs/gateway/src/headcross_gateway/requestpath.py
@@ -388,7 +388,9 @@
                 result, detail = "streamed", ""
             case DidNotRun():
                 result, detail = "did-not-run", outcome.detail
-                if outcome.arrived:
+                if outcome.elsewhere and _exact(request) is None:
+                    place.gone = True
+                elif outcome.arrived:
                     place.note_full()
                 else:
                     health.failed(certain=True)
--- a/tests/test_machine_attempts.py
+++ b/tests/test_machine_attempts.py
@@ -9,6 +9,7 @@
 
 import pytest
 import trio
+import trio.testing
 from headcross_platform import names
 
 from testing.machinecaller import Reply, ask
@@ -260,3 +261,21 @@
             idle.faults.append(Fault.CUT_WITHIN_EVENT)
             nursery.start_soon(stream)
         assert all(r.whole and r.events == [0, 1, 2, 3] for r in replies), replies
+
+
+async def test_an_incarnation_that_another_answers_for_is_not_asked_again(tmp_path: Path) -> None:
+    """Requests were refused after three tries at replicas that were gone (inc-c731)."""
+    async with small_site(tmp_path, models=0, plain=4) as site:
+        gone = [site.replicas[replica.id] for replica in replicas_of(site, PLAIN_SERVICE)[:3]]
+        strangers = []
+        for listed in gone:
+            site.crash_replica(listed)
+            stranger = FakeReplica(f"i-new-{listed.ip}")
+            strangers.append(stranger)
+            await trio.testing.wait_all_tasks_blocked()
+            listeners = await trio.open_tcp_listeners(listed.address.port, host=listed.ip)
+            site.nursery.start_soon(trio.serve_listeners, stranger.serve_connection, listeners)
+        for _ in range(20):
+            assert (await ask(site.callers("entry0"), "/once/x")).status == 200
+            await trio.sleep(0.03)  # longer, together, than one that was full is left alone
+        assert all(stranger.arrivals <= 1 for stranger in strangers)
