--- a/libs/base/src/headcross_base/errorcodes.py
+++ b/libs/base/src/headcross_base/errorcodes.py
@@ -69,6 +69,12 @@
 NO_ROOM: Final = _define(
     "no-room", 503, "Every replica is at work.", "The service is overloaded, or replicas are away."
 )
+UNREACHED: Final = _define(
+    "unreached",
+    503,
+    "No replica could be reached.",
+    "Replicas or links are down; see the attempts.",
+)
 NO_RUN_IN_TIME: Final = _define(
     "no-run-in-time", 503, "No replica took the request in time.", "See the request's attempts."
 )
--- a/libs/gateway/src/headcross_gateway/attempts.py
+++ b/libs/gateway/src/headcross_gateway/attempts.py
@@ -16,9 +16,9 @@
 
 import trio
 from headcross_base.errorcodes import (
-    CONNECT_FAILED,
     LINK_LOST,
     NOT_SERVING,
+    UNREACHED,
     UPSTREAM_ERROR,
     ErrorCode,
 )
@@ -113,7 +113,7 @@
         try:
             connection = await self.connections.take(place.replica.address, fresh=fresh)
         except ConnectError as error:
-            return DidNotRun(CONNECT_FAILED, str(error), arrived=False)
+            return DidNotRun(UNREACHED, str(error), arrived=False)
         try:
             outcome = await self._exchange(
                 connection, request, request_id, hand_over, relay, patience
--- a/tests/test_machine_attempts.py
+++ b/tests/test_machine_attempts.py
@@ -279,3 +279,16 @@
             assert (await ask(site.callers("entry0"), "/once/x")).status == 200
             await trio.sleep(0.03)  # longer, together, than one that was full is left alone
         assert all(stranger.arrivals <= 1 for stranger in strangers)
+
+
+@pytest.mark.parametrize("path", ["/once/x", "/again/x"])
+async def test_a_request_that_reached_no_replica_is_promised_not_to_have_run(
+    tmp_path: Path, path: str
+) -> None:
+    async with small_site(tmp_path, models=0) as site:
+        for listed in site.replicas.values():
+            site.crash_replica(listed)
+        reply = await ask(site.callers("entry0"), path)
+        assert reply.status == 503
+        assert float(reply.headers[names.RETRY_AFTER]) > 0
+        assert reply.headers["headcross-verdict"] == "not-run"
