--- a/tests/test_stopping.py
+++ b/tests/test_stopping.py
@@ -20,8 +20,9 @@
     stopped = False
     digests = list(small.text.digests.values())
 
-    # A quiet machine has a dozen under way. Callers, engines and origin share the process of the
-    # test: on a busy machine more would pile up there, and each upstream would drain them all.
+    # A quiet machine has 20 to 28 under way at most, as counted once in each of the two tests, so
+    # that this bounds nothing there. Callers, engines and origin share the process of the test: on
+    # a busy machine more would pile up there, and each upstream would drain them all.
     under_way = trio.CapacityLimiter(MOST_UNDER_WAY)
 
     async def ask(entry: str) -> None:
