An entry with a narrow link leaves weights to the daemons; the demo has the machines' links

Cause: daemons turn to mirrors first, and take a late chunk of a mirror for a sign that their own link is slow, since a mirror's link is wide. In the demo the entries had the replicas' 3.8 Mbit/s, and the configuration told 64 KiB of weights where the origin held 2 MiB.

Ruled out: too short a take-over time (with wide entry links the same code took 6.9 s three times of three); mirrors without the layout's size (15 s and 18 s: the rule could not see the weights).

Change: a process mirrors only if its link carries its share of the copies within half of the bound on a new version, from the layout in the configuration, the replicas listed and the entries that daemons tell. The demo's entries have the wide links of the real machines, and its configuration the true layout.

The new test fails without the rule (8 chunks from the narrow entry).

--- a/libs/daemon/src/headcross_daemon/gatewayrole.py
+++ b/libs/daemon/src/headcross_daemon/gatewayrole.py
@@ -76,6 +76,8 @@
         )
         self._server = HttpServer(self._path.handle, self._limits())
         self._stopping = False
+        # How many entries the last daemon heard of tells its load to.
+        self._entries = 1
 
     async def run(self, stop: trio.Event) -> None:
         """Serve until `stop` is set, then let what runs end and return."""
@@ -216,7 +218,8 @@
         if not isinstance(incoming.message, ReplicaLoad):
             self.process.node.malformed += 1
             return
-        self._path.budget.note_entries(incoming.message.listeners)
+        self._entries = max(1, incoming.message.listeners)
+        self._path.budget.note_entries(self._entries)
         state = self._directory.hear(incoming.message)
         if state is not None:
             self._admission.notify(state.replica.service)
@@ -233,7 +236,7 @@
 
     def _subscriptions(self, daemons: list[Address]) -> list[Subscribe]:
         if self._mirror is not None:
-            return self._mirror.subscriptions(daemons, self._stopping)
+            return self._mirror.subscriptions(daemons, self._entries, self._stopping)
         return [Subscribe(self.process.settings.host)] * len(daemons)
 
     async def _clean(self) -> None:
--- a/libs/daemon/src/headcross_daemon/mirrorparts.py
+++ b/libs/daemon/src/headcross_daemon/mirrorparts.py
@@ -77,15 +77,24 @@
             self._swarm,
             origin,
             DigestBook(origin, process.node, daemons),
+            rate,
+            settings.bounds.weights_seconds,
         )
 
     async def run(self) -> None:
         """Mirror until cancelled."""
         await self._mirror.run()
 
-    def subscriptions(self, daemons: list[Address], stopping: bool) -> list[Subscribe]:
-        """Return what to say to each daemon; one that stops is no longer to be counted on."""
-        place = None if stopping else self._place
+    def subscriptions(
+        self, daemons: list[Address], entries: int, stopping: bool
+    ) -> list[Subscribe]:
+        """Return what to say to each daemon; one that stops is no longer to be counted on.
+
+        `entries` is how many entries share the work, this one among them.
+        """
+        self._mirror.sharers = entries
+        counted_on = not stopping and self._mirror.is_wide_enough()
+        place = self._place if counted_on else None
         asked = set(random.sample(daemons, min(DAEMONS_ASKED, len(daemons))))
         host = self._settings.host
         return [Subscribe(host, place, wants_mirrors=address in asked) for address in daemons]
--- a/libs/renewal/src/headcross_renewal/mirroring.py
+++ b/libs/renewal/src/headcross_renewal/mirroring.py
@@ -4,7 +4,8 @@
 link from its replica's answers. Entries have wide links. Each keeps the newest versions that are
 named while it runs, brings each chunk in from the origin about once together with the other
 mirrors, and hands chunks to the daemons at the rate of their links. Nothing depends on a mirror:
-without one, daemons fetch from the origin and from one another.
+without one, daemons fetch from the origin and from one another. A process whose own link is narrow
+does not mirror.
 
 A version that was named before the process started is left alone: its chunks are with the daemons.
 """
@@ -22,12 +23,21 @@
 from headcross_weights.swarm import Swarm
 
 from headcross_renewal.digestbook import DigestBook
-from headcross_renewal.mirrors import MirrorBook, SwarmPorts, swarm_hosts
+from headcross_renewal.mirrors import (
+    MirrorBook,
+    SwarmPorts,
+    hand_out_seconds,
+    swarm_hosts,
+)
 from headcross_renewal.sources import OriginSource, manifest_of, weights_name
 
 # The versions of a model that are kept and fetched: one may be named before the last is in place.
 VERSIONS_KEPT: Final = 2
 RETRY_SECONDS: Final = 0.3
+# A process whose link needs more than this part of the bound on a new version to send its share of
+# the copies does not mirror: daemons turn to mirrors first, and would wait for it (the demo, with
+# the daemons' own 3.8 Mbit/s at the entries: transfers of 13 to 17 s where 4.4 s are the floor).
+HAND_OUT_PART: Final = 0.5
 
 logger = logging.getLogger(__name__)
 
@@ -38,6 +48,8 @@
     # The other mirrors.
     book: MirrorBook
     digests: DigestBook
+    # How many processes share the work, as far as this one knows.
+    sharers: int
 
     def __init__(
         self,
@@ -48,9 +60,14 @@
         swarm: Swarm,
         origin: OriginSource,
         digests: DigestBook,
+        bytes_per_second: float,
+        bound_seconds: float,
     ) -> None:
         self.book = MirrorBook()
         self.digests = digests
+        self.sharers = 1
+        self._bytes_per_second = bytes_per_second
+        self._bound = bound_seconds
         self._region_of_zone = region_of_zone
         self._ports = ports
         self._facts = facts
@@ -72,8 +89,21 @@
                 self._drop_old()
                 await self._facts.wait_change()
 
+    def is_wide_enough(self) -> bool:
+        """Tell whether this process's link carries its share of a new version in time."""
+        configuration = self._facts.configuration
+        if configuration is None:
+            return False
+        layouts = [s.weights for s in configuration.services.values() if s.weights is not None]
+        size = max((layout.chunk_count * layout.chunk_bytes for layout in layouts), default=0)
+        daemons = len(self._replicas(None))
+        seconds = hand_out_seconds(size, daemons, self.sharers, self._bytes_per_second)
+        return seconds <= HAND_OUT_PART * self._bound
+
     def _goals(self) -> list[LoadedModel]:
         """Return the versions to mirror."""
+        if not self.is_wide_enough():
+            return []
         return [
             LoadedModel(model, notice.version)
             for model, notices in self._facts.versions.items()
--- a/libs/renewal/src/headcross_renewal/mirrors.py
+++ b/libs/renewal/src/headcross_renewal/mirrors.py
@@ -48,6 +48,17 @@
         return sorted(self._heard_at, key=lambda place: place.ip)
 
 
+def hand_out_seconds(
+    weights_bytes: int, daemons: int, mirrors: int, bytes_per_second: float
+) -> float:
+    """Return how long a mirror sends until its share of the daemons has a version.
+
+    >>> hand_out_seconds(2_000_000, daemons=6, mirrors=3, bytes_per_second=1_000_000)
+    4.0
+    """
+    return weights_bytes * daemons / max(1, mirrors) / bytes_per_second
+
+
 def swarm_hosts(
     replicas: Iterable[Replica],
     mirrors: Iterable[MirrorPlace],
--- a/testing/machinedemo.py
+++ b/testing/machinedemo.py
@@ -70,6 +70,9 @@
     ) as site:
         site.origin.chunk_bytes = CHUNK_BYTES
         site.origin.seconds_per_chunk = CHUNK_BYTES * 8 / (ORIGIN_MBITS * 1e6)
+        engine = site.configuration["services"][0]["engine"]
+        engine |= {"chunks": CHUNKS, "chunk_bytes": CHUNK_BYTES}
+        site.change()
         site.origin.versions[2] = [random.randbytes(CHUNK_BYTES) for _ in range(CHUNKS)]
         replicas = replicas_of(site, MODEL_SERVICE)
         for replica in replicas:
--- a/testing/machines.py
+++ b/testing/machines.py
@@ -160,7 +160,8 @@
     replicas: dict[str, ListedReplica] = field(default_factory=dict)
     configuration: dict[str, Any] = field(default_factory=default_configuration)
     seeds: list[str] = field(default_factory=list)
-    link_mbits: float = 1000.0
+    link_mbits: float = 1000.0  # of the machines beside replicas
+    entry_link_mbits: float = 1000.0
     weights_ms: float = 8000.0
     stop_seconds: float = 4.0
     mirrors: bool = True  # whether entries mirror weights
@@ -384,7 +385,7 @@
             seeds=msgspec.json.encode(self.seeds).decode(),
             replica=replica,
             store=self.address(STORE),
-            link=self.link_mbits,
+            link=self.entry_link_mbits if machine.role == "entry" else self.link_mbits,
             memory=self.entry_memory_mb if machine.role == "entry" else 200,
             weights_ms=self.weights_ms,
             stop=self.stop_seconds,
@@ -421,12 +422,14 @@
     daemons: bool = False,
     named: int = 0,
     link_mbits: float = 1000.0,
+    entry_link_mbits: float = 1000.0,
     entry_memory_mb: float = 200.0,
     mirrors: bool = True,
 ) -> AsyncIterator[Machines]:
     """Run a small site whose entries are ready; replicas serve version 1."""
     async with running_machines(directory) as site:
         site.link_mbits = link_mbits
+        site.entry_link_mbits = entry_link_mbits
         site.entry_memory_mb = entry_memory_mb
         site.mirrors = mirrors
         site.origin.versions[1] = [random.randbytes(CHUNK_BYTES) for _ in range(CHUNKS)]
--- a/tests/test_machine_weights.py
+++ b/tests/test_machine_weights.py
@@ -34,9 +34,10 @@
                 await trio.sleep(0.02)
 
 
-async def wait_offered(site: Machines) -> None:
+async def wait_offered(site: Machines, *, mirrors: bool = True) -> None:
     """Wait until daemons have their replicas' chunks ready, and mirrors are known everywhere."""
-    await wait_mirrors(site)
+    if mirrors:
+        await wait_mirrors(site)
     with trio.fail_after(LOADED_SECONDS):
         for name, machine in site.machines.items():
             while machine.role == "upstream":
--- a/tests/test_mirrors.py
+++ b/tests/test_mirrors.py
@@ -60,6 +60,18 @@
         assert by_mirrors > by_daemons
 
 
+async def test_an_entry_with_a_narrow_link_leaves_weights_to_the_daemons(tmp_path: Path) -> None:
+    """Daemons turn to mirrors first: one that cannot keep up would hold all of them back."""
+    async with small_site(
+        tmp_path, models=3, entries=1, daemons=True, link_mbits=1.0, entry_link_mbits=0.25
+    ) as site:
+        await wait_offered(site, mirrors=False)
+        site.name_version(2)
+        await wait_loaded(replicas_of(site, MODEL_SERVICE), 2)
+        check_loads(site)
+        assert not await uploads_of(site, "entry")
+
+
 async def test_daemons_bring_weights_in_by_themselves_when_all_mirrors_stand_still(
     tmp_path: Path,
 ) -> None:
