Entries take the part of a replica's places that their callers ask for

Hypothesis: between two words of a daemon each entry may place 6 // entries requests at a replica, one of five each.

Change: entries tell daemons their demand for the service, daemons tell its sum with each load, and an entry takes its part of the six places, one at least.

--- a/libs/daemon/src/headcross_daemon/gatewayrole.py
+++ b/libs/daemon/src/headcross_daemon/gatewayrole.py
@@ -13,6 +13,7 @@
 from headcross_facts.following import ENTRY_PACE
 from headcross_gateway.admission import Admission
 from headcross_gateway.budget import RetryBudget
+from headcross_gateway.demand import DemandMeter
 from headcross_gateway.directory import Directory
 from headcross_gateway.picking import Picker
 from headcross_gateway.requestpath import RequestPath
@@ -60,11 +61,14 @@
             settings, path, adapter, self._daemons, self._hear, ENTRY_PACE, self._other_entries
         )
         facts = self.process.facts
-        self._directory = Directory(facts)
+        self._demand = DemandMeter()
+        self._directory = Directory(facts, self._demand)
         rules = WeightsRules(facts, settings.bounds.weights_seconds)
         self._admission = Admission(Picker(settings.zone, self._directory, rules))
         budget = RetryBudget(settings.bounds.retry_ratio, settings.bounds.retry_slack)
-        self._path = RequestPath(facts, adapter.dialect, self._admission, budget, self._observe)
+        self._path = RequestPath(
+            facts, adapter.dialect, self._admission, budget, self._demand, self._observe
+        )
         self._mirror = self._make_mirror(adapter)
         self._pages = AdminPages(self.dump, self._samples)
         self._latency = Histogram(
@@ -203,8 +207,7 @@
                 self._admission.notify(service)
 
     def _daemons(self) -> list[Address]:
-        port = self.process.settings.peers.control_port
-        return [Address(address.ip, port) for address in self._directory.service_daemons()]
+        return list(self._demand_by_daemon())
 
     def _other_entries(self) -> list[Address]:
         """Return the entries that mirror weights, as this one heard of them."""
@@ -226,18 +229,27 @@
 
     async def _subscribe(self) -> None:
         while True:
-            daemons = self._daemons()
-            messages = self._subscriptions(daemons)
+            self._demand.measure()
+            demands = self._demand_by_daemon()
+            messages = self._subscriptions(demands)
             send = self.process.node.send
-            taken = [send(*pair) for pair in zip(daemons, messages, strict=True)]
+            taken = [send(*pair) for pair in zip(demands, messages, strict=True)]
             # The first message to a daemon only opens the link.
             seconds = SUBSCRIBE_SECONDS if all(taken) else SUBSCRIBE_SECONDS / 5
             await trio.sleep(seconds * random.uniform(0.8, 1.2))
 
-    def _subscriptions(self, daemons: list[Address]) -> list[Subscribe]:
+    def _demand_by_daemon(self) -> dict[Address, float]:
+        port = self.process.settings.peers.control_port
+        return {
+            Address(replica.address.ip, port): self._demand.rate(replica.service)
+            for replica in self._directory.with_daemons()
+        }
+
+    def _subscriptions(self, demands: dict[Address, float]) -> list[Subscribe]:
         if self._mirror is not None:
-            return self._mirror.subscriptions(daemons, self._entries, self._stopping)
-        return [Subscribe(self.process.settings.host)] * len(daemons)
+            return self._mirror.subscriptions(demands, self._entries, self._stopping)
+        host = self.process.settings.host
+        return [Subscribe(host, demand=demand) for demand in demands.values()]
 
     async def _clean(self) -> None:
         while True:
--- /dev/null
+++ b/libs/gateway/src/headcross_gateway/demand.py
@@ -0,0 +1,47 @@
+"""How many requests a second this entry has for each service.
+
+Callers are spread unevenly over the entries: a zone with one entry may bring it twice the requests
+of another. Entries tell their demand to the daemons beside replicas, these tell its sum, and each
+entry takes the part of a replica's places that its callers ask for.
+"""
+
+import math
+from collections import Counter
+from typing import Final
+
+from headcross_base.clocks import monotonic
+
+# The demand of the last seconds counts: half of it fades in so long. Long enough that a second
+# with few requests is no drop, short enough that a burst is told within a few words.
+HALF_LIFE_SECONDS: Final = 1.0
+
+
+class DemandMeter:
+    """Measures the requests that come, by service."""
+
+    def __init__(self) -> None:
+        self._came: Counter[str] = Counter()
+        self._rates: dict[str, float] = {}
+        self._measured_at = monotonic()
+
+    def note(self, service: str) -> None:
+        """Count a request."""
+        self._came[service] += 1
+
+    def rate(self, service: str) -> float:
+        """Return the requests a second for a service, as of the last measurement."""
+        return self._rates.get(service, 0.0)
+
+    def measure(self) -> None:
+        """Take in what came since the last measurement."""
+        now = monotonic()
+        seconds = now - self._measured_at
+        if seconds <= 0:
+            return
+        kept = math.exp2(-seconds / HALF_LIFE_SECONDS)
+        for service in self._rates.keys() | self._came.keys():
+            fresh = self._came[service] / seconds
+            before = self._rates.get(service, fresh)
+            self._rates[service] = kept * before + (1 - kept) * fresh
+        self._came.clear()
+        self._measured_at = now
--- a/libs/gateway/src/headcross_gateway/directory.py
+++ b/libs/gateway/src/headcross_gateway/directory.py
@@ -8,12 +8,12 @@
 from dataclasses import dataclass, field
 from typing import Final
 
-from headcross_base.addresses import Address
 from headcross_base.clocks import monotonic
 from headcross_facts.facts import Facts
 from headcross_ports.published import Replica
 from headcross_wire.peermessages import ReplicaLoad
 
+from headcross_gateway.demand import DemandMeter
 from headcross_gateway.health import Health
 
 # What a daemon told of its replica counts for so long.
@@ -37,6 +37,8 @@
     at: float  # monotonic
     own_in_flight: int  # requests of this entry at that moment
     own_placed: int = 0  # requests that this entry placed there since
+    # This entry's part of what all entries ask of the replica's service; 0 to 1.
+    own_demand: float = 0.0
 
 
 @dataclass(slots=True)
@@ -92,10 +94,11 @@
         """Return how many requests this entry may place before it is told the load again.
 
         All entries see the same free places. A replica reads the prompts of what it is given one
-        after the other, so a place that many rush to is no place for most of them.
+        after the other, so a place that many rush to is no place for most of them. Each entry has
+        the part of the places that its callers have of all requests.
         """
         assert self.told is not None
-        return max(1, PLACED_TOGETHER // max(1, self.told.load.listeners))
+        return max(1, round(PLACED_TOGETHER * self.told.own_demand))
 
     def told_reachable(self) -> bool:
         """Tell whether its daemon, if it says anything, says that it answers."""
@@ -124,8 +127,9 @@
 class Directory:
     """All replicas in the list."""
 
-    def __init__(self, facts: Facts) -> None:
+    def __init__(self, facts: Facts, demand: DemandMeter) -> None:
         self._facts = facts
+        self._demand = demand
         self._states: dict[str, ReplicaState] = {}
         self._by_service: dict[str, list[ReplicaState]] = {}
         self._by_address: dict[str, ReplicaState] = {}
@@ -155,20 +159,23 @@
         """Take the word of the daemon beside a replica; return the replica if it is known."""
         state = self._by_address.get(load.address)
         if state is not None:
-            state.told = Told(load, monotonic(), state.in_flight)
+            own = self._own_demand(state.replica.service, load)
+            state.told = Told(load, monotonic(), state.in_flight, own_demand=own)
         return state
 
-    def service_daemons(self) -> list[Address]:
-        """Return the addresses of replicas that a daemon of this system stands beside."""
+    def with_daemons(self) -> list[Replica]:
+        """Return the replicas that a daemon of this system stands beside."""
         configuration = self._facts.configuration
         if configuration is None:
             return []
         with_weights = {s.name for s in configuration.services.values() if s.weights is not None}
-        return [
-            state.replica.address
-            for state in self._states.values()
-            if state.replica.service in with_weights
-        ]
+        return [s.replica for s in self._states.values() if s.replica.service in with_weights]
+
+    def _own_demand(self, service: str, load: ReplicaLoad) -> float:
+        """Return which part of the demand for a service this entry has."""
+        if load.demand <= 0:
+            return 1 / max(1, load.listeners)
+        return min(1.0, self._demand.rate(service) / load.demand)
 
     def _index(self) -> None:
         self._by_service = {}
--- a/libs/gateway/src/headcross_gateway/requestpath.py
+++ b/libs/gateway/src/headcross_gateway/requestpath.py
@@ -49,6 +49,7 @@
     Whole,
 )
 from headcross_gateway.budget import RetryBudget
+from headcross_gateway.demand import DemandMeter
 from headcross_gateway.directory import ReplicaState
 from headcross_gateway.picking import Wish, wish_of
 from headcross_gateway.relay import StreamRelay, passed_headers
@@ -126,6 +127,7 @@
         dialect: RequestDialect,
         admission: Admission,
         budget: RetryBudget,
+        demand: DemandMeter,
         observe: Observe,
     ) -> None:
         self.counts = Counter()
@@ -136,6 +138,7 @@
         self._facts = facts
         self._dialect = dialect
         self._admission = admission
+        self._demand = demand
         self._observe = observe
 
     async def handle(self, exchange: Exchange) -> None:
@@ -190,6 +193,7 @@
         relay = StreamRelay(exchange, facts.resume_after) if route.repetition.is_stream else None
         service = route.pick_service()
         self.budget.earn(service)
+        self._demand.note(service)
         return Admitted(
             exchange, facts, configuration, route, team, service, now, now + seconds, relay
         )
