An entry that hears nothing of a replica's load keeps to its part of the places

Ruled out: a slow start (entries listen 0.9 to 1.7 s after the fault and are ready 0.05 s later).

Change: without a fresh word of the daemon, an entry places only its part: by the last sum of demand, before that an equal part among the entries that it heard of or that its settings name. Plain services, whose load nobody tells, are as before.

The test fails without the change.

--- a/libs/daemon/src/headcross_daemon/gatewayrole.py
+++ b/libs/daemon/src/headcross_daemon/gatewayrole.py
@@ -199,6 +199,7 @@
     # Facts.
 
     def _take_facts(self) -> None:
+        self._directory.entries = len(self.process.known_entries()) + 1
         self._directory.update()
         self._server.limits = self._limits()
         configuration = self.process.facts.configuration
--- a/libs/daemon/src/headcross_daemon/machinecommon.py
+++ b/libs/daemon/src/headcross_daemon/machinecommon.py
@@ -54,7 +54,7 @@
         self.follower = Follower(adapter.store, self.facts, self.pauses, pace)
         self.node = PeerNode(parse_address(settings.listen.peers), self._handle)
         self.peer_facts = PeerFacts(
-            self.facts, self.follower, self.node, self._known_peers, self._known_entries
+            self.facts, self.follower, self.node, self._known_peers, self.known_entries
         )
         self._path = path
         self._adapter = adapter
@@ -129,14 +129,15 @@
             samples[sample("topic_age_seconds", topic=topic.value)] = state.age()
         return samples
 
-    def _known_entries(self) -> list[Address]:
+    def known_entries(self) -> list[Address]:
+        """Return the other entries: those heard of, and those that the settings name."""
         own = parse_address(self.settings.listen.peers)
         found = {*self._entries(), *self.settings.seed_addresses}
         return [address for address in found if address != own]
 
     def _known_peers(self) -> list[Address]:
         own = parse_address(self.settings.listen.peers)
-        return [address for address in self._peers() if address != own] + self._known_entries()
+        return [address for address in self._peers() if address != own] + self.known_entries()
 
     def _handle(self, incoming: Incoming) -> None:
         match incoming.message:
--- a/libs/gateway/src/headcross_gateway/directory.py
+++ b/libs/gateway/src/headcross_gateway/directory.py
@@ -37,8 +37,6 @@
     at: float  # monotonic
     own_in_flight: int  # requests of this entry at that moment
     own_placed: int = 0  # requests that this entry placed there since
-    # This entry's part of what all entries ask of the replica's service; 0 to 1.
-    own_demand: float = 0.0
 
 
 @dataclass(slots=True)
@@ -49,6 +47,9 @@
     in_flight: int = 0  # requests of this entry
     told: Told | None = None
     full_until: float = 0.0
+    # This entry's part of all requests for the replica's service, 0 to 1: by its daemon's last
+    # word, and before that an equal part among the entries known.
+    own_share: float = 1.0
     health: Health = field(default_factory=Health)
     # Another incarnation answered at its address: this one will not come back.
     gone: bool = False
@@ -79,10 +80,15 @@
         """Tell whether a place is free, as far as is known."""
         if monotonic() < self.full_until:
             return False
-        if self.told is None:
-            return self.load() < self.replica.slots
+        if not self.replica.loaded and self.told is None:
+            return self.load() < self.replica.slots  # a plain service: nobody tells its load
+        if self.fresh_load() is None:
+            # What the other entries placed there is not known: after a restart of all of them,
+            # each had filled every replica by itself, and requests queued there for 2 s.
+            return self.in_flight < max(1.0, self.replica.slots * FILLED_SHARE * self.own_share)
+        assert self.told is not None
         free = self.replica.slots * FILLED_SHARE - self.load()
-        return free > 0 and (self.fresh_load() is None or self.told.own_placed < self._own_part())
+        return free > 0 and self.told.own_placed < self._own_part()
 
     def take_place(self) -> None:
         """Count a request of this entry as under way there."""
@@ -97,8 +103,7 @@
         after the other, so a place that many rush to is no place for most of them. Each entry has
         the part of the places that its callers have of all requests.
         """
-        assert self.told is not None
-        return max(1, round(PLACED_TOGETHER * self.told.own_demand))
+        return max(1, round(PLACED_TOGETHER * self.own_share))
 
     def told_reachable(self) -> bool:
         """Tell whether its daemon, if it says anything, says that it answers."""
@@ -127,7 +132,11 @@
 class Directory:
     """All replicas in the list."""
 
-    def __init__(self, facts: Facts, demand: DemandMeter) -> None:
+    # How many entries there are, this one among them, as far as this one knows.
+    entries: int
+
+    def __init__(self, facts: Facts, demand: DemandMeter, entries: int = 1) -> None:
+        self.entries = max(1, entries)
         self._facts = facts
         self._demand = demand
         self._states: dict[str, ReplicaState] = {}
@@ -142,7 +151,7 @@
         for replica in listed.values():
             state = self._states.get(replica.id)
             if state is None:
-                self._states[replica.id] = ReplicaState(replica)
+                self._states[replica.id] = ReplicaState(replica, own_share=1 / self.entries)
             else:
                 state.replica = replica
         self._index()
@@ -159,8 +168,8 @@
         """Take the word of the daemon beside a replica; return the replica if it is known."""
         state = self._by_address.get(load.address)
         if state is not None:
-            own = self._own_demand(state.replica.service, load)
-            state.told = Told(load, monotonic(), state.in_flight, own_demand=own)
+            state.told = Told(load, monotonic(), state.in_flight)
+            state.own_share = self._own_share(state.replica.service, load)
         return state
 
     def with_daemons(self) -> list[Replica]:
@@ -171,7 +180,7 @@
         with_weights = {s.name for s in configuration.services.values() if s.weights is not None}
         return [s.replica for s in self._states.values() if s.replica.service in with_weights]
 
-    def _own_demand(self, service: str, load: ReplicaLoad) -> float:
+    def _own_share(self, service: str, load: ReplicaLoad) -> float:
         """Return which part of the demand for a service this entry has."""
         if load.demand <= 0:
             return 1 / max(1, load.listeners)
--- a/tests/test_gateway_rules.py
+++ b/tests/test_gateway_rules.py
@@ -4,7 +4,6 @@
 from collections.abc import Callable
 from dataclasses import replace
 
-import msgspec
 import msgspec
 import pytest
 import trio
@@ -17,7 +16,13 @@
 from headcross_gateway.attempts import Attempts, MayRun, Patience, Streamed
 from headcross_gateway.budget import FEWEST_ENTRIES, STARTS_COUNTED_ON, RetryBudget
 from headcross_gateway.demand import DemandMeter
-from headcross_gateway.directory import PLACED_TOGETHER, Directory, ReplicaState, Told
+from headcross_gateway.directory import (
+    PLACED_TOGETHER,
+    TOLD_SECONDS,
+    Directory,
+    ReplicaState,
+    Told,
+)
 from headcross_gateway.eventstream import EventSplitter
 from headcross_gateway.health import Health
 from headcross_gateway.picking import Picker, Wish
@@ -255,7 +260,8 @@
     address = Address("127.0.0.1", 1 + len(name))
     replica = Replica(name, "lm", address, "z", 8, False, (LoadedModel("m", version),))
     load = ReplicaLoad(str(address), 1, True, False, {"m": version}, busy, 0, 0.0, 1.0, 5)
-    return ReplicaState(replica, told=Told(load, monotonic(), 0))
+    told = Told(load, monotonic(), 0)
+    return ReplicaState(replica, told=told, own_share=1 / load.listeners)
 
 
 @pytest.mark.parametrize(
@@ -406,3 +412,22 @@
         rates.append(meter.rate("lm"))
     assert rates == [20.0, 20.0, 10.0, 5.0, 2.5]
     assert meter.rate("never asked for") == 0.0
+
+
+def test_an_entry_that_hears_nothing_keeps_to_its_part_of_the_places() -> None:
+    """After a restart each entry had filled every replica by itself: requests queued for 2 s."""
+    told = model_place("r", 1, 0).told
+    assert told is not None
+    old = replace(told, at=monotonic() - 2 * TOLD_SECONDS)
+    for heard in (None, old):
+        for share, places in ((0.0, 1), (0.5, 4), (1.0, 7)):  # of 8 places, filled to 0.86
+            state = model_place("r", 1, 0)
+            state.told, state.own_share = heard, share
+            assert places_taken(state) == places
+
+
+def places_taken(state: ReplicaState) -> int:
+    """Return how many requests one entry places there without hearing anything more."""
+    while state.has_room():
+        state.take_place()
+    return state.in_flight
