A lasting overload sends callers away for longer

Change: the time to come back grows from 0.5 s towards 1.8 s with the share of the service's requests that found no place lately, and is spread by a fifth so that callers do not return at once. Refusals are still given at once. The log tells an entry's share of the places.

--- a/libs/gateway/src/headcross_gateway/demand.py
+++ b/libs/gateway/src/headcross_gateway/demand.py
@@ -1,4 +1,4 @@
-"""How many requests a second this entry has for each service.
+"""How many requests a second this entry has for each service, and how many find no place.
 
 Callers are spread unevenly over the entries: a zone with one entry may bring it twice the requests
 of another. Entries tell their demand to the daemons beside replicas, these tell its sum, and each
@@ -21,17 +21,28 @@
 
     def __init__(self) -> None:
         self._came: Counter[str] = Counter()
+        self._refused: Counter[str] = Counter()
         self._rates: dict[str, float] = {}
+        self._refused_rates: dict[str, float] = {}
         self._measured_at = monotonic()
 
     def note(self, service: str) -> None:
         """Count a request."""
         self._came[service] += 1
 
+    def note_refused(self, service: str) -> None:
+        """Count a request that found no place."""
+        self._refused[service] += 1
+
     def rate(self, service: str) -> float:
         """Return the requests a second for a service, as of the last measurement."""
         return self._rates.get(service, 0.0)
 
+    def refused_share(self, service: str) -> float:
+        """Return which part of the requests found no place lately, 0 to 1."""
+        rate = self.rate(service)
+        return min(1.0, self._refused_rates.get(service, 0.0) / rate) if rate else 0.0
+
     def measure(self) -> None:
         """Take in what came since the last measurement."""
         now = monotonic()
@@ -39,9 +50,14 @@
         if seconds <= 0:
             return
         kept = math.exp2(-seconds / HALF_LIFE_SECONDS)
-        for service in self._rates.keys() | self._came.keys():
-            fresh = self._came[service] / seconds
-            before = self._rates.get(service, fresh)
-            self._rates[service] = kept * before + (1 - kept) * fresh
-        self._came.clear()
+        _take_in(self._rates, self._came, seconds, kept)
+        _take_in(self._refused_rates, self._refused, seconds, kept)
         self._measured_at = now
+
+
+def _take_in(rates: dict[str, float], came: Counter[str], seconds: float, kept: float) -> None:
+    """Mix what came within so many seconds into the rates; empties the counter."""
+    for service in rates.keys() | came.keys():
+        fresh = came[service] / seconds
+        rates[service] = kept * rates.get(service, fresh) + (1 - kept) * fresh
+    came.clear()
--- a/libs/gateway/src/headcross_gateway/requestpath.py
+++ b/libs/gateway/src/headcross_gateway/requestpath.py
@@ -6,6 +6,7 @@
 """
 
 import logging
+import random
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
@@ -59,9 +60,12 @@
 # A request that may have run waits so long for its second place, and goes first.
 RUN_AGAIN_WAIT_SECONDS: Final = 1.0
 RUN_AGAIN_PRIORITY: Final = -1
-# When a caller is told to come back: where all places are taken, and where nobody has any.
+# When a caller is told to come back: where all places are taken just now, and where they will be
+# taken for a while or nobody has any. Callers honour up to a third of their time limit (6 s).
 COME_BACK_SECONDS: Final = 0.5
 COME_BACK_LATER_SECONDS: Final = 1.8
+# Callers that were refused at one moment come back spread by this part of their wait.
+COME_BACK_SPREAD: Final = 0.2
 # ... and where another entry will serve it.
 COME_BACK_SOON_SECONDS: Final = 0.02
 # Refusals that one request is carried on after; each is an arrival that the budget pays for.
@@ -207,6 +211,8 @@
             wish = replace(wish, tried=frozenset(request.tried), exact_version=_exact(request))
             place = await self._take_place(request, wish)
             if place is None:
+                if not request.runs:
+                    self._demand.note_refused(request.service)
                 return self._last_word(request, last)
             try:
                 outcome = await self._attempt(request, place)
@@ -235,9 +241,19 @@
     def _no_room(self, request: Admitted, wish: Wish) -> Refusal:
         """Return what a request is told that finds no place."""
         if self._admission.has_candidates(wish, request.configuration):
-            return NotRun(NO_ROOM, "no replica has room", COME_BACK_SECONDS)
+            return NotRun(NO_ROOM, "no replica has room", self.come_back_seconds(request.service))
         return NotRun(NO_REPLICA, "no replica may serve this now", COME_BACK_LATER_SECONDS)
 
+    def come_back_seconds(self, service: str) -> float:
+        """Return when a caller without a place should come back, in seconds.
+
+        The more callers found no place lately, the longer that will last: one that comes back into
+        the same overload is refused for good.
+        """
+        longer = COME_BACK_LATER_SECONDS - COME_BACK_SECONDS
+        seconds = COME_BACK_SECONDS + longer * self._demand.refused_share(service)
+        return seconds * random.uniform(1 - COME_BACK_SPREAD, 1)
+
     async def _take_place(self, request: Admitted, wish: Wish) -> ReplicaState | None:
         now = trio.current_time()
         priority = request.priority
@@ -381,6 +397,7 @@
             "address": str(place.replica.address),
             "load": round(place.load(), 1),
             "told_age": round(min(999.0, place.told_age()), 2),
+            "share": round(place.own_share, 2),
             "ms": round((trio.current_time() - request.arrived_at) * 1000, 1),
         }
         match outcome:
--- a/tests/test_gateway_rules.py
+++ b/tests/test_gateway_rules.py
@@ -27,6 +27,7 @@
 from headcross_gateway.health import Health
 from headcross_gateway.picking import Picker, Wish
 from headcross_gateway.relay import EventOutOfOrderError, StreamRelay
+from headcross_gateway.requestpath import COME_BACK_LATER_SECONDS, RequestPath
 from headcross_gateway.weightsrules import WeightsRules
 from headcross_platform import names
 from headcross_platform.dialect import PlatformDialect
@@ -431,3 +432,31 @@
     while state.has_room():
         state.take_place()
     return state.in_flight
+
+
+def test_a_lasting_overload_sends_callers_away_for_longer(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Callers that came back into the same overload were refused twice, for good."""
+    now = 0.0
+    monkeypatch.setattr("headcross_gateway.demand.monotonic", lambda: now)
+    demand = DemandMeter()
+    facts = rules([]).facts
+    directory = Directory(facts, demand)
+    admission = Admission(Picker("z", directory, WeightsRules(facts, 8.0)))
+    budget = RetryBudget(ratio=0.2, slack=0)
+    path = RequestPath(
+        facts, PlatformDialect(), admission, budget, demand, lambda service, verdict, seconds: None
+    )
+    waits = []
+    for refused in (0, 5, 10):
+        for _ in range(10):
+            demand.note("lm")
+        for _ in range(refused):
+            demand.note_refused("lm")
+        now += 100.0  # what was before has faded
+        demand.measure()
+        waits.append([path.come_back_seconds("lm") for _ in range(200)])
+    means = [sum(each) / len(each) for each in waits]
+    assert means == sorted(means) and means[2] > 2 * means[0]
+    assert all(0 < seconds <= COME_BACK_LATER_SECONDS for each in waits for seconds in each)
+    # They do not come back all at once.
+    assert all(len(set(each)) > 1 for each in waits)
