headcross explain: a request's story from the logs of any processes

OPERATIONS.md led from a request's id to its cause by grep. The command reads any number of log files, prints the lines about the request, oldest first, and says in a sentence why it ended as it did, with the operators' meaning of the reason. A line that is no JSON object is counted and passed over; an id that no line knows is an error with exit code 1.

--- /dev/null
+++ b/libs/cli/src/headcross_cli/explaining.py
@@ -0,0 +1,86 @@
+"""The story of one request, from the JSON log lines of any number of processes.
+
+Every process writes one line for each decision about a request, with the request's id. Read
+together, oldest first, they say where it went, what was known there, and why it ended as it did.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any, Final
+
+import msgspec
+from headcross_base.errorcodes import ERROR_CODES
+
+# Fields that every line has, or that the story shows in front of the others.
+COMMON_FIELDS: Final = ("at", "host", "message", "request", "level", "logger")
+
+Line = dict[str, Any]
+
+
+@dataclass
+class Story:
+    """What the logs say about one request."""
+
+    lines: list[Line] = field(default_factory=list)  # oldest first
+    broken: int = 0  # lines that are no JSON objects
+
+
+def read_story(request: str, files: Iterable[Path]) -> Story:
+    """Return the lines about a request.
+
+    A line that is cut short or not a JSON object is counted and passed over. Raises OSError if a
+    file cannot be read.
+    """
+    story = Story()
+    for path in files:
+        for raw in path.read_bytes().splitlines():
+            try:
+                line = msgspec.json.decode(raw)
+            except msgspec.DecodeError:
+                line = None
+            if not isinstance(line, dict):
+                story.broken += bool(raw.strip())
+            elif line.get("request") == request:
+                story.lines.append(line)
+    story.lines.sort(key=lambda line: str(line.get("at", "")))
+    return story
+
+
+def describe_line(line: Line) -> str:
+    """Return a line for people.
+
+    >>> describe_line({"at": "t", "host": "e1", "message": "attempt", "replica": "r", "ms": 2.5})
+    't  e1  attempt  replica=r ms=2.5'
+    """
+    head = "  ".join(str(line.get(name, "?")) for name in ("at", "host", "message"))
+    rest = (f"{name}={value}" for name, value in line.items() if name not in COMMON_FIELDS)
+    return f"{head}  {' '.join(rest)}".rstrip()
+
+
+def find_cause(lines: list[Line]) -> str:
+    """Return in one sentence why the request ended as it did.
+
+    >>> find_cause([{"message": "completed", "status": 200, "ms": 80.0}])
+    'It was answered with status 200 after 80.0 ms.'
+    """
+    last = lines[-1]
+    match last.get("message"):
+        case "completed":
+            return f"It was answered with status {last.get('status')} after {last.get('ms')} ms."
+        case "caller gone":
+            return f"Its caller left after {last.get('ms')} ms."
+        case "refused":
+            return _refusal(last)
+        case _:
+            return (
+                "Its end is not in these logs: the process was killed, or its lines are elsewhere."
+            )
+
+
+def _refusal(last: Line) -> str:
+    code = str(last.get("reason"))
+    kind = ERROR_CODES.get(code)
+    meaning = kind.meaning if kind is not None else "This version does not know the reason."
+    ran = "It did not run" if last.get("verdict") == "not-run" else "It may have run"
+    return f"{ran}: {code} ({last.get('detail', '')}) after {last.get('ms', '?')} ms. {meaning}"
--- a/libs/cli/src/headcross_cli/main.py
+++ b/libs/cli/src/headcross_cli/main.py
@@ -6,6 +6,7 @@
   headcross watch --admin ADDRESS [--until-converged] [--timeout SECONDS]
   headcross dump ADDRESS [--page PAGE]
   headcross manifest DIR --output FILE [--chunk-bytes N]
+  headcross explain REQUEST LOG...
   headcross (-h | --help)
   headcross --version
 
@@ -15,6 +16,7 @@
   watch     Show how far the fleet is: a table on a terminal, else JSON lines.
   dump      Show a process's whole state, or one page of its administration API.
   manifest  Write the manifest of a directory of weights and print its digest.
+  explain   Tell the story of one request from the log files of any processes.
 
 Options:
   --admin ADDRESS    Administration address (IP:PORT) of a daemon; for watch, of an entry.
@@ -28,8 +30,9 @@
   -h --help          Show this text.
   --version          Show the version.
 
-Exit codes: 0 done, 1 the file is not valid (or the command line is wrong), 2 an argument is wrong,
-3 a daemon did not answer, 4 out of time. Errors go to standard error.
+Exit codes: 0 done, 1 the file is not valid or no log knows the request (or the command line is
+wrong), 2 an argument is wrong, 3 a daemon did not answer, 4 out of time. Errors go to standard
+error.
 
 Nothing is published from here: submit a fleet file with the platform's own tool.
 """
@@ -37,6 +40,7 @@
 import sys
 from collections.abc import Mapping
 from pathlib import Path
+from typing import Any
 
 import msgspec
 import trio
@@ -50,10 +54,11 @@
 
 from headcross_cli import exitcodes
 from headcross_cli.adminclient import read_in_force, read_page
+from headcross_cli.explaining import describe_line, find_cause, read_story
 from headcross_cli.planning import plan_changes
 from headcross_cli.watching import watch
 
-Arguments = Mapping[str, str]
+Arguments = Mapping[str, Any]  # as docopt gives them: text, flags, and lists of text
 
 
 def main() -> None:
@@ -76,6 +81,8 @@
         return check(Path(arguments["FILE"]))
     if arguments["manifest"]:
         return make_manifest(arguments)
+    if arguments["explain"]:
+        return explain(arguments["REQUEST"], [Path(name) for name in arguments["LOG"]])
     if arguments["dump"]:
         return trio.run(dump, parse_address(arguments["ADDRESS"]), arguments["--page"])
     admin = parse_address(arguments["--admin"])
@@ -135,6 +142,19 @@
     return exitcodes.OK
 
 
+def explain(request: str, logs: list[Path]) -> int:
+    """Print what the logs say about a request, oldest first, and why it ended as it did."""
+    story = read_story(request, logs)
+    if story.broken:
+        print(f"headcross: {story.broken} lines are no JSON objects", file=sys.stderr)
+    if not story.lines:
+        return _fail(f"no line about request {request!r}", exitcodes.REJECTED)
+    for line in story.lines:
+        print(describe_line(line))
+    print(find_cause(story.lines))
+    return exitcodes.OK
+
+
 def _read_fleet(path: Path) -> FleetFile | None:
     fleet = parse_fleet_file(path.read_bytes())
     if isinstance(fleet, Failure):
--- a/tests/test_tool.py
+++ b/tests/test_tool.py
@@ -135,3 +135,35 @@
             continue
         for field in msgspec.structs.fields(kind):
             assert field.name in text, f"{kind.__name__}.{field.name}"
+
+
+async def test_explain_tells_a_requests_story_from_several_logs(tmp_path: Path) -> None:
+    entry, other = tmp_path / "entry.log", tmp_path / "other.log"
+    first: dict[str, object] = {
+        "at": "T1",
+        "host": "e",
+        "message": "attempt",
+        "request": "r1",
+        "replica": "i-1",
+    }
+    last = {**first, "at": "T2", "message": "refused", "reason": "no-room"}
+    del last["replica"]
+    last |= {"verdict": "not-run", "detail": "no replica has room", "ms": 88.0}
+    lines = [json.dumps(line) for line in (last, {**first, "request": "r2"}, "text", first)]
+    entry.write_text("\n".join([*lines, '{"at": "T3", "reque']))
+    other.write_text("a traceback\n")
+    code, output, errors = await headcross("explain", "r1", str(entry), str(other))
+    assert (code, errors) == (0, "headcross: 3 lines are no JSON objects\n")
+    told = output.splitlines()
+    assert told[0] == "T1  e  attempt  replica=i-1"
+    assert told[1].startswith("T2  e  refused  reason=no-room verdict=not-run")
+    assert told[2].startswith("It did not run: no-room (no replica has room) after 88.0 ms.")
+    assert len(told) == 3
+
+
+async def test_explain_says_so_when_no_log_knows_the_request(tmp_path: Path) -> None:
+    log = tmp_path / "entry.log"
+    log.write_text("")
+    code, output, errors = await headcross("explain", "r9", str(log))
+    assert (code, output, errors) == (1, "", "headcross: no line about request 'r9'\n")
+    assert (await headcross("explain", "r9", str(tmp_path / "none")))[0] == 2
