Entries share a replica's places equally again; no demand in the messages

Likely cause, not traced: the entry with most callers placed two requests at a replica between two words, whose prompts are read one after the other.

--- a/libs/daemon/src/headcross_daemon/gatewayrole.py
+++ b/libs/daemon/src/headcross_daemon/gatewayrole.py
@@ -33,7 +33,7 @@
 
 LATENCY_BUCKETS: Final = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3, 6, 12)
 SUBSCRIBE_SECONDS: Final = 1.0
-CLEAN_SECONDS: Final = 1.0
+HOUSEKEEPING_SECONDS: Final = 1.0
 # Descriptors that are not connections of callers or to replicas.
 RESERVED_DESCRIPTORS: Final = 300
 # After a stop signal callers still come for this long: the platform asks for readiness once a
@@ -62,7 +62,7 @@
         )
         facts = self.process.facts
         self._demand = DemandMeter()
-        self._directory = Directory(facts, self._demand)
+        self._directory = Directory(facts)
         rules = WeightsRules(facts, settings.bounds.weights_seconds)
         self._admission = Admission(Picker(settings.zone, self._directory, rules))
         budget = RetryBudget(settings.bounds.retry_ratio, settings.bounds.retry_slack)
@@ -95,7 +95,7 @@
             nursery.start_soon(self.process.run)
             nursery.start_soon(self.process.on_change, self._take_facts)
             nursery.start_soon(self._subscribe)
-            nursery.start_soon(self._clean)
+            nursery.start_soon(self._keep_house)
             if self._mirror is not None:
                 nursery.start_soon(self._mirror.run)
             accepting = trio.CancelScope()
@@ -208,7 +208,8 @@
                 self._admission.notify(service)
 
     def _daemons(self) -> list[Address]:
-        return list(self._demand_by_daemon())
+        port = self.process.settings.peers.control_port
+        return [Address(address.ip, port) for address in self._directory.service_daemons()]
 
     def _other_entries(self) -> list[Address]:
         """Return the entries that mirror weights, as this one heard of them."""
@@ -230,31 +231,24 @@
 
     async def _subscribe(self) -> None:
         while True:
-            self._demand.measure()
-            demands = self._demand_by_daemon()
-            messages = self._subscriptions(demands)
+            daemons = self._daemons()
+            messages = self._subscriptions(daemons)
             send = self.process.node.send
-            taken = [send(*pair) for pair in zip(demands, messages, strict=True)]
+            taken = [send(*pair) for pair in zip(daemons, messages, strict=True)]
             # The first message to a daemon only opens the link.
             seconds = SUBSCRIBE_SECONDS if all(taken) else SUBSCRIBE_SECONDS / 5
             await trio.sleep(seconds * random.uniform(0.8, 1.2))
 
-    def _demand_by_daemon(self) -> dict[Address, float]:
-        port = self.process.settings.peers.control_port
-        return {
-            Address(replica.address.ip, port): self._demand.rate(replica.service)
-            for replica in self._directory.with_daemons()
-        }
-
-    def _subscriptions(self, demands: dict[Address, float]) -> list[Subscribe]:
+    def _subscriptions(self, daemons: list[Address]) -> list[Subscribe]:
         if self._mirror is not None:
-            return self._mirror.subscriptions(demands, self._entries, self._stopping)
-        host = self.process.settings.host
-        return [Subscribe(host, demand=demand) for demand in demands.values()]
+            return self._mirror.subscriptions(daemons, self._entries, self._stopping)
+        return [Subscribe(self.process.settings.host)] * len(daemons)
 
-    async def _clean(self) -> None:
+    async def _keep_house(self) -> None:
+        """Once a second: measure the demand, close connections that were idle for too long."""
         while True:
-            await trio.sleep(CLEAN_SECONDS)
+            await trio.sleep(HOUSEKEEPING_SECONDS)
+            self._demand.measure()
             await self._path.attempts.connections.close_expired()
 
     # Metrics.
--- a/libs/daemon/src/headcross_daemon/mirrorparts.py
+++ b/libs/daemon/src/headcross_daemon/mirrorparts.py
@@ -86,21 +86,18 @@
         await self._mirror.run()
 
     def subscriptions(
-        self, demands: dict[Address, float], entries: int, stopping: bool
+        self, daemons: list[Address], entries: int, stopping: bool
     ) -> list[Subscribe]:
         """Return what to say to each daemon; one that stops is no longer to be counted on.
 
-        `demands` gives, by daemon, how many requests a second this entry has for its service;
         `entries` is how many entries share the work, this one among them.
         """
         self._mirror.sharers = entries
         counted_on = not stopping and self._mirror.is_wide_enough()
         place = self._place if counted_on else None
-        asked = set(random.sample(list(demands), min(DAEMONS_ASKED, len(demands))))
+        asked = set(random.sample(daemons, min(DAEMONS_ASKED, len(daemons))))
         host = self._settings.host
-        return [
-            Subscribe(host, place, address in asked, demand) for address, demand in demands.items()
-        ]
+        return [Subscribe(host, place, wants_mirrors=address in asked) for address in daemons]
 
     def known(self) -> list[MirrorPlace]:
         """Return the mirrors heard of lately, this one among them."""
--- a/libs/daemon/src/headcross_daemon/renewalrole.py
+++ b/libs/daemon/src/headcross_daemon/renewalrole.py
@@ -158,7 +158,7 @@
     def _hear(self, incoming: Incoming) -> None:
         match incoming.message:
             case Subscribe() as subscription:
-                self._reporter.listen(subscription.host, subscription.demand, incoming.reply)
+                self._reporter.listen(subscription.host, incoming.reply)
                 if subscription.mirror is not None:
                     self._mirrors.hear(subscription.mirror)
                 if subscription.wants_mirrors:
--- a/libs/gateway/src/headcross_gateway/demand.py
+++ b/libs/gateway/src/headcross_gateway/demand.py
@@ -1,8 +1,7 @@
 """How many requests a second this entry has for each service, and how many find no place.
 
-Callers are spread unevenly over the entries: a zone with one entry may bring it twice the requests
-of another. Entries tell their demand to the daemons beside replicas, these tell its sum, and each
-entry takes the part of a replica's places that its callers ask for.
+A service whose requests find no place now will be short of places for a while: the entry tells
+callers to come back the later, the more of them it refused in the last seconds.
 """
 
 import math
@@ -12,7 +11,7 @@
 from headcross_base.clocks import monotonic
 
 # The demand of the last seconds counts: half of it fades in so long. Long enough that a second
-# with few requests is no drop, short enough that a burst is told within a few words.
+# with few requests is no drop, short enough that the end of an overload is seen within seconds.
 HALF_LIFE_SECONDS: Final = 1.0
 
 
--- a/libs/gateway/src/headcross_gateway/directory.py
+++ b/libs/gateway/src/headcross_gateway/directory.py
@@ -8,12 +8,12 @@
 from dataclasses import dataclass, field
 from typing import Final
 
+from headcross_base.addresses import Address
 from headcross_base.clocks import monotonic
 from headcross_facts.facts import Facts
 from headcross_ports.published import Replica
 from headcross_wire.peermessages import ReplicaLoad
 
-from headcross_gateway.demand import DemandMeter
 from headcross_gateway.health import Health
 
 # What a daemon told of its replica counts for so long.
@@ -44,8 +44,8 @@
     in_flight: int = 0  # requests of this entry
     told: Told | None = None
     full_until: float = 0.0
-    # This entry's part of all requests for the replica's service, 0 to 1: by its daemon's last
-    # word, and before that an equal part among the entries known.
+    # This entry's part of the replica's places, 0 to 1: an equal one among the entries that its
+    # daemon tells its load to, and before its first word among the entries known.
     own_share: float = 1.0
     health: Health = field(default_factory=Health)
     # Another incarnation answered at its address: this one will not come back.
@@ -101,10 +101,9 @@
         """Return how many requests this entry may place before it is told the load again.
 
         All entries see the same free places. A replica reads the prompts of what it is given one
-        after the other, so a place that many rush to is no place for most of them. Each entry has
-        the part of the places that its callers have of all requests.
+        after the other, so a place that many rush to is no place for most of them.
         """
-        return max(1, round(PLACED_TOGETHER * self.own_share))
+        return max(1, int(PLACED_TOGETHER * self.own_share))
 
     def told_reachable(self) -> bool:
         """Tell whether its daemon, if it says anything, says that it answers."""
@@ -136,10 +135,9 @@
     # How many entries there are, this one among them, as far as this one knows.
     entries: int
 
-    def __init__(self, facts: Facts, demand: DemandMeter, entries: int = 1) -> None:
+    def __init__(self, facts: Facts, entries: int = 1) -> None:
         self.entries = max(1, entries)
         self._facts = facts
-        self._demand = demand
         self._states: dict[str, ReplicaState] = {}
         self._by_service: dict[str, list[ReplicaState]] = {}
         self._by_address: dict[str, ReplicaState] = {}
@@ -170,22 +168,20 @@
         state = self._by_address.get(load.address)
         if state is not None:
             state.told = Told(load, monotonic(), state.in_flight)
-            state.own_share = self._own_share(state.replica.service, load)
+            state.own_share = 1 / max(1, load.listeners)
         return state
 
-    def with_daemons(self) -> list[Replica]:
-        """Return the replicas that a daemon of this system stands beside."""
+    def service_daemons(self) -> list[Address]:
+        """Return the addresses of replicas that a daemon of this system stands beside."""
         configuration = self._facts.configuration
         if configuration is None:
             return []
         with_weights = {s.name for s in configuration.services.values() if s.weights is not None}
-        return [s.replica for s in self._states.values() if s.replica.service in with_weights]
-
-    def _own_share(self, service: str, load: ReplicaLoad) -> float:
-        """Return which part of the demand for a service this entry has."""
-        if load.demand <= 0:
-            return 1 / max(1, load.listeners)
-        return min(1.0, self._demand.rate(service) / load.demand)
+        return [
+            state.replica.address
+            for state in self._states.values()
+            if state.replica.service in with_weights
+        ]
 
     def _index(self) -> None:
         self._by_service = {}
--- a/libs/renewal/src/headcross_renewal/reporting.py
+++ b/libs/renewal/src/headcross_renewal/reporting.py
@@ -24,7 +24,6 @@
 class _Listener:
     reply: Reply
     asked_at: float
-    demand: float  # requests a second
 
 
 class Reporter:
@@ -80,14 +79,11 @@
         """Wait until the replica loads, or has loaded, something else, or comes or goes."""
         await self._changed.wait()
 
-    def listen(self, host: str, demand: float, reply: Reply) -> None:
-        """Tell a process the state from now on, for some seconds.
-
-        `demand` is how many requests a second it has for the replica's service.
-        """
+    def listen(self, host: str, reply: Reply) -> None:
+        """Tell a process the state from now on, for some seconds."""
         if host not in self._listeners:
             logger.info("listener", extra={"listener": host})
-        self._listeners[host] = _Listener(reply, monotonic(), demand)
+        self._listeners[host] = _Listener(reply, monotonic())
         reply(self._message(), None)
 
     def tell(self) -> None:
@@ -115,7 +111,6 @@
                 0.0,
                 1.0,
                 len(self._listeners),
-                self._demand(),
             )
         total = max(1, report.memory_total)
         return ReplicaLoad(
@@ -129,12 +124,8 @@
             memory_share=report.memory_used / total,
             pace=report.pace,
             listeners=len(self._listeners),
-            demand=self._demand(),
         )
 
-    def _demand(self) -> float:
-        return sum(listener.demand for listener in self._listeners.values())
-
     @staticmethod
     def _describe(report: ReplicaReport) -> dict[str, object]:
         return {
--- a/libs/wire/src/headcross_wire/peermessages.py
+++ b/libs/wire/src/headcross_wire/peermessages.py
@@ -217,9 +217,6 @@
     host: str
     mirror: MirrorPlace | None = None  # the sender's own, if it mirrors weights
     wants_mirrors: bool = False  # also tell, once, which mirrors are known
-    demand: float = (
-        0.0  # requests a second that the sender's callers have for the replica's service
-    )
 
 
 class KnownMirrors(_Message, frozen=True, tag=46):
@@ -241,7 +238,6 @@
     memory_share: float  # 0 to 1
     pace: float  # above 1: slower than it should be
     listeners: int  # processes that are told this
-    demand: float = 0.0  # requests a second that all listeners have for the service
 
 
 class AskDigests(_Message, frozen=True, tag=44):
