Split the gateway's tests and the platform's stand-ins by job

test_gateway_rules had streams, the retry budget, versions and places in one file of 460 lines, and platformreplica the replica, the origin and the HTTP of both.

--- a/testing/machines.py
+++ b/testing/machines.py
@@ -24,7 +24,8 @@
 from headcross_wire.httpserver import HttpServer, ServerLimits
 
 from deploy.start import SETTINGS_VARIABLE
-from testing.platformreplica import FakePlatformOrigin, FakeReplica, new_replica_id
+from testing.platformorigin import FakePlatformOrigin
+from testing.platformreplica import FakeReplica, new_replica_id
 from testing.platformstore import FakePlatformStore
 
 CALLERS, READINESS, PEERS, SWARM, REPLICA, METRICS = 7000, 7001, 7002, 7003, 7004, 7005
--- a/testing/platformreplica.py
+++ b/testing/platformreplica.py
@@ -1,4 +1,4 @@
-"""A stand-in for a replica of the platform and for the origin of weights.
+"""A stand-in for a replica of the platform.
 
 It keeps what it ran, answers whole or as a stream of events, and misbehaves as the test tells it:
 each `Fault` is used for one request. Its answers are written by hand, since many of them are not
@@ -7,9 +7,7 @@
 
 import hashlib
 import itertools
-import socket
-import struct
-from collections import Counter, deque
+from collections import deque
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import Final
@@ -20,7 +18,18 @@
 import trio
 from headcross_platform import names
 
-RECEIVE_BYTES: Final = 64 * 1024
+from testing.rawhttp import (
+    CallerLeft,
+    chunk_bytes,
+    head_bytes,
+    json_bytes,
+    next_cycle,
+    read_request,
+    reset,
+    sleep_watching,
+    whole_bytes,
+)
+
 SEAL: Final = "seal-1"
 
 
@@ -101,7 +110,7 @@
     async def _serve(self, stream: trio.SocketStream) -> None:
         connection = h11.Connection(h11.SERVER)
         while True:
-            request = await _read_request(connection, stream)
+            request = await read_request(connection, stream)
             if request is None:
                 return
             head, body = request
@@ -110,26 +119,26 @@
             reply = self._answer_call(head.method.decode(), path, query, body)
             if reply is not None:
                 await stream.send_all(reply)
-                connection = _next_cycle(connection)
+                connection = next_cycle(connection)
                 continue
             if not await self._run(stream, head, headers, body):
                 return
-            connection = _next_cycle(connection)
+            connection = next_cycle(connection)
 
     # Calls of the daemon beside it.
 
     def _answer_call(self, method: str, path: str, query: str, body: bytes) -> bytes | None:
         number = int(parse_qs(query).get("num", ["-1"])[0])
         if path == names.REPORT_PATH:
-            return _json(200, self._report())
+            return json_bytes(200, self._report())
         if path.startswith(names.STAGE_PUT_PATH) and method == "PUT":
             self.staged[number] = body
-            return _json(200, {})
+            return json_bytes(200, {})
         if path.startswith(names.STAGE_GET_PATH):
             if number < 0:
-                return _json(200, {"held": sorted(self.staged)})
+                return json_bytes(200, {"held": sorted(self.staged)})
             held = self.staged.get(number)
-            return _json(404, {}) if held is None else _whole(200, [], held)
+            return json_bytes(404, {}) if held is None else whole_bytes(200, [], held)
         if path == names.ORDER_PATH:
             return self._take_order(msgspec.json.decode(body))
         return None
@@ -149,7 +158,7 @@
 
     def _take_order(self, order: dict[str, object]) -> bytes:
         if order.get(names.EXPECTED_SEQUENCE, self.orders) != self.orders:
-            return _json(409, {"error": "seq"})
+            return json_bytes(409, {"error": "seq"})
         self.orders += 1
         self.loading = True
         digests = [hashlib.sha256(self.staged[i]).hexdigest() for i in sorted(self.staged)]
@@ -158,7 +167,7 @@
         self.loads.append((version, digests))
         self.load_due = trio.current_time() + self.load_seconds
         self.loading_version = version
-        return _json(202, {})
+        return json_bytes(202, {})
 
     def settle(self) -> None:
         """Finish a load whose time has come and that no request holds up."""
@@ -178,11 +187,11 @@
         expected = headers.get(names.EXPECT_INSTANCE)
         version = headers.get(names.EXPECT_VERSION)
         if expected not in (None, self.id) or version not in (None, str(self.version)):
-            await stream.send_all(_json(421, {}, base))
+            await stream.send_all(json_bytes(421, {}, base))
             return True
         fault = self.faults.popleft() if self.faults else None
         if fault is Fault.SHED or self.loading or self.active >= self.slots or self.draining:
-            await stream.send_all(_json(503, {}, [*base, (names.NOT_EXECUTED, "1")]))
+            await stream.send_all(json_bytes(503, {}, [*base, (names.NOT_EXECUTED, "1")]))
             return True
         self.runs.append(
             Run(
@@ -192,7 +201,7 @@
         self.active += 1
         try:
             return await self._answer(stream, headers, base, body, fault)
-        except (trio.BrokenResourceError, trio.ClosedResourceError, _CallerLeft):
+        except (trio.BrokenResourceError, trio.ClosedResourceError, CallerLeft):
             self.cancelled.append(request_id)
             return False
         finally:
@@ -206,32 +215,34 @@
         body: bytes,
         fault: Fault | None,
     ) -> bool:
-        await _sleep_watching(stream, self.service_seconds)
+        await sleep_watching(stream, self.service_seconds)
         sealed = [*base, (names.SEAL, SEAL)]
         if self.model is not None:
             sealed.append((names.WEIGHT_VERSIONS, str(self.version)))
         match fault:
             case Fault.RESET_BEFORE_HEAD:
-                return await _reset(stream)
+                return await reset(stream)
             case Fault.CLOSE_BEFORE_HEAD:
                 return False
             case Fault.SILENT:
-                await _sleep_watching(stream, float("inf"))
+                await sleep_watching(stream, float("inf"))
             case Fault.NOT_HTTP:
                 await stream.send_all(b"\x00\x01 this is no answer\r\n\r\n")
                 return False
             case Fault.ERROR:
-                await stream.send_all(_json(500, {"error": "own"}, sealed))
+                await stream.send_all(json_bytes(500, {"error": "own"}, sealed))
                 return True
             case Fault.NO_SEAL:
-                await stream.send_all(_whole(200, base, body))
+                await stream.send_all(whole_bytes(200, base, body))
                 return True
             case Fault.WRONG_ID:
                 other = [(names.REQUEST_ID, "another"), (names.SEAL, SEAL)]
-                await stream.send_all(_whole(200, other, body))
+                await stream.send_all(whole_bytes(200, other, body))
                 return True
             case Fault.ENCODED:
-                await stream.send_all(_whole(200, [*sealed, ("content-encoding", "gzip")], body))
+                await stream.send_all(
+                    whole_bytes(200, [*sealed, ("content-encoding", "gzip")], body)
+                )
                 return True
         if self.model is not None:
             return await self._stream(stream, headers, sealed, fault)
@@ -244,22 +255,24 @@
         body: bytes,
         fault: Fault | None,
     ) -> bool:
-        answer = _whole(200, sealed, body)
+        answer = whole_bytes(200, sealed, body)
         match fault:
             case Fault.CUT_BODY:
                 await stream.send_all(answer[: -max(1, len(body) // 2)])
-                return await _reset(stream)
+                return await reset(stream)
             case Fault.EXTRA_ANSWER:
                 other = [(names.REQUEST_ID, "stray"), (names.SEAL, SEAL)]
-                await stream.send_all(answer + _whole(200, other, b"stray"))
+                await stream.send_all(answer + whole_bytes(200, other, b"stray"))
                 return True
             case Fault.UNFRAMED:
-                await stream.send_all(_head(200, [*sealed, ("connection", "close")]) + body)
+                await stream.send_all(head_bytes(200, [*sealed, ("connection", "close")]) + body)
                 return False
             case Fault.UNFRAMED_RESET:
-                await stream.send_all(_head(200, [*sealed, ("connection", "close")]) + body[:3])
+                await stream.send_all(
+                    head_bytes(200, [*sealed, ("connection", "close")]) + body[:3]
+                )
                 await trio.sleep(0.02)
-                return await _reset(stream)
+                return await reset(stream)
         await stream.send_all(answer)
         return True
 
@@ -271,152 +284,31 @@
         fault: Fault | None,
     ) -> bool:
         head = [*sealed, ("content-type", "text/event-stream"), ("transfer-encoding", "chunked")]
-        await stream.send_all(_head(200, head))
+        await stream.send_all(head_bytes(200, head))
         first = int(headers.get(names.RESUME_AFTER, "-1")) + 1
         if fault is Fault.CUT_BEFORE_EVENT:
-            return await _reset(stream)
+            return await reset(stream)
         for number in range(first, self.events):
-            await _sleep_watching(stream, self.event_seconds)
+            await sleep_watching(stream, self.event_seconds)
             event = b"id: %d\ndata: %s %d\n\n" % (
                 number,
                 headers[names.REQUEST_ID].encode(),
                 number,
             )
             if fault is Fault.CUT_WITHIN_EVENT and number == first + 1:
-                await stream.send_all(_chunk(event[:-4]))
-                return await _reset(stream)
+                await stream.send_all(chunk_bytes(event[:-4]))
+                return await reset(stream)
             if fault is Fault.ENDS_WITHIN_EVENT and number == self.events - 1:
                 event = event[:-1]
-            await stream.send_all(_chunk(event))
+            await stream.send_all(chunk_bytes(event))
             if fault is Fault.CUT_AFTER_EVENT and number == first + 1:
-                return await _reset(stream)
+                return await reset(stream)
             if fault is Fault.STALL and number == first + 1:
-                await _sleep_watching(stream, float("inf"))
+                await sleep_watching(stream, float("inf"))
         await stream.send_all(b"0\r\n\r\n")
         return True
 
 
-@dataclass
-class FakePlatformOrigin:
-    """The service that hands out weights."""
-
-    chunk_bytes: int
-    versions: dict[int, list[bytes]] = field(default_factory=dict)
-    sent: Counter[tuple[int, int]] = field(default_factory=Counter)  # by version and chunk
-    corrupt_next: int = 0
-    spoilt_digests: int = 0  # answers with digests that are not right
-    down: bool = False
-    seconds_per_chunk: float = 0.0
-
-    @property
-    def sent_chunks(self) -> int:
-        """Return how many chunks it sent."""
-        return sum(self.sent.values())
-
-    async def serve_connection(self, stream: trio.SocketStream) -> None:
-        """Serve one connection until it ends."""
-        connection = h11.Connection(h11.SERVER)
-        try:
-            while not self.down:
-                request = await _read_request(connection, stream)
-                if request is None or self.down:
-                    return
-                path, _, query = request[0].target.decode().partition("?")
-                await stream.send_all(await self._answer(path, parse_qs(query)))
-                connection = _next_cycle(connection)
-        except (trio.BrokenResourceError, trio.ClosedResourceError, h11.RemoteProtocolError):
-            pass
-        finally:
-            await trio.aclose_forcefully(stream)
-
-    async def _answer(self, path: str, query: dict[str, list[str]]) -> bytes:
-        version = int(query["version"][0])
-        if version not in self.versions:
-            return _json(404, {})
-        chunks = self.versions[version]
-        if path.startswith(names.MANIFEST_PATH):
-            digests = [hashlib.sha256(chunk).hexdigest() for chunk in chunks]
-            if self.spoilt_digests:
-                self.spoilt_digests -= 1
-                digests[1] = digests[0]
-            return _json(
-                200, {"version": version, "chunk_bytes": self.chunk_bytes, "digests": digests}
-            )
-        number = int(query["num"][0])
-        await trio.sleep(self.seconds_per_chunk)
-        self.sent[version, number] += 1
-        data = chunks[number]
-        if self.corrupt_next:
-            self.corrupt_next -= 1
-            data = bytes([data[0] ^ 1]) + data[1:]
-        return _whole(200, [], data)
-
-
-class _CallerLeft(Exception):
-    """The caller closed its connection."""
-
-
-async def _sleep_watching(stream: trio.SocketStream, seconds: float) -> None:
-    """Sleep; raise if the caller leaves meanwhile."""
-    if seconds <= 0:
-        return
-    with trio.move_on_after(seconds):
-        if not await stream.receive_some(1):
-            raise _CallerLeft
-
-
-async def _read_request(
-    connection: h11.Connection, stream: trio.SocketStream
-) -> tuple[h11.Request, bytes] | None:
-    head: h11.Request | None = None
-    body = bytearray()
-    while True:
-        event = connection.next_event()
-        if event is h11.NEED_DATA:
-            connection.receive_data(await stream.receive_some(RECEIVE_BYTES))
-        elif isinstance(event, h11.Request):
-            head = event
-        elif isinstance(event, h11.Data):
-            body += event.data
-        elif isinstance(event, h11.EndOfMessage) and head is not None:
-            return head, bytes(body)
-        else:
-            return None
-
-
-def _next_cycle(connection: h11.Connection) -> h11.Connection:
-    """Return a connection for the next request; answers are written past the library."""
-    fresh = h11.Connection(h11.SERVER)
-    rest = connection.trailing_data[0]
-    if rest:
-        fresh.receive_data(rest)
-    return fresh
-
-
-async def _reset(stream: trio.SocketStream) -> bool:
-    """Reset the connection."""
-    stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-    await trio.aclose_forcefully(stream)
-    return False
-
-
-def _head(status: int, headers: list[tuple[str, str]]) -> bytes:
-    lines = [f"HTTP/1.1 {status} Answer", *(f"{name}: {value}" for name, value in headers)]
-    return "\r\n".join([*lines, "", ""]).encode()
-
-
-def _whole(status: int, headers: list[tuple[str, str]], body: bytes) -> bytes:
-    return _head(status, [*headers, ("content-length", str(len(body)))]) + body
-
-
-def _json(status: int, value: object, headers: list[tuple[str, str]] | None = None) -> bytes:
-    return _whole(status, headers or [], msgspec.json.encode(value))
-
-
-def _chunk(data: bytes) -> bytes:
-    return b"%x\r\n%s\r\n" % (len(data), data)
-
-
 _numbers = itertools.count(1)
 
 
--- /dev/null
+++ b/testing/rawhttp.py
@@ -0,0 +1,81 @@
+"""HTTP of a stand-in that may misbehave: requests read by library, answers written by hand."""
+
+import socket
+import struct
+from typing import Final
+
+import h11
+import msgspec
+import trio
+
+RECEIVE_BYTES: Final = 64 * 1024
+
+
+class CallerLeft(Exception):
+    """The caller closed its connection."""
+
+
+async def sleep_watching(stream: trio.SocketStream, seconds: float) -> None:
+    """Sleep; raise if the caller leaves meanwhile."""
+    if seconds <= 0:
+        return
+    with trio.move_on_after(seconds):
+        if not await stream.receive_some(1):
+            raise CallerLeft
+
+
+async def read_request(
+    connection: h11.Connection, stream: trio.SocketStream
+) -> tuple[h11.Request, bytes] | None:
+    """Return the next request and its body; None once the caller is gone or sends no HTTP."""
+    head: h11.Request | None = None
+    body = bytearray()
+    while True:
+        event = connection.next_event()
+        if event is h11.NEED_DATA:
+            connection.receive_data(await stream.receive_some(RECEIVE_BYTES))
+        elif isinstance(event, h11.Request):
+            head = event
+        elif isinstance(event, h11.Data):
+            body += event.data
+        elif isinstance(event, h11.EndOfMessage) and head is not None:
+            return head, bytes(body)
+        else:
+            return None
+
+
+def next_cycle(connection: h11.Connection) -> h11.Connection:
+    """Return a connection for the next request; answers are written past the library."""
+    fresh = h11.Connection(h11.SERVER)
+    rest = connection.trailing_data[0]
+    if rest:
+        fresh.receive_data(rest)
+    return fresh
+
+
+async def reset(stream: trio.SocketStream) -> bool:
+    """Reset the connection."""
+    stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    await trio.aclose_forcefully(stream)
+    return False
+
+
+def head_bytes(status: int, headers: list[tuple[str, str]]) -> bytes:
+    """Return the head of an answer."""
+    lines = [f"HTTP/1.1 {status} Answer", *(f"{name}: {value}" for name, value in headers)]
+    return "\r\n".join([*lines, "", ""]).encode()
+
+
+def whole_bytes(status: int, headers: list[tuple[str, str]], body: bytes) -> bytes:
+    """Return an answer with a length."""
+    return head_bytes(status, [*headers, ("content-length", str(len(body)))]) + body
+
+
+def json_bytes(status: int, value: object, headers: list[tuple[str, str]] | None = None) -> bytes:
+    """Return an answer whose body is a value in JSON."""
+    return whole_bytes(status, headers or [], msgspec.json.encode(value))
+
+
+def chunk_bytes(data: bytes) -> bytes:
+    """Return one chunk of a body that is sent in chunks."""
+    return b"%x\r\n%s\r\n" % (len(data), data)
--- /dev/null
+++ b/tests/test_gateway_places.py
@@ -0,0 +1,212 @@
+"""Places at replicas: who gets them, how many an entry takes, who is sent away."""
+
+from dataclasses import replace
+
+import msgspec
+import pytest
+import trio
+import trio.testing
+from headcross_base.addresses import Address
+from headcross_base.clocks import monotonic
+from headcross_facts.facts import VersionNotice
+from headcross_gateway.admission import Admission
+from headcross_gateway.budget import RetryBudget
+from headcross_gateway.demand import DemandMeter
+from headcross_gateway.directory import (
+    PLACED_TOGETHER,
+    TOLD_SECONDS,
+    Directory,
+    ReplicaState,
+    Told,
+)
+from headcross_gateway.picking import Picker, Wish
+from headcross_gateway.requestpath import COME_BACK_LATER_SECONDS, RequestPath
+from headcross_gateway.weightsrules import WeightsRules
+from headcross_platform.dialect import PlatformDialect
+from headcross_ports.configuration import CallerLimits, Configuration, Service, WeightsLayout
+from headcross_ports.published import LoadedModel, Replica
+from headcross_wire.peermessages import ReplicaLoad
+
+from tests.test_gateway_rules import rules
+
+
+def model_place(name: str, version: int, busy: int) -> ReplicaState:
+    """Return a replica of a model whose daemon told its load a moment ago."""
+    address = Address("127.0.0.1", 1 + len(name))
+    replica = Replica(name, "lm", address, "z", 8, False, (LoadedModel("m", version),))
+    load = ReplicaLoad(str(address), 1, True, False, {"m": version}, busy, 0, 0.0, 1.0, 5)
+    told = Told(load, monotonic(), 0)
+    return ReplicaState(replica, told=told, own_share=1 / load.listeners)
+
+
+@pytest.mark.parametrize(
+    ("age", "busy", "exact", "taken"),
+    [
+        (5.0, 8, None, False),
+        (5.0, 6, None, True),
+        # From 5.4 s on, it takes ever less: 0.81 of its 8 places here, 0.45 of them there.
+        (5.5, 7, None, False),
+        (5.5, 6, None, True),
+        (6.3, 4, None, False),
+        (6.3, 3, None, True),
+        (6.5, 2, None, False),
+        (9.0, 0, None, False),
+        # A stream that began on the old version does not go on with it either.
+        (5.0, 2, 1, True),
+        (6.3, 6, 1, True),
+        (6.5, 0, 1, False),
+        (9.0, 0, 1, False),
+    ],
+)
+def test_shortly_before_the_bound_an_old_version_takes_only_what_starts_at_once(
+    age: float, busy: int, exact: int | None, taken: bool
+) -> None:
+    """A request that waited at its replica started on an old version after the bound (VERSION)."""
+    state = model_place("old", 1, busy)
+    weights_rules = rules([VersionNotice(2, monotonic() - age, False)])
+    directory = Directory(weights_rules.facts)
+    weights = Service("lm", 100, WeightsLayout(("m",), 1, 1))
+    limits = CallerLimits(1, 1, 1.0, 1.0)
+    configuration = Configuration(1, (), {"lm": weights}, (), limits)
+    weights_rules.facts.replicas["old"] = state.replica
+    directory.update()
+    assert state.told is not None
+    directory.hear(state.told.load)
+    picker = Picker("z", directory, weights_rules)
+    picked = picker.pick(Wish("lm", "m", exact, (), True), configuration)
+    assert (picked is not None) == taken
+
+
+@pytest.mark.parametrize("exact", [None, 1])
+def test_a_replica_that_is_about_to_load_gets_nothing_even_if_it_is_the_last(
+    exact: int | None,
+) -> None:
+    """Broken streams went back to replicas that were loading, and spent the retries there."""
+    state = model_place("old", 1, 0)
+    weights_rules = rules([VersionNotice(2, monotonic() - 5.6, False)])
+    weights_rules.facts.replicas["old"] = state.replica
+    directory = Directory(weights_rules.facts)
+    directory.update()
+    limits = CallerLimits(1, 1, 1.0, 1.0)
+    weights = Service("lm", 100, WeightsLayout(("m",), 1, 1))
+    configuration = Configuration(1, (), {"lm": weights}, (), limits)
+    picker = Picker("z", directory, weights_rules)
+    assert state.told is not None
+    directory.hear(state.told.load)
+    assert picker.pick(Wish("lm", "m", exact, (), True), configuration) is not None
+    directory.hear(msgspec.structs.replace(state.told.load, leaving=True))
+    assert picker.pick(Wish("lm", "m", exact, (), True), configuration) is None
+
+
+def test_entries_do_not_rush_to_a_replica_that_has_become_free() -> None:
+    """Requests rushed to a replica that had just loaded and began 1.5 s later (VERSION)."""
+    entries = [model_place("fresh", 2, 0) for _ in range(5)]
+    placed = 0
+    for state in entries:
+        while state.has_room():
+            state.take_place()
+            placed += 1
+    assert placed <= PLACED_TOGETHER
+    for state in entries:
+        assert state.told is not None
+        state.told = Told(state.told.load, monotonic(), state.in_flight)
+        assert state.has_room()
+
+
+async def test_places_go_by_priority_then_to_whoever_has_least_time(
+    mock_clock: trio.testing.MockClock,
+) -> None:
+    mock_clock.autojump_threshold = 0
+    facts = rules([]).facts
+    replica = Replica("r", "api", Address("127.0.0.1", 1), "z", 1, False)
+    facts.replicas["r"] = replica
+    directory = Directory(facts)
+    directory.update()
+    admission = Admission(Picker("z", directory, WeightsRules(facts, 8.0)))
+    limits = CallerLimits(1, 1, 1.0, 1.0)
+    configuration = Configuration(1, (), {"api": Service("api", 1)}, (), limits)
+    order: list[str] = []
+
+    async def wait(name: str, priority: int, deadline: float, wish: Wish, until: float) -> None:
+        place = await admission.take_place(wish, configuration, priority, deadline, until)
+        order.append(name if place is not None else f"{name} refused")
+        if place is not None:
+            await trio.sleep(0.01)
+            admission.give_back(place)
+
+    any_wish = Wish("api", None, None, (), True)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(wait, "first", 1, 9.0, any_wish, 5.0)
+        await trio.testing.wait_all_tasks_blocked()
+        for name, priority, deadline, wish in [
+            ("fresh", 1, 8.0, any_wish),
+            ("returned", 1, 7.0, any_wish),
+            ("urgent", 0, 9.0, any_wish),
+            ("tried there", 0, 1.0, replace(any_wish, tried=("r",))),
+        ]:
+            nursery.start_soon(wait, name, priority, deadline, wish, 5.0)
+    assert order == ["first", "urgent", "returned", "fresh", "tried there refused"]
+    assert admission.waiting("api") == 0
+    assert next(iter(directory.states())).in_flight == 0
+
+
+def test_demand_is_what_came_in_the_last_seconds(monkeypatch: pytest.MonkeyPatch) -> None:
+    now = 0.0
+    monkeypatch.setattr("headcross_gateway.demand.monotonic", lambda: now)
+    meter = DemandMeter()
+    rates = []
+    for count in (20, 20, 0, 0, 0):
+        for _ in range(count):
+            meter.note("lm")
+        now += 1.0
+        meter.measure()
+        rates.append(meter.rate("lm"))
+    assert rates == [20.0, 20.0, 10.0, 5.0, 2.5]
+    assert meter.rate("never asked for") == 0.0
+
+
+def test_an_entry_that_hears_nothing_keeps_to_its_part_of_the_places() -> None:
+    """After a restart each entry had filled every replica by itself: requests queued for 2 s."""
+    told = model_place("r", 1, 0).told
+    assert told is not None
+    old = replace(told, at=monotonic() - 2 * TOLD_SECONDS)
+    for heard in (None, old):
+        for share, places in ((0.0, 1), (0.5, 4), (1.0, 8)):  # of 8 places
+            state = model_place("r", 1, 0)
+            state.told, state.own_share = heard, share
+            assert places_taken(state) == places
+
+
+def places_taken(state: ReplicaState) -> int:
+    """Return how many requests one entry places there without hearing anything more."""
+    while state.has_room():
+        state.take_place()
+    return state.in_flight
+
+
+def test_a_lasting_overload_sends_callers_away_for_longer(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Callers that came back into the same overload were refused twice, for good."""
+    now = 0.0
+    monkeypatch.setattr("headcross_gateway.demand.monotonic", lambda: now)
+    demand = DemandMeter()
+    facts = rules([]).facts
+    directory = Directory(facts)
+    admission = Admission(Picker("z", directory, WeightsRules(facts, 8.0)))
+    budget = RetryBudget(ratio=0.2, slack=0)
+    path = RequestPath(
+        facts, PlatformDialect(), admission, budget, demand, lambda service, verdict, seconds: None
+    )
+    waits = []
+    for refused in (0, 5, 10):
+        for _ in range(10):
+            demand.note("lm")
+        for _ in range(refused):
+            demand.note_refused("lm")
+        now += 100.0  # what was before has faded
+        demand.measure()
+        waits.append([path.come_back_seconds("lm") for _ in range(200)])
+    means = [sum(each) / len(each) for each in waits]
+    assert means == sorted(means) and means[2] > 2 * means[0]
+    assert all(0 < seconds <= COME_BACK_LATER_SECONDS for each in waits for seconds in each)
+    # They do not come back all at once.
+    assert all(len(set(each)) > 1 for each in waits)
--- /dev/null
+++ b/tests/test_gateway_streams.py
@@ -0,0 +1,148 @@
+"""Streams on their way to the caller: every event once, in order, whole."""
+
+import pytest
+import trio
+import trio.testing
+from headcross_base.addresses import Address
+from headcross_gateway import attempts as attempts_module
+from headcross_gateway.attempts import Attempts, MayRun, Patience, Streamed
+from headcross_gateway.directory import (
+    ReplicaState,
+)
+from headcross_gateway.eventstream import EventSplitter
+from headcross_gateway.relay import EventOutOfOrderError, StreamRelay
+from headcross_platform import names
+from headcross_platform.dialect import PlatformDialect
+from headcross_ports.published import Replica
+from headcross_ports.requests import HandOver
+from headcross_wire.httpclient import Answer
+from headcross_wire.httpserver import Headers, Request
+from hypothesis import given
+from hypothesis import strategies as st
+
+EVENT = b"id: %d\ndata: x\n\n"
+
+
+class FakeExchange:
+    """Keeps what a relay sends."""
+
+    def __init__(self) -> None:
+        self.sent = b""
+        self.head: Headers | None = None
+        self.finished = False
+
+    async def start(self, status: int, headers: Headers) -> None:
+        """Take a head."""
+        await trio.lowlevel.checkpoint()
+        self.head = headers
+
+    async def send(self, data: bytes) -> None:
+        """Take a piece, like a socket that is a checkpoint first."""
+        await trio.lowlevel.checkpoint()
+        self.sent += data
+
+    async def finish(self) -> None:
+        """Take the end."""
+        self.finished = True
+
+
+class ScriptedConnection:
+    """A connection to a replica that plays pieces at given times."""
+
+    def __init__(self, clock: trio.testing.MockClock, pieces: list[bytes], jump: float) -> None:
+        self.address = Address("127.0.0.1", 1)
+        self._clock = clock
+        self._pieces = pieces
+        self._jump = jump
+
+    async def send(self, method: str, target: str, headers: Headers, body: bytes) -> None:
+        """Take a request."""
+
+    async def receive_answer(self) -> Answer:
+        """Return the head of a stream."""
+        return Answer(200, [(names.REQUEST_ID, "r"), (names.SEAL, "s")])
+
+    async def receive_piece(self) -> bytes | None:
+        """Return the next piece, after which time is suddenly up."""
+        if not self._pieces:
+            await trio.sleep_forever()
+        self._clock.jump(self._jump)
+        return self._pieces.pop(0)
+
+    def reusable(self) -> bool:
+        """Tell that it may be used again."""
+        return True
+
+    async def close(self) -> None:
+        """Close."""
+
+    async def abandon(self) -> None:
+        """Close."""
+
+
+def place() -> ReplicaState:
+    """Return a replica."""
+    return ReplicaState(Replica("i", "s", Address("127.0.0.1", 1), "z", 8, draining=False))
+
+
+@pytest.mark.parametrize("jump", [0.0, 1.5, 1.6, 1.7])
+async def test_an_event_counted_as_the_caller_s_is_sent_whenever_patience_ends(
+    jump: float, mock_clock: trio.testing.MockClock, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The limit on a replica's silence must not cut the sending of what has come (ORDER)."""
+    mock_clock.autojump_threshold = 0
+    exchange = FakeExchange()
+    relay = StreamRelay(exchange, None)  # type: ignore[arg-type]
+    attempts = Attempts(PlatformDialect())
+    connection = ScriptedConnection(mock_clock, [EVENT % 0], jump)
+
+    async def take(address: Address, *, fresh: bool) -> ScriptedConnection:
+        return connection
+
+    monkeypatch.setattr(attempts.connections, "take", take)
+    outcome = await attempts.make(
+        Request("POST", "/", [], b""),
+        "r",
+        place(),
+        HandOver("i", 5.0, None, None, None, None),
+        Patience(1.6, 1.1),
+        relay,
+        fresh=False,
+    )
+    assert isinstance(outcome, MayRun)
+    assert (relay.last_id == "0") == (exchange.sent == EVENT % 0)
+    assert attempts_module.SUCCESS and not isinstance(outcome, Streamed)
+
+
+@pytest.mark.parametrize(
+    ("ids", "passed"), [([0, 1, 3], [0, 1]), ([0, 1, 1, 2], [0, 1, 2]), ([2], [])]
+)
+async def test_events_left_out_or_sent_twice_never_reach_the_caller(
+    ids: list[int], passed: list[int]
+) -> None:
+    exchange = FakeExchange()
+    relay = StreamRelay(exchange, "0" if ids == [2] else None)  # type: ignore[arg-type]
+    relay.begin(Answer(200, []), None)
+    gap = any(b > a + 1 for a, b in zip([0, *ids], ids, strict=False))
+    data = b"".join(EVENT % number for number in ids)
+    if gap:
+        with pytest.raises(EventOutOfOrderError):
+            await relay.pass_on(data)
+    else:
+        await relay.pass_on(data)
+    assert exchange.sent == b"".join(EVENT % number for number in passed)
+    assert relay.last_id == (str(passed[-1]) if passed else "0")
+
+
+@given(st.lists(st.integers(1, 9), max_size=40), st.integers(1, 7))
+def test_events_are_the_same_however_the_bytes_are_cut(cuts: list[int], count: int) -> None:
+    data = b"".join(EVENT % number for number in range(count))
+    splitter = EventSplitter()
+    events = []
+    rest = data
+    for cut in [*cuts, len(data)]:
+        events += splitter.feed(rest[:cut])
+        rest = rest[cut:]
+    assert [event.id for event in events] == [str(number) for number in range(count)]
+    assert b"".join(event.data for event in events) == data
+    assert not splitter.within_event
