--- /dev/null
+++ b/bench/peerstress.py
@@ -0,0 +1,176 @@
+"""Looks for crashes of native code on the channel between processes.
+
+Usage:
+  peerstress [--seconds N] [--nodes N] [--heartbeat MS] [--port PORT] [--seed N]
+  peerstress --node ADDRESS --peers ADDRESSES --heartbeat MS
+
+Options:
+  --seconds N        How long to go on [default: 60].
+  --nodes N          Processes that speak to one another [default: 8].
+  --heartbeat MS     The transport's heartbeats, 0 for none [default: 60].
+  --port PORT        The first of as many ports on loopback [default: 21000].
+  --seed N           Of the kills and stops; drawn if not given.
+  --node ADDRESS     Be one of the processes, listening there (IP:PORT).
+  --peers ADDRESSES  The other processes, separated by commas.
+
+Every process asks some others for chunks, resets a link now and then, and is killed, or stopped
+for up to 1.5 s, at random. One that ends in another way is told, with the end of its standard
+error.
+Ends with one JSON line; the exit code is 1 if any process ended by itself.
+"""
+
+import faulthandler
+import json
+import os
+import random
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any, Final
+
+import trio
+import trio.testing
+from docopt import docopt
+from headcross_base.addresses import Address, parse_address
+from headcross_wire import zmqsocket
+from headcross_wire.peermessages import Chunk, Subscribe
+from headcross_wire.peernode import Incoming, PeerNode
+
+# A peer that answers none of so many heartbeats is given up, as in the product.
+HEARTBEATS_TO_GIVE_UP: Final = 3
+PART_BYTES: Final = 8192
+CHUNK_BYTES: Final = 32768
+QUEUE: Final = 32
+MAX_PAYLOAD_BYTES: Final = 1 << 20
+RESET_SHARE: Final = 0.05
+ASKED_AT_ONCE: Final = 4
+# In each step one process may be killed or stopped, with these shares.
+STEP_SECONDS: Final = 0.1
+KILL_SHARE: Final = 0.15
+STOP_SHARE: Final = 0.25
+STOP_SECONDS: Final = (0.2, 1.5)
+STDERR_TAIL_BYTES: Final = 2000
+
+
+async def run_node(own: Address, peers: list[Address]) -> None:
+    """Ask others for chunks, and send what is asked for, until killed."""
+
+    def handle(incoming: Incoming) -> None:
+        if isinstance(incoming.message, Subscribe):
+            for index in range(random.randrange(ASKED_AT_ONCE)):
+                chunk = Chunk(str(own), "a" * 64, index, 0, CHUNK_BYTES)
+                incoming.reply(chunk, os.urandom(PART_BYTES))
+
+    node = PeerNode(own, handle, QUEUE, MAX_PAYLOAD_BYTES)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(node.run)
+        await trio.testing.wait_all_tasks_blocked()
+        while True:
+            for peer in random.sample(peers, min(ASKED_AT_ONCE, len(peers))):
+                node.send(peer, Subscribe(str(own)))
+            if random.random() < RESET_SHARE:
+                node.reset(random.choice(peers))
+            await trio.sleep(random.uniform(0.001, 0.01))
+
+
+@dataclass
+class Stress:
+    """The processes of one run."""
+
+    addresses: list[str]
+    heartbeat: str
+    directory: Path
+    processes: dict[str, subprocess.Popen[bytes]] = field(default_factory=dict)
+    stopped_until: dict[str, float] = field(default_factory=dict)
+    kills: int = 0
+    own_ends: int = 0
+
+    def start(self, address: str) -> None:
+        """Start a process; what it writes to standard error is kept."""
+        peers = ",".join(other for other in self.addresses if other != address)
+        command = [sys.executable, "-m", "bench.peerstress", "--node", address]
+        command += ["--peers", peers, "--heartbeat", self.heartbeat]
+        with self._errors(address).open("wb") as errors:
+            self.processes[address] = subprocess.Popen(command, stderr=errors)
+
+    def step(self) -> None:
+        """Wake whoever was stopped long enough, replace the dead, and harm one."""
+        for address in list(self.stopped_until):
+            if time.monotonic() > self.stopped_until[address]:
+                del self.stopped_until[address]
+                self.processes[address].send_signal(signal.SIGCONT)
+        for address in self.addresses:
+            self._replace_dead(address)
+        victim = random.choice(self.addresses)
+        chance = random.random()
+        if chance < KILL_SHARE:
+            self.kills += 1
+            self.processes[victim].kill()
+        elif chance < KILL_SHARE + STOP_SHARE and victim not in self.stopped_until:
+            self.stopped_until[victim] = time.monotonic() + random.uniform(*STOP_SECONDS)
+            self.processes[victim].send_signal(signal.SIGSTOP)
+
+    def end(self) -> None:
+        """End every process that was started here."""
+        for process in self.processes.values():
+            process.kill()
+            process.wait()
+
+    def _replace_dead(self, address: str) -> None:
+        code = self.processes[address].poll()
+        if code is None:
+            return
+        self.stopped_until.pop(address, None)
+        if code != -signal.SIGKILL:
+            self.own_ends += 1
+            tail = self._errors(address).read_bytes()[-STDERR_TAIL_BYTES:]
+            print(f"{address} ended with {code}: {tail.decode(errors='replace')}", flush=True)
+        self.start(address)
+
+    def _errors(self, address: str) -> Path:
+        return self.directory / f"{address.replace(':', '-')}.txt"
+
+
+def drive(arguments: Mapping[str, Any]) -> int:
+    """Run the stress; return the exit code."""
+    seed = int(arguments["--seed"] or random.randrange(1 << 30))
+    random.seed(seed)
+    first = int(arguments["--port"])
+    addresses = [f"127.0.0.1:{first + n}" for n in range(int(arguments["--nodes"]))]
+    with tempfile.TemporaryDirectory() as directory:
+        stress = Stress(addresses, arguments["--heartbeat"], Path(directory))
+        try:
+            for address in addresses:
+                stress.start(address)
+            until = time.monotonic() + float(arguments["--seconds"])
+            while time.monotonic() < until:
+                time.sleep(STEP_SECONDS)
+                stress.step()
+        finally:
+            stress.end()
+    line = {"seed": seed, "kills": stress.kills, "own_ends": stress.own_ends}
+    print(json.dumps({**line, "heartbeat_ms": int(arguments["--heartbeat"])}))
+    return 1 if stress.own_ends else 0
+
+
+def main() -> int:
+    """Run one node, or all of the stress; return the exit code."""
+    arguments = docopt(__doc__ or "")
+    if arguments["--node"] is None:
+        return drive(arguments)
+    faulthandler.enable()
+    heartbeat = int(arguments["--heartbeat"])
+    zmqsocket.HEARTBEAT_MS = heartbeat  # type: ignore[misc]
+    zmqsocket.HEARTBEAT_TIMEOUT_MS = heartbeat * HEARTBEATS_TO_GIVE_UP  # type: ignore[misc]
+    peers = [parse_address(text) for text in arguments["--peers"].split(",")]
+    trio.run(run_node, parse_address(arguments["--node"]), peers)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
