Near the bound on old weights nothing goes where requests were held back lately

Replayed with logs: the link of 10.3.0.28 is squeezed from 18.8 to 25.8 s. Its daemon's words come through the other way, 0.08 s old, and tell a load of 1, so that all entries choose it; what they send arrives 1.6 to 2 s later. Failures had rested it, but a single request that came through made the entries forget them.

Ruled out: the replica's queue (it began 0.06 s after the request reached it), a frozen entry (two requests reached two replicas at one moment by chance; the log has the entry at work).

Change: in the second before old versions end, a replica must not have failed within the last 3 s, whatever has succeeded since.

The test fails without the change.

--- a/libs/gateway/src/headcross_gateway/picking.py
+++ b/libs/gateway/src/headcross_gateway/picking.py
@@ -23,6 +23,9 @@
 SILENT_SHARE: Final = 0.5
 # Shortly before the bound on its version, a replica must have been heard of so lately.
 SOON_TOLD_SECONDS: Final = 0.5
+# ... and must not have failed for so long. A link that is too narrow holds requests back for about
+# 2 s and still lets some through in between, and its daemon's words, which go the other way.
+SOON_CALM_SECONDS: Final = 3.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -76,7 +79,8 @@
         fullest = self._rules.fullest(model, version) if version is not None else None
         if fullest is None:
             return True
-        known = state.told_age() < SOON_TOLD_SECONDS and not state.health.failures
+        known = state.told_age() < SOON_TOLD_SECONDS
+        known = known and state.health.failed_age() > SOON_CALM_SECONDS
         return known and state.load() < fullest * state.replica.slots
 
     def _healthy(self, states: list[ReplicaState], wish: Wish) -> list[ReplicaState]:
--- a/tests/test_gateway_places.py
+++ b/tests/test_gateway_places.py
@@ -19,6 +19,7 @@
     ReplicaState,
     Told,
 )
+from headcross_gateway.health import Health
 from headcross_gateway.picking import Picker, Wish
 from headcross_gateway.requestpath import COME_BACK_LATER_SECONDS, RequestPath
 from headcross_gateway.weightsrules import WeightsRules
@@ -77,6 +78,39 @@
     assert (picked is not None) == taken
 
 
+def test_shortly_before_the_bound_nothing_goes_where_requests_were_held_back_lately(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A squeezed link delivered a request 2 s late: after the bound, on old weights (VERSION)."""
+    start = monotonic()
+    now = start
+    for module in ("health", "directory", "weightsrules"):
+        monkeypatch.setattr(f"headcross_gateway.{module}.monotonic", lambda: now)
+    state = model_place("old", 1, 0)
+    weights_rules = rules([VersionNotice(2, start - 1.0, False)])
+    directory = Directory(weights_rules.facts)
+    weights = Service("lm", 100, WeightsLayout(("m",), 1, 1))
+    limits = CallerLimits(1, 1, 1.0, 1.0)
+    configuration = Configuration(1, (), {"lm": weights}, (), limits)
+    weights_rules.facts.replicas["old"] = state.replica
+    directory.update()
+    picker = Picker("z", directory, weights_rules)
+    taken = {}
+    for moment, failed_at in ((3.0, 2.0), (4.9, 2.0), (4.9, 1.8)):
+        now = start + failed_at
+        place = directory.serving("lm")[0]
+        place.health.failed(certain=False)
+        place.health.succeeded()  # one that came through proves nothing
+        now = start + moment
+        assert state.told is not None
+        directory.hear(state.told.load)
+        wish = Wish("lm", "m", None, (), True)
+        taken[moment, failed_at] = picker.pick(wish, configuration) is not None
+        place.health = Health()
+    # The last second before old versions end begins 4.4 s after the start here.
+    assert taken == {(3.0, 2.0): True, (4.9, 2.0): False, (4.9, 1.8): True}
+
+
 @pytest.mark.parametrize("exact", [None, 1])
 def test_a_replica_that_is_about_to_load_gets_nothing_even_if_it_is_the_last(
     exact: int | None,
