Old weights near their bound: what counts is silence, and for longer before it

Requests are held back there for up to 2.7 s.

Change: from 3 s before the bound on, nothing goes on old weights to a replica that was silent to a request or a connection within the last 3 s, whatever came through since. Other failures do not count: replicas that spoil or lose some answers would otherwise be left out for nothing.

The test, with the earlier moment added, fails without it.

--- a/libs/gateway/src/headcross_gateway/attempts.py
+++ b/libs/gateway/src/headcross_gateway/attempts.py
@@ -72,6 +72,11 @@
 
     reason: ErrorCode
     detail: str
+    silent: bool = False  # the replica gave no sign of life in time
+
+
+class SilentError(LinkLostError):
+    """The replica gave no sign of life in time."""
 
 
 Outcome = Whole | Streamed | DidNotRun | MayRun
@@ -119,7 +124,7 @@
                 connection, request, request_id, hand_over, relay, patience
             )
         except LinkLostError as error:
-            outcome = MayRun(LINK_LOST, str(error))
+            outcome = MayRun(LINK_LOST, str(error), silent=isinstance(error, SilentError))
         except (EventTooLongError, EventOutOfOrderError) as error:
             outcome = MayRun(UPSTREAM_ERROR, f"broken events: {error}")
         except BaseException:
@@ -175,14 +180,14 @@
 
 
 async def _in_time(until: float, act: Callable[[], Awaitable[T]]) -> T:
-    """Wait for a replica until a moment on trio's clock; raise LinkLostError after that.
+    """Wait for a replica until a moment on trio's clock; raise SilentError after that.
 
     Only waiting for the replica is bounded so. Sending to the caller must not be: an event whose
     sending was cut short could neither be sent again nor left out.
     """
     with trio.move_on_at(until):
         return await act()
-    raise LinkLostError("silent for too long")
+    raise SilentError("silent for too long")
 
 
 def _problem(answer: Answer, facts: AnswerFacts, request_id: str) -> str:
--- a/libs/gateway/src/headcross_gateway/health.py
+++ b/libs/gateway/src/headcross_gateway/health.py
@@ -21,7 +21,8 @@
     failures: int = 0  # in a row
     rests: int = 0  # in a row
     resting_until: float = 0.0  # monotonic
-    failed_at: float = float("-inf")  # monotonic; of the last failure, also if it succeeded since
+    # When a request was last held back there, also if others came through since (monotonic).
+    silent_at: float = float("-inf")
     on_trial: bool = False  # one request is trying it after a rest
 
     def resting(self) -> bool:
@@ -32,9 +33,13 @@
         """Tell whether it came out of a rest and nothing has succeeded since."""
         return self.rests > 0 and not self.resting()
 
-    def failed_age(self) -> float:
-        """Return how long ago it last failed, in seconds; infinite if it never did."""
-        return monotonic() - self.failed_at
+    def was_silent(self) -> None:
+        """Note that a request, or a connection, got no sign of life in time."""
+        self.silent_at = monotonic()
+
+    def silent_age(self) -> float:
+        """Return how long ago it was last silent, in seconds; infinite if it never was."""
+        return monotonic() - self.silent_at
 
     def succeeded(self) -> None:
         """Note a request that it answered."""
@@ -45,7 +50,6 @@
     def failed(self, certain: bool) -> None:
         """Note a failure; `certain` if it could not be reached at all."""
         self.failures += 1
-        self.failed_at = monotonic()
         self.on_trial = False
         if certain or self.failures >= FAILURES_TO_REST or self.rests:
             seconds = min(MAX_REST_SECONDS, FIRST_REST_SECONDS * 2.0**self.rests)
--- a/libs/gateway/src/headcross_gateway/picking.py
+++ b/libs/gateway/src/headcross_gateway/picking.py
@@ -23,9 +23,10 @@
 SILENT_SHARE: Final = 0.5
 # Shortly before the bound on its version, a replica must have been heard of so lately.
 SOON_TOLD_SECONDS: Final = 0.5
-# ... and must not have failed for so long. A link that is too narrow holds requests back for about
-# 2 s and still lets some through in between, and its daemon's words, which go the other way.
-SOON_CALM_SECONDS: Final = 3.0
+# A while before the bound, it must not have been silent to a request for so long. A link that is
+# too narrow holds requests back for 2 to 3 s, and delivers them although they were given up; in
+# between it lets some through, and its daemon's words go the other way.
+CALM_SECONDS: Final = 3.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -76,11 +77,14 @@
     def _starts_in_time(self, state: ReplicaState, model: str) -> bool:
         """Tell whether a request would start soon, or its version need not be hurried."""
         version = state.version_of(model)
-        fullest = self._rules.fullest(model, version) if version is not None else None
+        if version is None:
+            return True
+        if self._rules.is_ending(model, version) and state.health.silent_age() < CALM_SECONDS:
+            return False
+        fullest = self._rules.fullest(model, version)
         if fullest is None:
             return True
-        known = state.told_age() < SOON_TOLD_SECONDS
-        known = known and state.health.failed_age() > SOON_CALM_SECONDS
+        known = state.told_age() < SOON_TOLD_SECONDS and not state.health.failures
         return known and state.load() < fullest * state.replica.slots
 
     def _healthy(self, states: list[ReplicaState], wish: Wish) -> list[ReplicaState]:
--- a/libs/gateway/src/headcross_gateway/requestpath.py
+++ b/libs/gateway/src/headcross_gateway/requestpath.py
@@ -415,8 +415,11 @@
                     place.note_full()
                 else:
                     health.failed(certain=True)
+                    health.was_silent()
             case MayRun():
                 health.failed(certain=False)
+                if outcome.silent:
+                    health.was_silent()
                 result, detail = "may-have-run", f"{outcome.reason.code}: {outcome.detail}"
         fields |= {"outcome": result, "detail": detail, "health_failures": health.failures}
         logger.info("attempt", extra=fields)
--- a/libs/gateway/src/headcross_gateway/weightsrules.py
+++ b/libs/gateway/src/headcross_gateway/weightsrules.py
@@ -18,6 +18,9 @@
 # start: a replica may be ever less full, from the first share of its places to the second.
 CLOSING_SECONDS: Final = 1.0
 CLOSING_SHARES: Final = (0.86, 0.4)
+# Requests are held back in a narrow link for up to 2.7 s (saenggak-dialect, scale-2): so long
+# before the bound, what goes to an old version must not go where that happens.
+ENDING_SECONDS: Final = 3.0
 # A process that starts after a version was named does not know when that was. It serves older
 # versions for so long after its start.
 AT_START_SECONDS: Final = 2.0
@@ -34,16 +37,24 @@
         """Return the oldest version that new requests may still run on."""
         return self._lowest_at(model, monotonic())
 
+    def is_ending(self, model: str, version: int) -> bool:
+        """Tell whether a request that is held back for long would start after the bound."""
+        return self._left(model, version) < ENDING_SECONDS - MARGIN_SECONDS
+
     def fullest(self, model: str, version: int) -> float | None:
         """Return the share of its places that a replica may have taken; None for no bound."""
-        now = monotonic()
-        due = [n for n in self.facts.versions.get(model, []) if n.version > version]
-        left = min((self._due_at(notice) - now for notice in due), default=CLOSING_SECONDS)
+        left = self._left(model, version)
         if left >= CLOSING_SECONDS:
             return None
         early, late = CLOSING_SHARES
         return late + (early - late) * max(0.0, left) / CLOSING_SECONDS
 
+    def _left(self, model: str, version: int) -> float:
+        """Return the seconds for which a version may take requests; infinite if it is not due."""
+        now = monotonic()
+        due = [n for n in self.facts.versions.get(model, []) if n.version > version]
+        return min((self._due_at(notice) - now for notice in due), default=float("inf"))
+
     def _lowest_at(self, model: str, moment: float) -> int:
         due = [
             notice.version
--- a/tests/test_gateway_places.py
+++ b/tests/test_gateway_places.py
@@ -96,19 +96,20 @@
     directory.update()
     picker = Picker("z", directory, weights_rules)
     taken = {}
-    for moment, failed_at in ((3.0, 2.0), (4.9, 2.0), (4.9, 1.8)):
-        now = start + failed_at
+    for moment, silent_at in ((3.9, 2.0), (4.1, 2.0), (4.9, 2.0), (4.9, 1.8)):
+        now = start + silent_at
         place = directory.serving("lm")[0]
+        place.health.was_silent()
         place.health.failed(certain=False)
         place.health.succeeded()  # one that came through proves nothing
         now = start + moment
         assert state.told is not None
         directory.hear(state.told.load)
         wish = Wish("lm", "m", None, (), True)
-        taken[moment, failed_at] = picker.pick(wish, configuration) is not None
+        taken[moment, silent_at] = picker.pick(wish, configuration) is not None
         place.health = Health()
-    # The last second before old versions end begins 4.4 s after the start here.
-    assert taken == {(3.0, 2.0): True, (4.9, 2.0): False, (4.9, 1.8): True}
+    # The bound is 7 s after the start here; 3 s before it begins the time that counts.
+    assert taken == {(3.9, 2.0): True, (4.1, 2.0): False, (4.9, 2.0): False, (4.9, 1.8): True}
 
 
 @pytest.mark.parametrize("exact", [None, 1])
