--- a/libs/gateway/src/headcross_gateway/weightsrules.py
+++ b/libs/gateway/src/headcross_gateway/weightsrules.py
@@ -18,8 +18,8 @@
 # start: a replica may be ever less full, from the first share of its places to the second.
 CLOSING_SECONDS: Final = 1.0
 CLOSING_SHARES: Final = (0.86, 0.4)
-# Requests are held back in a narrow link for up to 2.7 s (saenggak-dialect, scale-2): so long
-# before the bound, what goes to an old version must not go where that happens.
+# A narrow link was measured to hold requests back for up to 2.7 s (docs/design/decisions.md). From
+# so long before the bound on, what goes to an old version must not go where that happens.
 ENDING_SECONDS: Final = 3.0
 # A process that starts after a version was named does not know when that was. It serves older
 # versions for so long after its start.
