An attempt's log line tells the weights it was placed on, and when it was sent and began

Cause: the record of the late old weights could not tell a request that was sent late from one that waited on its way or at its replica: an attempt line had neither the moment of sending nor the version, nor what was left until its bound, nor when the answer's body began. Change: sent_ms, began_ms, weights_version, weights_left. No decision changed; the first piece of a body is now read before the answer's kind is looked at, for streams and whole answers.

--- a/libs/daemon/src/headcross_daemon/gatewayrole.py
+++ b/libs/daemon/src/headcross_daemon/gatewayrole.py
@@ -86,7 +86,7 @@
         self._admission = Admission(Picker(settings.zone, self._directory, rules))
         budget = RetryBudget(settings.bounds.retry_ratio, settings.bounds.retry_slack)
         self._path = RequestPath(
-            facts, adapter.dialect, self._admission, budget, self._demand, self._observe
+            facts, adapter.dialect, self._admission, rules, budget, self._demand, self._observe
         )
         self._mirror = self._make_mirror(adapter)
         self._pages = AdminPages(self.dump, self._samples)
--- a/libs/gateway/src/headcross_gateway/attempts.py
+++ b/libs/gateway/src/headcross_gateway/attempts.py
@@ -55,6 +55,14 @@
     leave: Callable[[], bool] = lambda: True
 
 
+@dataclass(slots=True)
+class AttemptTimes:
+    """When an attempt came how far, on trio's clock; None where it did not."""
+
+    sent_at: float | None = None  # the whole request had been written
+    began_at: float | None = None  # the first piece of the answer's body was here
+
+
 class Attempts:
     """Makes the attempts of one entry."""
 
@@ -77,16 +85,18 @@
         relay: StreamRelay | None,
         *,
         fresh: bool,
+        times: AttemptTimes | None = None,
     ) -> Outcome:
-        """Send a request to a replica and take its answer."""
+        """Send a request to a replica and take its answer; note in `times` how far it came."""
         self.made += 1
+        times = times or AttemptTimes()
         try:
             connection = await self.connections.take(place.replica.address, fresh=fresh)
         except ConnectError as error:
             return DidNotRun(UNREACHED, str(error), arrived=False)
         try:
             outcome = await self._exchange(
-                connection, request, request_id, hand_over, relay, patience
+                connection, request, request_id, hand_over, relay, patience, times
             )
         except LinkLostError as error:
             outcome = MayRun(LINK_LOST, str(error), silent=isinstance(error, SilentError))
@@ -107,20 +117,24 @@
         hand_over: HandOver,
         relay: StreamRelay | None,
         patience: Patience,
+        times: AttemptTimes,
     ) -> Outcome:
         until = trio.current_time() + patience.first_seconds
         headers = self._dialect.upstream_headers(passed_headers(request.headers), hand_over)
         sending = partial(connection.send, request.method, request.target, headers, request.body)
         await _in_time(until, sending)
+        times.sent_at = trio.current_time()
         answer = await _in_time(until, connection.receive_answer, patience.leave)
         facts = self._dialect.read_answer(answer.status, answer.headers)
         problem = _problem(answer, facts, request_id)
         if problem:
             return MayRun(UPSTREAM_ERROR, problem)
+        piece = await _in_time(until, connection.receive_piece, patience.leave)
+        times.began_at = trio.current_time()
         if relay is not None and answer.status in SUCCESS:
             relay.begin(answer, facts.weights_version)
-            return await self._pass_stream(connection, answer, relay, until, patience)
-        body = await _read_body(connection, until, patience.leave)
+            return await self._pass_stream(connection, answer, relay, piece, until, patience)
+        body = await _read_body(connection, piece, until, patience.leave)
         await self.connections.give(connection, answer)
         if facts.not_run:
             detail = f"status {answer.status}"
@@ -132,13 +146,14 @@
         connection: HttpConnection,
         answer: Answer,
         relay: StreamRelay,
+        piece: bytes | None,
         until: float,
         patience: Patience,
     ) -> Outcome:
-        receive, leave = connection.receive_piece, patience.leave
-        while (piece := await _in_time(until, receive, leave)) is not None:
+        while piece is not None:
             if await relay.pass_on(piece):
                 until = trio.current_time() + patience.pause_seconds
+            piece = await _in_time(until, connection.receive_piece, patience.leave)
         if not await relay.finish():
             raise LinkLostError("the stream ended within an event")
         await self.connections.give(connection, answer)
@@ -173,10 +188,14 @@
     return "an encoded body" if facts.encoded else ""
 
 
-async def _read_body(connection: HttpConnection, until: float, leave: Callable[[], bool]) -> bytes:
+async def _read_body(
+    connection: HttpConnection, piece: bytes | None, until: float, leave: Callable[[], bool]
+) -> bytes:
+    """Return the whole body, whose first piece is here already."""
     body = bytearray()
-    while (piece := await _in_time(until, connection.receive_piece, leave)) is not None:
+    while piece is not None:
         body += piece
         if len(body) > MAX_BODY_BYTES:
             raise LinkLostError(f"an answer over {MAX_BODY_BYTES} bytes")
+        piece = await _in_time(until, connection.receive_piece, leave)
     return bytes(body)
--- a/libs/gateway/src/headcross_gateway/requestlog.py
+++ b/libs/gateway/src/headcross_gateway/requestlog.py
@@ -1,21 +1,38 @@
 """The log lines of requests: one for each attempt, and one for how each request ended."""
 
 import logging
+import math
+from dataclasses import dataclass
 
 import trio
 from headcross_base.verdicts import Completed, Refusal, verdict_name
 
 from headcross_gateway.admitted import Admitted
+from headcross_gateway.attempts import AttemptTimes
 from headcross_gateway.outcomes import DidNotRun, MayRun, Outcome, Streamed, Whole
 from headcross_gateway.replicastate import ReplicaState
 
 logger = logging.getLogger(__name__)
 
 
-def log_attempt(request: Admitted, place: ReplicaState, outcome: Outcome) -> None:
+@dataclass(frozen=True, slots=True)
+class WeightsPlacedOn:
+    """The weights that an attempt was placed on."""
+
+    version: int | None  # None for a service without weights
+    seconds_left: float  # for which the version took requests yet; infinite if it was not to end
+
+
+def log_attempt(
+    request: Admitted,
+    place: ReplicaState,
+    outcome: Outcome,
+    weights: WeightsPlacedOn,
+    times: AttemptTimes,
+) -> None:
     """Log an attempt with what decided for its replica, after the replica's health was noted."""
     result, detail = _result_of(outcome)
-    fields = {
+    fields: dict[str, object] = {
         "request": request.facts.id,
         "replica": place.replica.id,
         "address": str(place.replica.address),
@@ -27,6 +44,13 @@
         "detail": detail,
         "health_failures": place.health.failures,
     }
+    if weights.version is not None:
+        fields["weights_version"] = weights.version
+    if not math.isinf(weights.seconds_left):
+        fields["weights_left"] = round(weights.seconds_left, 2)
+    for name, moment in (("sent_ms", times.sent_at), ("began_ms", times.began_at)):
+        if moment is not None:
+            fields[name] = round((moment - request.arrived_at) * 1000, 1)
     logger.info("attempt", extra=fields)
 
 
--- a/libs/gateway/src/headcross_gateway/requestpath.py
+++ b/libs/gateway/src/headcross_gateway/requestpath.py
@@ -39,7 +39,7 @@
 from headcross_gateway.admission import Admission
 from headcross_gateway.admitted import Admitted, NotAdmitted
 from headcross_gateway.answers import send_refusal
-from headcross_gateway.attempts import Attempts, Patience
+from headcross_gateway.attempts import Attempts, AttemptTimes, Patience
 from headcross_gateway.budget import RetryBudget
 from headcross_gateway.demand import DemandMeter
 from headcross_gateway.outcomes import DidNotRun, MayRun, Outcome, Streamed, Whole
@@ -47,11 +47,13 @@
 from headcross_gateway.relay import StreamRelay, passed_headers
 from headcross_gateway.replicastate import ReplicaState
 from headcross_gateway.requestlog import (
+    WeightsPlacedOn,
     log_attempt,
     log_caller_gone,
     log_completed,
     log_refused,
 )
+from headcross_gateway.weightsrules import WeightsRules
 
 # Of the time in which an answer is worth most, a request waits for a place at most this part.
 WAIT_PART: Final = 0.22
@@ -92,6 +94,7 @@
         facts: Facts,
         dialect: RequestDialect,
         admission: Admission,
+        rules: WeightsRules,
         budget: RetryBudget,
         demand: DemandMeter,
         observe: Observe,
@@ -104,6 +107,7 @@
         self._facts = facts
         self._dialect = dialect
         self._admission = admission
+        self._rules = rules
         self._demand = demand
         self._observe = observe
 
@@ -180,12 +184,14 @@
                 if not request.runs:
                     self._demand.note_refused(request.service)
                 return self._last_word(request, last or self._no_room(request, wish))
+            weights = self._weights_of(request, place)
+            times = AttemptTimes()
             try:
-                outcome = await self._attempt(request, place)
+                outcome = await self._attempt(request, place, times)
             finally:
                 self._admission.give_back(place)
             place.learn(outcome, bound=request.bound_version is not None)
-            log_attempt(request, place, outcome)
+            log_attempt(request, place, outcome, weights, times)
             if not isinstance(outcome, DidNotRun):
                 # One that refused may have room in a moment; one that ran it had its chance.
                 request.tried.add(place.replica.id)
@@ -236,7 +242,17 @@
             wish, request.configuration, priority, request.deadline, until
         )
 
-    async def _attempt(self, request: Admitted, place: ReplicaState) -> Outcome:
+    def _weights_of(self, request: Admitted, place: ReplicaState) -> WeightsPlacedOn:
+        """Return the weights that a replica holds for a request, and how long they may be used."""
+        model = request.facts.model
+        version = place.version_of(model) if model is not None else None
+        if model is None or version is None:
+            return WeightsPlacedOn(None, float("inf"))
+        return WeightsPlacedOn(version, self._rules.seconds_left(model, version))
+
+    async def _attempt(
+        self, request: Admitted, place: ReplicaState, times: AttemptTimes
+    ) -> Outcome:
         health = place.health
         health.on_trial = health.needs_trial()
         relay = request.relay
@@ -259,6 +275,7 @@
                 self._patience(request, place),
                 relay,
                 fresh=not request.route.repetition.may_run_again,
+                times=times,
             )
         finally:
             health.on_trial = False
--- a/libs/gateway/src/headcross_gateway/weightsrules.py
+++ b/libs/gateway/src/headcross_gateway/weightsrules.py
@@ -39,18 +39,18 @@
 
     def is_ending(self, model: str, version: int) -> bool:
         """Tell whether a request that is held back for long would start after the bound."""
-        return self._left(model, version) < ENDING_SECONDS - MARGIN_SECONDS
+        return self.seconds_left(model, version) < ENDING_SECONDS - MARGIN_SECONDS
 
     def fullest(self, model: str, version: int) -> float | None:
         """Return the share of its places that a replica may have taken; None for no bound."""
-        left = self._left(model, version)
+        left = self.seconds_left(model, version)
         if left >= CLOSING_SECONDS:
             return None
         early, late = CLOSING_SHARES
         return late + (early - late) * max(0.0, left) / CLOSING_SECONDS
 
-    def _left(self, model: str, version: int) -> float:
-        """Return the seconds for which a version may take requests; infinite if it is not due."""
+    def seconds_left(self, model: str, version: int) -> float:
+        """Return for how long a version may take requests; infinite if no newer one is named."""
         now = monotonic()
         due = [n for n in self.facts.versions.get(model, []) if n.version > version]
         return min((self._due_at(notice) - now for notice in due), default=float("inf"))
--- a/tests/test_gateway_places.py
+++ b/tests/test_gateway_places.py
@@ -229,7 +229,13 @@
     admission = Admission(Picker("z", directory, WeightsRules(facts, 8.0)))
     budget = RetryBudget(ratio=0.2, slack=0)
     path = RequestPath(
-        facts, PlatformDialect(), admission, budget, demand, lambda service, verdict, seconds: None
+        facts,
+        PlatformDialect(),
+        admission,
+        WeightsRules(facts, 8.0),
+        budget,
+        demand,
+        lambda service, verdict, seconds: None,
     )
     waits = []
     for refused in (0, 5, 10):
