A failing test: a request that waits at its replica starts on old weights after the bound

The stand-in replica can let a request wait before it runs it, and notes when it began. Entries stop sending 1.6 s before the bound and take nothing back.

--- a/testing/machines.py
+++ b/testing/machines.py
@@ -426,6 +426,7 @@
     entry_link_mbits: float = 1000.0,
     entry_memory_mb: float = 200.0,
     mirrors: bool = True,
+    weights_ms: float = 8000.0,
 ) -> AsyncIterator[Machines]:
     """Run a small site whose entries are ready; replicas serve version 1."""
     async with running_machines(directory) as site:
@@ -433,6 +434,7 @@
         site.entry_link_mbits = entry_link_mbits
         site.entry_memory_mb = entry_memory_mb
         site.mirrors = mirrors
+        site.weights_ms = weights_ms
         site.origin.versions[1] = [random.randbytes(CHUNK_BYTES) for _ in range(CHUNKS)]
         if named:
             site.name_version(named)
--- a/testing/platformreplica.py
+++ b/testing/platformreplica.py
@@ -66,6 +66,7 @@
     headers: dict[str, str]
     body: bytes
     version: int
+    began_at: float  # trio's clock
 
 
 @dataclass
@@ -79,6 +80,8 @@
     events: int = 4
     event_seconds: float = 0.0
     service_seconds: float = 0.0
+    # How long a request waits here until it runs; one whose caller leaves meanwhile never does.
+    wait_seconds: float = 0.0
     load_seconds: float = 0.02
     faults: deque[Fault] = field(default_factory=deque)
     runs: list[Run] = field(default_factory=list)
@@ -193,13 +196,12 @@
         if fault is Fault.SHED or self.loading or self.active >= self.slots or self.draining:
             await stream.send_all(json_bytes(503, {}, [*base, (names.NOT_EXECUTED, "1")]))
             return True
-        self.runs.append(
-            Run(
-                request_id, head.method.decode(), head.target.decode(), headers, body, self.version
-            )
-        )
         self.active += 1
         try:
+            await sleep_watching(stream, self.wait_seconds)
+            method, target = head.method.decode(), head.target.decode()
+            now = trio.current_time()
+            self.runs.append(Run(request_id, method, target, headers, body, self.version, now))
             return await self._answer(stream, headers, base, body, fault)
         except (trio.BrokenResourceError, trio.ClosedResourceError, CallerLeft):
             self.cancelled.append(request_id)
