What has not begun on old weights shortly before their bound is withdrawn

Cause: entries bounded the moment of sending to old weights (1.6 s before the bound), not the one at which a request begins. How long it waits on its way and in the replica's own queue nobody bounds; two streams were begun 1.475 and 1.630 s after they had reached their replica. Ruled out: late news of the version. Change: an attempt whose replica has not begun it 0.8 s before the bound on the weights it was placed on is taken back: its connection is reset and the replica drops what waits. Known not to have run if no connection had opened; it may have run otherwise, and goes on at a replica with the new weights where it may be repeated. What has begun is let end. A replica that has taken the new weights meanwhile keeps what waits there; a withdrawn attempt is no failure of the replica.

--- a/libs/base/src/headcross_base/errorcodes.py
+++ b/libs/base/src/headcross_base/errorcodes.py
@@ -125,6 +125,12 @@
 UPSTREAM_ERROR: Final = _define(
     "upstream-error", 502, "The upstream broke the protocol.", "Look at the engine's own log."
 )
+WEIGHTS_ENDED: Final = _define(
+    "weights-ended",
+    502,
+    "The weights it was sent to were replaced before it began.",
+    "New weights came late, and requests waited long at replicas that held the old ones.",
+)
 STREAM_BROKEN: Final = _define(
     "stream-broken", 502, "The answer broke off and could not be resumed.", "See link-lost."
 )
--- a/libs/daemon/src/headcross_daemon/gatewayrole.py
+++ b/libs/daemon/src/headcross_daemon/gatewayrole.py
@@ -117,6 +117,7 @@
             nursery.start_soon(self.process.on_change, self._take_facts)
             nursery.start_soon(self._subscribe)
             nursery.start_soon(self._keep_house)
+            nursery.start_soon(self._path.unbegun.run)
             if self._mirror is not None:
                 nursery.start_soon(self._mirror.run)
             accepting = trio.CancelScope()
@@ -135,6 +136,7 @@
             "connections": self._server.connections,
             "requests": dict(self._path.counts),
             "attempts": self._path.attempts.made,
+            "attempts_withdrawn": self._path.unbegun.withdrawn,
             "connections_opened": self._path.attempts.connections.opened,
             "retries": {"spent": self._path.budget.spent, "denied": self._path.budget.denied},
             "mirror": self._mirror.dump() if self._mirror is not None else None,
@@ -322,6 +324,7 @@
         samples[sample("ready")] = float(self._ready())
         samples[sample("requests_in_flight")] = self._path.in_flight
         samples[sample("attempts_total")] = self._path.attempts.made
+        samples[sample("attempts_withdrawn_total")] = self._path.unbegun.withdrawn
         samples[sample("retries_total")] = self._path.budget.spent
         samples[sample("retries_denied_total")] = self._path.budget.denied
         samples[sample("replica_connections_total")] = self._path.attempts.connections.opened
--- a/libs/gateway/src/headcross_gateway/attempts.py
+++ b/libs/gateway/src/headcross_gateway/attempts.py
@@ -1,7 +1,8 @@
 """One attempt at one replica, and what is known of it afterwards.
 
-Straight down: a connection; the request; the head of the answer; its body, whole or event by
-event. How far that got decides what is known:
+Straight down: a connection; the request; the head of the answer and the first piece of its body;
+the rest of it, whole or event by event. Up to that first piece the attempt may be withdrawn, since
+its weights end. How far it got decides what is known:
 
 * no connection: not run, and the replica never heard of it;
 * the replica states that it did not run the request: not run;
@@ -17,11 +18,13 @@
 import trio
 from headcross_base.errorcodes import (
     LINK_LOST,
+    NO_RUN_IN_TIME,
     NOT_SERVING,
     UNREACHED,
     UPSTREAM_ERROR,
+    WEIGHTS_ENDED,
 )
-from headcross_ports.requests import AnswerFacts, HandOver, RequestDialect
+from headcross_ports.requests import AnswerFacts, HandOver, RequestDialect, RequestFacts
 from headcross_wire.httpclient import Answer, ConnectError, HttpConnection, LinkLostError
 from headcross_wire.httpserver import Request
 
@@ -30,6 +33,7 @@
 from headcross_gateway.outcomes import DidNotRun, MayRun, Outcome, Streamed, Whole
 from headcross_gateway.relay import EventOutOfOrderError, StreamRelay, passed_headers
 from headcross_gateway.replicastate import ReplicaState
+from headcross_gateway.unbegun import UnbegunAttempts
 
 MAX_BODY_BYTES: Final = 16 * 1024 * 1024
 # A replica that is silent for too long is left as soon as another could take the request; that is
@@ -63,6 +67,16 @@
     began_at: float | None = None  # the first piece of the answer's body was here
 
 
+@dataclass(frozen=True, slots=True)
+class _Begun:
+    """An answer whose first piece has come."""
+
+    answer: Answer
+    facts: AnswerFacts
+    piece: bytes | None  # None if the body is empty
+    until: float  # trio's clock: when the replica's time for the first event is over
+
+
 class Attempts:
     """Makes the attempts of one entry."""
 
@@ -70,15 +84,16 @@
     made: int
     connections: ReplicaConnections
 
-    def __init__(self, dialect: RequestDialect) -> None:
+    def __init__(self, dialect: RequestDialect, unbegun: UnbegunAttempts) -> None:
         self.made = 0
         self.connections = ReplicaConnections()
+        self._unbegun = unbegun
         self._dialect = dialect
 
     async def make(
         self,
         request: Request,
-        request_id: str,
+        facts: RequestFacts,
         place: ReplicaState,
         hand_over: HandOver,
         patience: Patience,
@@ -89,52 +104,71 @@
     ) -> Outcome:
         """Send a request to a replica and take its answer; note in `times` how far it came."""
         self.made += 1
-        times = times or AttemptTimes()
+        connection: HttpConnection | None = None
+        outcome: Outcome
         try:
-            connection = await self.connections.take(place.replica.address, fresh=fresh)
+            with self._unbegun.waiting(facts.model, place) as waiting:
+                connection = await self.connections.take(place.replica.address, fresh=fresh)
+                begun = await self._begin(
+                    connection, request, facts, hand_over, patience, times or AttemptTimes()
+                )
+            if waiting.cancelled_caught:
+                outcome = _withdrawn(connection)
+            elif isinstance(begun, _Begun):
+                outcome = await self._finish(connection, begun, relay, patience)
+            else:
+                outcome = begun
         except ConnectError as error:
             return DidNotRun(UNREACHED, str(error), arrived=False)
-        try:
-            outcome = await self._exchange(
-                connection, request, request_id, hand_over, relay, patience, times
-            )
         except LinkLostError as error:
             outcome = MayRun(LINK_LOST, str(error), silent=isinstance(error, SilentError))
         except (EventTooLongError, EventOutOfOrderError) as error:
             outcome = MayRun(UPSTREAM_ERROR, f"broken events: {error}")
         except BaseException:
-            await connection.abandon()
+            if connection is not None:
+                await connection.abandon()
             raise
-        if not isinstance(outcome, Whole | Streamed | DidNotRun):
+        if connection is not None and not isinstance(outcome, Whole | Streamed | DidNotRun):
             await connection.abandon()
         return outcome
 
-    async def _exchange(
+    async def _begin(
         self,
         connection: HttpConnection,
         request: Request,
-        request_id: str,
+        facts: RequestFacts,
         hand_over: HandOver,
-        relay: StreamRelay | None,
         patience: Patience,
         times: AttemptTimes,
-    ) -> Outcome:
+    ) -> _Begun | MayRun:
+        """Send a request and wait until its answer has begun."""
         until = trio.current_time() + patience.first_seconds
         headers = self._dialect.upstream_headers(passed_headers(request.headers), hand_over)
         sending = partial(connection.send, request.method, request.target, headers, request.body)
         await _in_time(until, sending)
         times.sent_at = trio.current_time()
         answer = await _in_time(until, connection.receive_answer, patience.leave)
-        facts = self._dialect.read_answer(answer.status, answer.headers)
-        problem = _problem(answer, facts, request_id)
+        answer_facts = self._dialect.read_answer(answer.status, answer.headers)
+        problem = _problem(answer, answer_facts, facts.id)
         if problem:
             return MayRun(UPSTREAM_ERROR, problem)
         piece = await _in_time(until, connection.receive_piece, patience.leave)
         times.began_at = trio.current_time()
+        return _Begun(answer, answer_facts, piece, until)
+
+    async def _finish(
+        self,
+        connection: HttpConnection,
+        begun: _Begun,
+        relay: StreamRelay | None,
+        patience: Patience,
+    ) -> Outcome:
+        """Take the rest of an answer."""
+        answer, facts = begun.answer, begun.facts
         if relay is not None and answer.status in SUCCESS:
             relay.begin(answer, facts.weights_version)
-            return await self._pass_stream(connection, answer, relay, piece, until, patience)
-        body = await _read_body(connection, piece, until, patience.leave)
+            return await self._pass_stream(connection, begun, relay, patience)
+        body = await _read_body(connection, begun, patience.leave)
         await self.connections.give(connection, answer)
         if facts.not_run:
             detail = f"status {answer.status}"
@@ -144,22 +178,29 @@
     async def _pass_stream(
         self,
         connection: HttpConnection,
-        answer: Answer,
+        begun: _Begun,
         relay: StreamRelay,
-        piece: bytes | None,
-        until: float,
         patience: Patience,
     ) -> Outcome:
+        piece, until = begun.piece, begun.until
         while piece is not None:
             if await relay.pass_on(piece):
                 until = trio.current_time() + patience.pause_seconds
             piece = await _in_time(until, connection.receive_piece, patience.leave)
         if not await relay.finish():
             raise LinkLostError("the stream ended within an event")
-        await self.connections.give(connection, answer)
+        await self.connections.give(connection, begun.answer)
         return Streamed()
 
 
+def _withdrawn(connection: HttpConnection | None) -> DidNotRun | MayRun:
+    """Return the outcome of an attempt that was taken back before its answer began."""
+    if connection is None:
+        detail = "the weights ended before it was sent"
+        return DidNotRun(NO_RUN_IN_TIME, detail, arrived=False, withdrawn=True)
+    return MayRun(WEIGHTS_ENDED, "the weights ended before it began", withdrawn=True)
+
+
 async def _in_time(
     until: float, act: Callable[[], Awaitable[T]], leave: Callable[[], bool] = lambda: True
 ) -> T:
@@ -189,13 +230,14 @@
 
 
 async def _read_body(
-    connection: HttpConnection, piece: bytes | None, until: float, leave: Callable[[], bool]
+    connection: HttpConnection, begun: _Begun, leave: Callable[[], bool]
 ) -> bytes:
-    """Return the whole body, whose first piece is here already."""
+    """Return the whole body of an answer."""
     body = bytearray()
+    piece = begun.piece
     while piece is not None:
         body += piece
         if len(body) > MAX_BODY_BYTES:
             raise LinkLostError(f"an answer over {MAX_BODY_BYTES} bytes")
-        piece = await _in_time(until, connection.receive_piece, leave)
+        piece = await _in_time(begun.until, connection.receive_piece, leave)
     return bytes(body)
--- a/libs/gateway/src/headcross_gateway/outcomes.py
+++ b/libs/gateway/src/headcross_gateway/outcomes.py
@@ -35,6 +35,7 @@
     detail: str
     arrived: bool  # the replica has seen the request
     elsewhere: bool = False  # another incarnation, or other weights, are at that address
+    withdrawn: bool = False  # this entry took it back; that tells nothing of the replica
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,6 +45,7 @@
     reason: ErrorCode
     detail: str
     silent: bool = False  # the replica gave no sign of life in time
+    withdrawn: bool = False  # this entry took it back; that tells nothing of the replica
 
 
 Outcome = Whole | Streamed | DidNotRun | MayRun
--- a/libs/gateway/src/headcross_gateway/replicastate.py
+++ b/libs/gateway/src/headcross_gateway/replicastate.py
@@ -114,6 +114,8 @@
         replica that turns it away for that is still the one that was meant.
         """
         match outcome:
+            case DidNotRun(withdrawn=True) | MayRun(withdrawn=True):
+                return
             case Whole(failed=True):
                 self.health.failed(certain=False)
             case Whole() | Streamed():
--- a/libs/gateway/src/headcross_gateway/requestpath.py
+++ b/libs/gateway/src/headcross_gateway/requestpath.py
@@ -53,6 +53,7 @@
     log_completed,
     log_refused,
 )
+from headcross_gateway.unbegun import UnbegunAttempts
 from headcross_gateway.weightsrules import WeightsRules
 
 # Of the time in which an answer is worth most, a request waits for a place at most this part.
@@ -88,6 +89,7 @@
     in_flight: int
     budget: RetryBudget
     attempts: Attempts
+    unbegun: UnbegunAttempts
 
     def __init__(
         self,
@@ -102,7 +104,8 @@
         self.counts = Counter()
         self.in_flight = 0
         self.budget = budget
-        self.attempts = Attempts(dialect)
+        self.unbegun = UnbegunAttempts(rules)
+        self.attempts = Attempts(dialect, self.unbegun)
         self._last_moment: float | None = None
         self._facts = facts
         self._dialect = dialect
@@ -269,7 +272,7 @@
         try:
             return await self.attempts.make(
                 request.exchange.request,
-                request.facts.id,
+                request.facts,
                 place,
                 hand_over,
                 self._patience(request, place),
--- a/libs/gateway/src/headcross_gateway/weightsrules.py
+++ b/libs/gateway/src/headcross_gateway/weightsrules.py
@@ -2,7 +2,7 @@
 
 A newer version that is named must replace the older ones within a bound. Until then both serve, so
 that replicas can change over in turns; a safety margin before the bound new requests go to the new
-version alone.
+version alone, and a smaller one before it those that still wait at their replicas are taken back.
 """
 
 from dataclasses import dataclass
@@ -12,8 +12,12 @@
 from headcross_facts.facts import Facts, VersionNotice
 
 # The version was acknowledged some time before this process learned of it, and a request takes
-# some time from here to its first token.
+# some time from here to its first token: without load 0.1 to 0.3 s.
 MARGIN_SECONDS: Final = 1.6
+# What has not begun so long before the bound is taken back. News of a version take up to 0.3 s
+# (a rest of 0.23 s between two answers of the store, and the call), and the reset of a connection
+# took 0.3 s through a link full of chunks.
+WITHDRAWAL_SECONDS: Final = 0.8
 # In the last moments before the bound, old versions take only what need not wait long for its
 # start: a replica may be ever less full, from the first share of its places to the second.
 CLOSING_SECONDS: Final = 1.0
@@ -37,6 +41,17 @@
         """Return the oldest version that new requests may still run on."""
         return self._lowest_at(model, monotonic())
 
+    def lowest_to_begin(self, model: str) -> int:
+        """Return the oldest version on which a request that was sent may still begin."""
+        return self._lowest_at(model, monotonic() - (MARGIN_SECONDS - WITHDRAWAL_SECONDS))
+
+    def seconds_to_next_end(self) -> float:
+        """Return when `lowest_to_begin` rises next, infinite while no version is to end."""
+        moment = monotonic() - (MARGIN_SECONDS - WITHDRAWAL_SECONDS)
+        notices = (notice for named in self.facts.versions.values() for notice in named)
+        ahead = (self._due_at(notice) - moment for notice in notices)
+        return min((seconds for seconds in ahead if seconds > 0), default=float("inf"))
+
     def is_ending(self, model: str, version: int) -> bool:
         """Tell whether a request that is held back for long would start after the bound."""
         return self.seconds_left(model, version) < ENDING_SECONDS - MARGIN_SECONDS
--- a/tests/test_gateway_streams.py
+++ b/tests/test_gateway_streams.py
@@ -10,15 +10,18 @@
 from headcross_gateway.outcomes import MayRun, Streamed
 from headcross_gateway.relay import EventOutOfOrderError, StreamRelay
 from headcross_gateway.replicastate import ReplicaState
+from headcross_gateway.unbegun import UnbegunAttempts
 from headcross_platform import names
 from headcross_platform.dialect import PlatformDialect
 from headcross_ports.published import Replica
-from headcross_ports.requests import HandOver
+from headcross_ports.requests import HandOver, RequestFacts
 from headcross_wire.httpclient import Answer
 from headcross_wire.httpserver import Headers, Request
 from hypothesis import given
 from hypothesis import strategies as st
 
+from tests.test_gateway_rules import rules
+
 EVENT = b"id: %d\ndata: x\n\n"
 
 
@@ -92,7 +95,7 @@
     mock_clock.autojump_threshold = 0
     exchange = FakeExchange()
     relay = StreamRelay(exchange, None)  # type: ignore[arg-type]
-    attempts = Attempts(PlatformDialect())
+    attempts = Attempts(PlatformDialect(), UnbegunAttempts(rules([])))
     connection = ScriptedConnection(mock_clock, [EVENT % 0], jump)
 
     async def take(address: Address, *, fresh: bool) -> ScriptedConnection:
@@ -101,7 +104,7 @@
     monkeypatch.setattr(attempts.connections, "take", take)
     outcome = await attempts.make(
         Request("POST", "/", [], b""),
-        "r",
+        RequestFacts("r", None, None, None, None),
         place(),
         HandOver("i", 5.0, None, None, None, None),
         Patience(1.6, 1.1),
--- /dev/null
+++ b/tests/test_gateway_unbegun.py
@@ -0,0 +1,147 @@
+"""Attempts that are taken back because their weights end, and those that are not."""
+
+import pytest
+import trio
+import trio.testing
+from headcross_base.addresses import Address
+from headcross_base.clocks import monotonic
+from headcross_facts.facts import VersionNotice
+from headcross_gateway.attempts import Attempts, Patience
+from headcross_gateway.outcomes import DidNotRun
+from headcross_gateway.replicastate import ReplicaState
+from headcross_gateway.unbegun import UnbegunAttempts
+from headcross_gateway.weightsrules import MARGIN_SECONDS, WITHDRAWAL_SECONDS
+from headcross_platform.dialect import PlatformDialect
+from headcross_ports.published import LoadedModel, Replica
+from headcross_ports.requests import HandOver, RequestFacts
+from headcross_wire.httpclient import HttpConnection
+from headcross_wire.httpserver import Request
+
+from tests.test_gateway_rules import rules
+
+BOUND_SECONDS = 8.0  # of the rules under test
+
+
+def place(version: int) -> ReplicaState:
+    """Return a replica that holds a version of the model."""
+    address = Address("127.0.0.1", 1)
+    return ReplicaState(Replica("i", "lm", address, "z", 8, False, (LoadedModel("m", version),)))
+
+
+@pytest.fixture(autouse=True)
+def one_clock(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Have the product's clock go with trio's, which jumps ahead when all tasks wait."""
+    for module in ("weightsrules", "replicastate", "health"):
+        monkeypatch.setattr(f"headcross_gateway.{module}.monotonic", trio.current_time)
+
+
+async def seconds_until_withdrawn(unbegun: UnbegunAttempts, replica: ReplicaState) -> float:
+    """Return how long an attempt may wait for its replica, 100 s at most."""
+    started_at = trio.current_time()
+    with unbegun.waiting("m", replica), trio.move_on_after(100):
+        await trio.sleep_forever()
+    return trio.current_time() - started_at
+
+
+async def test_what_has_not_begun_is_withdrawn_shortly_before_its_bound(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    weights_rules = rules([VersionNotice(2, trio.current_time(), False)])
+    unbegun = UnbegunAttempts(weights_rules)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(unbegun.run)
+        seconds = await seconds_until_withdrawn(unbegun, place(1))
+        assert seconds == pytest.approx(BOUND_SECONDS - WITHDRAWAL_SECONDS, abs=0.01)
+        assert MARGIN_SECONDS > WITHDRAWAL_SECONDS
+        # One that is placed later still, on old news, is withdrawn at once.
+        assert await seconds_until_withdrawn(unbegun, place(1)) < 0.01
+        assert await seconds_until_withdrawn(unbegun, place(2)) == pytest.approx(100)
+        assert unbegun.withdrawn == 2
+        nursery.cancel_scope.cancel()
+
+
+async def test_each_of_two_versions_that_follow_one_another_ends_at_its_own_bound(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    now = trio.current_time()
+    weights_rules = rules([VersionNotice(2, now, False), VersionNotice(3, now + 2, False)])
+    unbegun = UnbegunAttempts(weights_rules)
+    found: dict[int, float] = {}
+
+    async def wait(version: int) -> None:
+        found[version] = await seconds_until_withdrawn(unbegun, place(version))
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(unbegun.run)
+        async with trio.open_nursery() as waiting:
+            for version in (1, 2, 3):
+                waiting.start_soon(wait, version)
+        nursery.cancel_scope.cancel()
+    first = BOUND_SECONDS - WITHDRAWAL_SECONDS
+    assert [found[version] for version in (1, 2, 3)] == pytest.approx(
+        [first, first + 2, 100], abs=0.01
+    )
+
+
+async def test_news_of_a_version_that_was_named_long_ago_withdraw_at_once(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    weights_rules = rules([])
+    unbegun = UnbegunAttempts(weights_rules)
+    # The clock of facts is the real one.
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(unbegun.run)
+        nursery.start_soon(seconds_until_withdrawn, unbegun, place(1))
+        await trio.testing.wait_all_tasks_blocked()
+        long_ago = monotonic() - trio.current_time() + BOUND_SECONDS
+        weights_rules.facts.hear_version("m", 2, long_ago)
+        await trio.testing.wait_all_tasks_blocked()
+        assert unbegun.withdrawn == 1
+        nursery.cancel_scope.cancel()
+
+
+async def test_a_replica_that_has_taken_the_new_weights_keeps_what_waits_there(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    unbegun = UnbegunAttempts(rules([VersionNotice(2, trio.current_time(), False)]))
+    replica = place(1)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(unbegun.run)
+
+        async def load() -> None:
+            await trio.sleep(5)
+            replica.replica = place(2).replica
+
+        nursery.start_soon(load)
+        assert await seconds_until_withdrawn(unbegun, replica) == pytest.approx(100)
+        nursery.cancel_scope.cancel()
+
+
+async def test_an_attempt_withdrawn_before_it_was_sent_is_known_not_to_have_run(
+    autojump_clock: trio.testing.MockClock,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    unbegun = UnbegunAttempts(rules([VersionNotice(2, trio.current_time(), False)]))
+    attempts = Attempts(PlatformDialect(), unbegun)
+
+    async def take(address: Address, *, fresh: bool) -> HttpConnection:
+        await trio.sleep_forever()
+        raise AssertionError("unreachable")
+
+    monkeypatch.setattr(attempts.connections, "take", take)
+    replica = place(1)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(unbegun.run)
+        outcome = await attempts.make(
+            Request("POST", "/", [], b""),
+            RequestFacts("r", None, None, None, "m"),
+            replica,
+            HandOver("i", 5.0, None, None, None, None),
+            Patience(1.6, 1.1),
+            None,
+            fresh=True,
+        )
+        nursery.cancel_scope.cancel()
+    assert isinstance(outcome, DidNotRun) and not outcome.arrived
+    replica.learn(outcome, bound=False)
+    assert not replica.health.failures and not replica.health.resting()
--- a/tests/test_old_weights.py
+++ b/tests/test_old_weights.py
@@ -59,3 +59,47 @@
         assert all(seconds <= BOUND_SECONDS for seconds in late.values()), late
         promised = {reply.id for reply in replies if reply.status == 503}
         assert not promised & set(began), "a request that ran was promised not to have"
+
+
+async def test_a_withdrawn_stream_is_served_by_a_replica_with_the_new_weights(
+    tmp_path: Path,
+) -> None:
+    async with small_site(
+        tmp_path, models=2, plain=0, daemons=True, weights_ms=1000 * BOUND_SECONDS
+    ) as site:
+        old, new = replicas_of(site, MODEL_SERVICE)
+        old.wait_seconds = 2 * BOUND_SECONDS
+        new.slots = 1
+        site.list_replica(site.replicas[new.id])
+        name_version_without_weights(site, 2)
+        await trio.sleep(FIRST_CALLER_SECONDS)
+        replies: list[Reply] = []
+
+        async def call() -> None:
+            replies.append(await ask(site.callers("entry0"), "/stream/x"))
+
+        async with trio.open_nursery() as nursery:
+            with trio.fail_after(BOUND_SECONDS):
+                while not old.arrivals:
+                    nursery.start_soon(call)
+                    await trio.sleep(0.05)
+            new.version = 2
+            new.slots = 8
+            site.list_replica(site.replicas[new.id])
+        assert all(reply.whole and reply.events == [0, 1, 2, 3] for reply in replies), replies
+        assert not old.runs and old.cancelled
+
+
+async def test_a_stream_that_has_begun_on_old_weights_goes_on_past_the_bound(
+    tmp_path: Path,
+) -> None:
+    async with small_site(
+        tmp_path, models=1, plain=0, daemons=True, weights_ms=1000 * BOUND_SECONDS
+    ) as site:
+        replica = replicas_of(site, MODEL_SERVICE)[0]
+        replica.event_seconds = 0.8
+        name_version_without_weights(site, 2)
+        await trio.sleep(FIRST_CALLER_SECONDS)
+        reply = await ask(site.callers("entry0"), "/stream/x")
+        assert reply.whole and reply.events == [0, 1, 2, 3]
+        assert FIRST_CALLER_SECONDS + reply.seconds > BOUND_SECONDS
