News of a version count from the earliest on, those of one that was followed too; time left as it is sent

The earliest news count now. - Daemons told the newest version only, and an entry that listed anew saw only that one: older weights then ended with the newest version's bound, not with that of the one before. Daemons tell all versions named lately (15 s), and entries keep each with its bound. - A replica was told the time left when it was chosen; a connection may take 0.6 s to open.

--- a/libs/daemon/src/headcross_daemon/renewalrole.py
+++ b/libs/daemon/src/headcross_daemon/renewalrole.py
@@ -197,12 +197,12 @@
         return len(facts.replicas) if facts.topics[Topic.REPLICAS].known else None
 
     def _named_versions(self) -> list[NamedVersionNews]:
-        """Return the newest version of each model, where it is known when that was named."""
+        """Return the versions named lately, where it is known when that was."""
         now = monotonic()
-        newest = [(model, n[-1]) for model, n in self.process.facts.versions.items()]
+        named = [(m, notice) for m, ns in self.process.facts.versions.items() for notice in ns]
         return [
             NamedVersionNews(model, notice.version, round(now - notice.seen_at, 3))
-            for model, notice in newest
+            for model, notice in named
             if not notice.at_start and now - notice.seen_at < NAMED_NEWS_SECONDS
         ]
 
--- a/libs/facts/src/headcross_facts/facts.py
+++ b/libs/facts/src/headcross_facts/facts.py
@@ -26,6 +26,9 @@
 from headcross_facts.topicstate import TopicState
 
 FROM_STORE: Final = "store"
+# Another process's news of a known version count if they are older than this one's by so much;
+# less is the time that messages take.
+EARLIER_SECONDS: Final = 0.05
 # Replicas whose entries go within so long of the last call that the store did not serve may have
 # lost them because they could not renew them either. Calls are made again after 1.2 s at most.
 LAPSE_SECONDS: Final = 3.0
@@ -93,13 +96,18 @@
 
         The news may be here before those of the store, which come together with a configuration of
         hundreds of kilobytes: an entry that learned of a version 1.9 s late served an older one
-        past the bound.
+        past the bound. The earliest news of a version count, since its bound runs from when it
+        was named; those of one that a newer one followed count too, since each has its own bound.
         """
-        newest = self.newest_version(model)
-        if newest is not None and version <= newest:
-            return
         notice = VersionNotice(version, monotonic() - age, at_start=False)
-        self.versions.setdefault(model, []).append(notice)
+        notices = self.versions.setdefault(model, [])
+        known = next((n for n in notices if n.version == version), None)
+        if known is not None:
+            if notice.seen_at > known.seen_at - EARLIER_SECONDS:
+                return
+            notices.remove(known)
+        notices.append(notice)
+        notices.sort(key=lambda notice: notice.version)
         fields = {"model": model, "version": version, "source": "daemon", "age": round(age, 3)}
         logger.info("version named", extra=fields)
         self._changed.set()
--- a/libs/gateway/src/headcross_gateway/attempts.py
+++ b/libs/gateway/src/headcross_gateway/attempts.py
@@ -11,7 +11,7 @@
 """
 
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from functools import partial
 from typing import Final, TypeVar
 
@@ -108,7 +108,11 @@
         outcome: Outcome
         try:
             with self._unbegun.waiting(facts.model, place) as waiting:
+                placed_at = trio.current_time()
                 connection = await self.connections.take(place.replica.address, fresh=fresh)
+                # A connection may take 0.6 s to open; the replica is told what is left after that.
+                left = hand_over.remaining_seconds - (trio.current_time() - placed_at)
+                hand_over = replace(hand_over, remaining_seconds=left)
                 begun = await self._begin(
                     connection, request, facts, hand_over, patience, times or AttemptTimes()
                 )
--- a/libs/wire/src/headcross_wire/peermessages.py
+++ b/libs/wire/src/headcross_wire/peermessages.py
@@ -266,7 +266,7 @@
     memory_share: float  # 0 to 1
     pace: float  # above 1: slower than it should be
     listeners: int  # processes that are told this
-    named: list[NamedVersionNews] = []  # the newest version of each model, as the sender knows it
+    named: list[NamedVersionNews] = []  # versions named lately
 
 
 class AskDigests(_Message, frozen=True, tag=44):
--- a/tests/test_gateway_streams.py
+++ b/tests/test_gateway_streams.py
@@ -53,12 +53,14 @@
 
     def __init__(self, clock: trio.testing.MockClock, pieces: list[bytes], jump: float) -> None:
         self.address = Address("127.0.0.1", 1)
+        self.sent_headers: Headers = []
         self._clock = clock
         self._pieces = pieces
         self._jump = jump
 
     async def send(self, method: str, target: str, headers: Headers, body: bytes) -> None:
         """Take a request."""
+        self.sent_headers = headers
 
     async def receive_answer(self) -> Answer:
         """Return the head of a stream."""
@@ -116,6 +118,31 @@
     assert attempts_module.SUCCESS and not isinstance(outcome, Streamed)
 
 
+async def test_a_replica_is_told_the_time_that_is_left_once_its_connection_is_open(
+    autojump_clock: trio.testing.MockClock, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The time was counted when the replica was chosen, up to 0.6 s before it was sent."""
+    attempts = Attempts(PlatformDialect(), UnbegunAttempts(rules([])))
+    connection = ScriptedConnection(autojump_clock, [], 0.0)
+
+    async def take(address: Address, *, fresh: bool) -> ScriptedConnection:
+        await trio.sleep(0.5)
+        return connection
+
+    monkeypatch.setattr(attempts.connections, "take", take)
+    await attempts.make(
+        Request("POST", "/", [], b""),
+        RequestFacts("r", None, None, None, None),
+        place(),
+        HandOver("i", 5.0, None, None, None, None),
+        Patience(1.6, 1.1),
+        None,
+        fresh=True,
+    )
+    told = dict(connection.sent_headers)[names.DEADLINE_MS]
+    assert int(told) == pytest.approx(4500, abs=1)
+
+
 @pytest.mark.parametrize(
     ("ids", "passed"), [([0, 1, 3], [0, 1]), ([0, 1, 1, 2], [0, 1, 2]), ([2], [])]
 )
