--- a/tests/test_gateway_unbegun.py
+++ b/tests/test_gateway_unbegun.py
@@ -16,7 +16,7 @@
 from headcross_platform.dialect import PlatformDialect
 from headcross_ports.published import LoadedModel, Replica
 from headcross_ports.requests import HandOver, RequestFacts
-from headcross_wire.httpclient import Answer, HttpConnection
+from headcross_wire.httpclient import Answer
 from headcross_wire.httpserver import Headers, Request
 from headcross_wire.peermessages import ReplicaLoad
 
@@ -150,31 +150,13 @@
 
 
 async def test_an_attempt_withdrawn_before_it_was_sent_is_known_not_to_have_run(
-    autojump_clock: trio.testing.MockClock,
-    monkeypatch: pytest.MonkeyPatch,
+    autojump_clock: trio.testing.MockClock, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     unbegun = UnbegunAttempts(rules([VersionNotice(2, trio.current_time(), False)]))
-    attempts = Attempts(PlatformDialect(), unbegun)
-
-    async def take(address: Address, *, fresh: bool) -> HttpConnection:
-        await trio.sleep_forever()
-        raise AssertionError("unreachable")
-
-    monkeypatch.setattr(attempts.connections, "take", take)
     replica = place(1)
-    async with trio.open_nursery() as nursery:
-        nursery.start_soon(unbegun.run)
-        outcome = await attempts.make(
-            Request("POST", "/", [], b""),
-            RequestFacts("r", None, None, None, "m"),
-            replica,
-            HandOver("i", 5.0, None, None, None, None),
-            Patience(1.6, 1.1),
-            None,
-            fresh=True,
-        )
-        nursery.cancel_scope.cancel()
+    outcome, connection = await make_one(unbegun, replica, float("inf"), monkeypatch)
     assert isinstance(outcome, DidNotRun) and not outcome.arrived
+    assert not connection.sent
     replica.learn(outcome, bound=False)
     assert not replica.health.failures and not replica.health.resting()
 
@@ -183,9 +165,9 @@
     autojump_clock: trio.testing.MockClock, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     unbegun = UnbegunAttempts(rules([VersionNotice(2, trio.current_time(), False)]))
-    sent, replica = await make_one(unbegun, place(1), BOUND_SECONDS, monkeypatch)
-    assert isinstance(sent, DidNotRun) and not sent.arrived
-    assert not replica.sent
+    outcome, connection = await make_one(unbegun, place(1), BOUND_SECONDS, monkeypatch)
+    assert isinstance(outcome, DidNotRun) and not outcome.arrived
+    assert not connection.sent
 
 
 async def test_nothing_is_sent_to_a_replica_that_began_to_leave_while_its_connection_opened(
@@ -232,12 +214,12 @@
     seconds: float,
     monkeypatch: pytest.MonkeyPatch,
 ) -> tuple[Outcome, OpenConnection]:
-    """Make an attempt whose connection takes some seconds to open, whatever cancels it."""
+    """Make an attempt whose connection opens after some seconds, whatever cancels it, or never."""
     attempts = Attempts(PlatformDialect(), unbegun)
     connection = OpenConnection()
 
     async def take(address: Address, *, fresh: bool) -> OpenConnection:
-        with trio.CancelScope(shield=True):
+        with trio.CancelScope(shield=seconds < float("inf")):
             await trio.sleep(seconds)
         return connection
 
