Silence about chunks counts from the manifest on

Cause: a host counted the silence of those before it in a chunk's order from the start of its transfer. Nobody can be asked about a chunk before the manifest names it. When the host that is to fetch the manifest first is dead, the manifest is 3.0 s late (one take-over time); by then every chunk's patience had run out, so the hosts took over one another's chunks in the same moment, before its first question could be answered.

Change: the transfer tells its duties when the manifest is admitted, and silence counts from there.

Ruled out: a first fetcher that learned of the file late (all hosts accepted the fleet file within 20 ms); hosts that answer with nothing (the answers came after the take-over).

--- a/libs/weights/src/headcross_weights/importduties.py
+++ b/libs/weights/src/headcross_weights/importduties.py
@@ -5,6 +5,7 @@
 host takes the chunk over. Every answer counts for the chunks it names, so that a host that is busy
 but alive is waited for, however long the origin takes. One that answers without naming any has not
 heard of the weights yet, which hosts learn at different times: it is waited for a while longer.
+Nobody can be asked about a chunk before the manifest names it, so silence counts from then on.
 """
 
 from collections.abc import Iterable
@@ -29,13 +30,18 @@
     def __init__(self, order: ImportOrder, pace: SwarmPace = LARGE_WEIGHTS) -> None:
         self._order = order
         self._pace = pace
-        self._started_at = monotonic()
+        # Silence counts from here.
+        self._listening_since = monotonic()
         self._taken_over: set[int] = set()
         # When a host before this one was last known to be at work on a chunk.
         self._attended_at: dict[int, float] = {}
         # When each host last answered at all.
         self._answered_at: dict[str, float] = {}
 
+    def start_listening(self) -> None:
+        """The manifest is here: hosts are asked about chunks, and may be silent, from now on."""
+        self._listening_since = monotonic()
+
     def is_mine(self, index: int) -> bool:
         """Tell whether this host is to bring a chunk in from the origin now."""
         duty = self._order.duty(index)
@@ -105,7 +111,7 @@
         if duty.rank is None or self.is_mine(index):
             return False
         now = monotonic()
-        quiet = now - self._attended_at.get(index, self._started_at)
+        quiet = now - self._attended_at.get(index, self._listening_since)
         patience = self._pace.takeover * (duty.rank or WAIT_FOR_HOME)
         # Only of the first is it known what an answer without the chunk means: those behind it
         # wait as this host does.
--- a/libs/weights/src/headcross_weights/transfer.py
+++ b/libs/weights/src/headcross_weights/transfer.py
@@ -247,6 +247,7 @@
             self.trouble = str(outcome)
             return outcome
         self.stored = outcome.value
+        self._duties.start_listening()
         self._context.admitted(self.stored)
         for view in self.views.values():
             view.has |= bitmap_indexes(view.bitmap, len(self.stored.places))
