An answer counts only for chunks that may be fetched from its sender

Cause: a host that stands in for others counted every answer as a sign that a chunk is attended to, also that of a host in another region, from which only its region's first host may fetch. When that first host is of no use (here: it sent three corrupt chunks and was left alone), the answers from the other region put the stand-in off for as long as they came, and what was left was the rule for transfers that are stuck: one chunk in 20 to 40 s.

Change: an answer counts only where the chunk may be fetched from the one that answers. The test in test_swarm_silence fails without the change for another region (has and pending, 4 runs of 4) and holds that answers from the own region still count. A test with real daemons in two regions covers the whole way.

Ruled out: links left deaf by damaged bytes (host0 joined anew and host3 answered to the end), reads from the origin (3 of 3 chunks taken over came at once), the rollout (the transfer did not end).

--- a/libs/weights/src/headcross_weights/importduties.py
+++ b/libs/weights/src/headcross_weights/importduties.py
@@ -3,9 +3,11 @@
 The order of a chunk (see `sourcing`) names the hosts before this one. While nobody offers the
 chunk, they are asked whether they are at work on it; when they stay silent for long enough this
 host takes the chunk over. Every answer counts for the chunks it names, so that a host that is busy
-but alive is waited for, however long the origin takes. One that answers without naming any has not
-heard of the weights yet, which hosts learn at different times: it is waited for a while longer.
-Nobody can be asked about a chunk before the manifest names it, so silence counts from then on.
+but alive is waited for, however long the origin takes. It counts only where this host may fetch
+the chunk from the one that answers: a copy in another region brings nothing here. One that answers
+without naming any has not heard of the weights yet, which hosts learn at different times: it is
+waited for a while longer. Nobody can be asked about a chunk before the manifest names it, so
+silence counts from then on.
 """
 
 from collections.abc import Iterable
@@ -62,7 +64,8 @@
         now = monotonic()
         self._answered_at[intent.host] = now
         for index in [*intent.has, *intent.pending]:
-            self._attended_at[index] = now
+            if self.may_fetch_from(intent.host, index):
+                self._attended_at[index] = now
 
     def may_fetch_from(self, host: str, index: int) -> bool:
         """Tell whether a chunk may be fetched from a host that says it has it.
--- a/tests/test_swarm.py
+++ b/tests/test_swarm.py
@@ -85,6 +85,20 @@
             assert [w.digest for w in engine.loaded] == [digest], name
 
 
+async def test_a_region_whose_first_host_sends_corrupt_chunks_gets_them_all_the_same(
+    tmp_path: Path,
+) -> None:
+    """The other region has the chunks, but only that first host may fetch them from there."""
+    async with small_fleet(tmp_path, hosts=4, zones=2, proxied=True) as small:
+        bad = small.fleet.nodes["host0"].ip
+        hosts = {n.ip for n in small.fleet.nodes.values() if n.spec.role == "upstream"}
+        small.fleet.fault_of = lambda source, target: (
+            "corrupt" if target == bad and source in hosts else "pass"
+        )
+        digest = await small.move_to("v2")
+        await small.fleet.wait_serving(digest, 4)
+
+
 async def test_chunks_corrupted_by_the_origin_are_dropped_and_counted(tmp_path: Path) -> None:
     async with small_fleet(tmp_path, hosts=3) as small:
         small.fleet.origin.corrupt_next = 3
--- a/tests/test_swarm_silence.py
+++ b/tests/test_swarm_silence.py
@@ -5,11 +5,18 @@
 
 import pytest
 import trio
+from headcross_native.hostlist import Host
+from headcross_weights.importduties import ImportDuties
+from headcross_weights.pace import LARGE_WEIGHTS
+from headcross_weights.sourcing import ImportOrder
+from headcross_wire.peermessages import Intent
 from trio.testing import MockClock
 
 from testing.answeringpeers import AnsweringPeers
 from testing.small import CHUNK_BYTES, WEIGHTS_BYTES
 
+NAMES = [f"host{i}" for i in range(4)]
+
 
 @pytest.fixture
 def simulated_clock(monkeypatch: pytest.MonkeyPatch, autojump_clock: MockClock) -> MockClock:
@@ -30,3 +37,38 @@
     peers.silent = {dead}
     # Only chunks that are this host's, or that it is the dead one's first stand-in for.
     assert await peers.transfer(me) == peers.duties_of(me)
+
+
+@pytest.mark.parametrize("near", [True, False], ids=["same-region", "other-region"])
+@pytest.mark.parametrize("whole", [True, False], ids=["has", "pending"])
+async def test_only_a_copy_that_may_be_fetched_puts_a_stand_in_off(
+    simulated_clock: MockClock, near: bool, whole: bool
+) -> None:
+    """A chunk's first host is of no use, the second answers, and this host is the third."""
+    seed = random.randrange(1 << 30)
+    print(f"seed {seed}")
+    artifact = f"artifact {seed}"
+    second, me = _order(artifact)[1:3]
+    hosts = [_host(name, "r0" if near or name != second else "r1") for name in NAMES]
+    duties = ImportDuties(ImportOrder(artifact, hosts, me, 1))
+    answer = Intent(second, artifact, [0] if whole else [], [] if whole else [0])
+    # The third waits two take-over times of silence.
+    for _ in range(4):
+        await trio.sleep(LARGE_WEIGHTS.takeover)
+        duties.receive_intent(answer)
+    assert duties.take_over([0]) == ([] if near else [0])
+
+
+def _host(name: str, region: str) -> Host:
+    return Host(name, "upstream", region, "z0", "127.0.0.1:1", "127.0.0.1:2")
+
+
+def _order(artifact: str) -> list[str]:
+    """Return the hosts in the order of chunk 0, which does not depend on their regions."""
+    hosts = [_host(name, "r0") for name in NAMES]
+    last = next(
+        duty
+        for duty in (ImportOrder(artifact, hosts, name, 1).duty(0) for name in NAMES)
+        if duty.rank == len(NAMES) - 1
+    )
+    return list(last.before)
