A superseding file's test counts the superseded version's reads; a failed send wakes the receiver

The test waited for a tenth of the first version at host0 and took it that the others had as much. Where host0 started 7 to 10 s late they had all of it, and one copy of each version alone is the bound: 64 + 64 chunks read, 128 not allowed (trial with host0 started late). It now goes by the host that is first, and holds more: less than one copy of the superseded version is read, none of it after the transfers were cancelled, and the old bound on both together.

--- a/libs/wire/src/headcross_wire/zmqsocket.py
+++ b/libs/wire/src/headcross_wire/zmqsocket.py
@@ -68,6 +68,7 @@
             self._socket.send_multipart(frames, zmq.NOBLOCK, copy=True)
         except zmq.ZMQError as error:
             if error.errno in (zmq.EAGAIN, zmq.EHOSTUNREACH):
+                self._wake_receiver()  # a send that fails may have consumed the edge too
                 return False
             raise
         self.sent_bytes += sum(len(frame) for frame in frames)
--- a/tests/test_swarm.py
+++ b/tests/test_swarm.py
@@ -32,6 +32,35 @@
     await wait_for(begun, f"{name} at {share}", poll=0.01)
 
 
+async def wait_transfer_anywhere(small: Small, share: float) -> None:
+    """Wait until one of the hosts has part of its weights; they may start seconds apart."""
+    hosts = [name for name, node in small.fleet.nodes.items() if node.spec.role == "upstream"]
+
+    async def begun() -> bool:
+        states = [await small.fleet.state(name) for name in hosts]
+        rows = [row for state in states for row in state.get("upstreams", [])]
+        return any(share <= row["progress"] < 1 for row in rows)
+
+    await wait_for(begun, f"a host at {share}", poll=0.01)
+
+
+async def wait_no_transfer(small: Small, digest: str) -> None:
+    """Wait until no host fetches some weights any more."""
+    hosts = [name for name, node in small.fleet.nodes.items() if node.spec.role == "upstream"]
+
+    async def ended() -> bool:
+        states = [await small.fleet.state(name) for name in hosts]
+        return all(state and digest not in state["weights"]["transfers"] for state in states)
+
+    await wait_for(ended, f"no transfer of {digest[:12]}", poll=0.01)
+
+
+def reads_of(small: Small, weights: str) -> int:
+    """Return how many chunks of some weights the origin was asked for."""
+    requests = small.fleet.origin.requests.items()
+    return sum(count for (name, _), count in requests if name == weights)
+
+
 async def test_thrifty_hosts_together_fetch_one_copy_from_the_origin(tmp_path: Path) -> None:
     async with small_fleet(tmp_path, hosts=6) as small:
         manifest = len(small.fleet.origin.versions["m-v1"][0])
@@ -133,13 +162,18 @@
     async with small_fleet(
         tmp_path, hosts=3, weights_bytes=MIB, link=SLOW_LINK, serving=False
     ) as small:
-        await wait_transfer(small, "host0", 0.1)
+        superseded = small.text.digests["v1"]
+        await wait_transfer_anywhere(small, 0.1)
         digest = await small.move_to("v2")
+        await wait_no_transfer(small, superseded)
+        read = reads_of(small, "m-v1")
         await small.fleet.wait_serving(digest, 3)
-        assert await loaded_nowhere(small.fleet, small.text.digests["v1"])
+        assert await loaded_nowhere(small.fleet, superseded)
         orders = [o for e in small.fleet.engines().values() for o in e.orders]
         assert {w.digest for order in orders for w in order.weights} == {digest}
-        # The first version was not fetched to its end.
+        # The first version was not fetched to its end, and nothing of it once it was cancelled.
+        assert read < MIB // CHUNK_BYTES
+        assert reads_of(small, "m-v1") == read
         assert small.fleet.origin.sent_bytes < 2 * MIB
 
 
--- /dev/null
+++ b/tests/test_zmqsocket.py
@@ -0,0 +1,70 @@
+"""The channel's socket on trio: a message that is here is received."""
+
+import socket
+from typing import Any
+
+import pytest
+import trio
+import trio.testing
+import zmq
+from headcross_wire.zmqsocket import ZmqSocket
+
+
+class FullSocket:
+    """A ZeroMQ socket that takes no message; every call consumes the edge of its descriptor."""
+
+    def __init__(self, descriptor: int, error: int) -> None:
+        self.inbox: list[list[bytes]] = []
+        self._descriptor = descriptor
+        self._error = error
+
+    def setsockopt(self, option: int, value: int) -> None:
+        """Take an option."""
+
+    def getsockopt(self, option: int) -> int:
+        """Return the descriptor, or whether a message is here."""
+        if option == zmq.FD:
+            return self._descriptor
+        return zmq.POLLIN if self.inbox else 0
+
+    def send_multipart(self, frames: Any, flags: int, copy: bool) -> None:  # noqa: ANN401
+        """Refuse a message."""
+        raise zmq.ZMQError(self._error)
+
+    def recv_multipart(self, flags: int) -> list[bytes]:
+        """Return the next message."""
+        if not self.inbox:
+            raise zmq.Again()
+        return self.inbox.pop(0)
+
+
+class FullContext:
+    """Makes one such socket."""
+
+    def __init__(self, made: FullSocket) -> None:
+        self._made = made
+
+    def socket(self, kind: int) -> FullSocket:
+        """Return the socket."""
+        return self._made
+
+
+@pytest.mark.parametrize("error", [zmq.EAGAIN, zmq.EHOSTUNREACH])
+async def test_a_send_that_fails_does_not_leave_a_message_lying(error: int) -> None:
+    """The receiver slept on until another send succeeded."""
+    never_readable, other = socket.socketpair()
+    with never_readable, other:
+        full = FullSocket(never_readable.fileno(), error)
+        channel = ZmqSocket(FullContext(full), zmq.DEALER, 10, 1000)  # type: ignore[arg-type]
+        received: list[list[bytes]] = []
+
+        async def receive() -> None:
+            received.append(await channel.receive())
+
+        with trio.fail_after(5):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(receive)
+                await trio.testing.wait_all_tasks_blocked()
+                full.inbox.append([b"here"])
+                assert not channel.send([b"x"])
+        assert received == [[b"here"]]
