--- a/bench/soak/record.py
+++ b/bench/soak/record.py
@@ -1,6 +1,10 @@
 """What a soak saw from outside the system: what callers, replicas and the operator know.
 
 All moments are on trio's clock of the soak. The runner fills a record, the checkers read it.
+
+To find streams that end early or mix weights, the checkers need `CallerRequest.event_count` and
+`event_versions`; to excuse an entry that has just started again, `PlannedStop.restarted_at`. A
+planned stop is not a `Disturbance` as well: whatever is one excuses the requests cut by the stop.
 """
 
 from dataclasses import dataclass, field
@@ -31,6 +35,9 @@
     whole: bool = False  # the answer ended as it should
     own: bool = False  # every byte of the answer belongs to this request
     events: list[int] = field(default_factory=list)  # numbers of a stream's events, as they came
+    # Versions of the weights that the events name, as they came; empty if they name none.
+    event_versions: list[int] = field(default_factory=list)
+    event_count: int | None = None  # how many events a whole answer has, None if not known
     caller_left: bool = False  # the caller closed the connection before the end
     deadline_seconds: float = 0.0
 
@@ -97,6 +104,7 @@
     entry: str
     at: float
     ended_at: float | None = None
+    restarted_at: float | None = None  # when the entry's next process was ready
 
 
 @dataclass(slots=True)
@@ -104,7 +112,8 @@
     """A fault, from its beginning to its end."""
 
     kind: str
-    machines: frozenset[str]  # names; empty if it concerns the platform, so everybody
+    # Names of machines and ids of replicas; empty if it concerns the platform, so everybody.
+    machines: frozenset[str]
     began_at: float
     ended_at: float = float("inf")
 
