--- a/Makefile
+++ b/Makefile
@@ -6,8 +6,9 @@
 CODE := libs platform deploy tests testing bench misc
 SEED ?= 1
 ROUNDS ?= 5
+MINUTES ?= 2
 
-.PHONY: setup demo test lint bench load following slopes faults check clean
+.PHONY: setup demo test lint bench load following slopes faults soak check clean
 
 setup: $(STAMP)
 
@@ -55,3 +56,6 @@
 
 faults: setup
 	@$(PY) -m bench.faults $(SEED) $(ROUNDS)
+
+soak: setup
+	@$(PY) -m bench.soak $(SEED) --minutes=$(MINUTES) $(SOAK_OPTIONS)
--- /dev/null
+++ b/bench/soak/actions.py
@@ -0,0 +1,66 @@
+"""The kinds of things that a soak does to the system, and one timed action."""
+
+from dataclasses import dataclass
+from enum import Enum
+
+from testing.platformreplica import Fault
+from testing.platformstore import Mood
+
+
+class ActionKind(Enum):
+    """What an action does; its targets are names of machines, or of seats of replicas."""
+
+    # Faults of links, at the proxies. With two targets they strike the pair, else all links.
+    LINK_DELAY = "link delay"
+    LINK_RESET = "link reset"
+    LINK_CUT = "link cut"  # both ways
+    LINK_SILENCE = "link silence"  # from the first target on, nothing comes
+    LINK_NARROW = "link narrow"
+    # Signals to processes.
+    KILL = "kill"  # SIGKILL, then a start
+    PAUSE = "pause"  # SIGSTOP, then SIGCONT
+    STOP = "stop"  # SIGTERM, then a start
+    RELOAD = "reload"  # SIGHUP with a changed settings file
+    # Replicas.
+    REPLICA_CRASH = "replica crash"  # comes back as a new incarnation
+    REPLICA_SLOW = "replica slow"
+    REPLICA_WAIT = "replica wait"  # requests wait there before they run
+    REPLICA_FAULT = "replica fault"
+    # The platform.
+    STORE_MOOD = "store mood"  # for the targets, or for all if there are none
+    STORE_FORGET = "store forget"
+    ORIGIN_DOWN = "origin down"
+    ORIGIN_SLOW = "origin slow"
+    ORIGIN_CORRUPT = "origin corrupt"
+    # The operator's work, which is no fault.
+    NAME_VERSIONS = "name versions"
+    PUBLISH = "publish"
+    DRAIN = "drain"  # the replica leaves and comes back as a new incarnation
+    ADD_REPLICA = "add replica"
+    ADD_ENTRY = "add entry"
+
+
+OPERATOR_KINDS = frozenset(
+    {
+        ActionKind.NAME_VERSIONS,
+        ActionKind.PUBLISH,
+        ActionKind.DRAIN,
+        ActionKind.ADD_REPLICA,
+        ActionKind.ADD_ENTRY,
+        ActionKind.RELOAD,
+        ActionKind.STOP,
+    }
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Action:
+    """One thing that is done at a moment of the soak."""
+
+    at: float  # seconds from the begin of the soak
+    kind: ActionKind
+    targets: tuple[str, ...] = ()
+    seconds: float = 0.0  # how long it lasts, or how long a process or replica is away
+    amount: float = 0.0  # delay in seconds, rate in bytes a second, or a count
+    mood: Mood | None = None  # of STORE_MOOD
+    faults: tuple[Fault, ...] = ()  # of REPLICA_FAULT
--- /dev/null
+++ b/bench/soak/actors.py
@@ -0,0 +1,243 @@
+"""Plays the actions of a plan on a site."""
+
+from collections.abc import Awaitable, Callable
+from typing import Final
+
+import trio
+
+from bench.soak.actions import OPERATOR_KINDS, Action, ActionKind
+from bench.soak.plan import Seat, daemon_of
+from bench.soak.processes import Processes
+from bench.soak.proxies import LinkFault, LinkKind
+from bench.soak.site import SeatState, Site
+from testing.machines import MODEL_SERVICE
+from testing.platformstore import Mood
+
+RESET_EVERY_SECONDS: Final = 0.5
+# The store removes the entry of a replica that has crashed after three heartbeats of silence.
+LAPSE_SECONDS: Final = 3.6
+RESTART_SECONDS: Final = 0.3  # between the end of a drained replica and its next incarnation
+FAULTY_LIMIT_SECONDS: Final = 10.0  # longer than any caller waits
+LINK_KINDS: Final = {
+    ActionKind.LINK_DELAY: LinkKind.DELAY,
+    ActionKind.LINK_CUT: LinkKind.CUT,
+    ActionKind.LINK_SILENCE: LinkKind.SILENCE,
+    ActionKind.LINK_NARROW: LinkKind.NARROW,
+}
+
+
+class Actors:
+    """Does what a plan says, each action in a task of its own."""
+
+    def __init__(self, site: Site, processes: Processes) -> None:
+        self.last_fault_ended_at = site.record.began_at
+        self._site = site
+        self._processes = processes
+        self._under_way = 0
+        plays: dict[ActionKind, Callable[[Action], Awaitable[None]]] = {
+            ActionKind.LINK_RESET: self._reset_links,
+            ActionKind.KILL: self._kill,
+            ActionKind.PAUSE: self._pause,
+            ActionKind.STOP: self._stop,
+            ActionKind.RELOAD: self._reload,
+            ActionKind.REPLICA_CRASH: self._crash_replica,
+            ActionKind.REPLICA_SLOW: self._slow_replica,
+            ActionKind.REPLICA_WAIT: self._let_wait,
+            ActionKind.REPLICA_FAULT: self._break_answers,
+            ActionKind.STORE_MOOD: self._set_mood,
+            ActionKind.STORE_FORGET: self._forget,
+            ActionKind.ORIGIN_DOWN: self._take_origin_down,
+            ActionKind.ORIGIN_SLOW: self._slow_origin,
+            ActionKind.ORIGIN_CORRUPT: self._corrupt_origin,
+            ActionKind.NAME_VERSIONS: self._name_versions,
+            ActionKind.PUBLISH: self._publish,
+            ActionKind.DRAIN: self._drain,
+            ActionKind.ADD_REPLICA: self._add_replica,
+            ActionKind.ADD_ENTRY: self._add_entry,
+        }
+        self._plays = {**plays, **dict.fromkeys(LINK_KINDS, self._fault_links)}
+
+    async def play(self, actions: tuple[Action, ...]) -> None:
+        """Play all actions at their moments; return when the last one is over."""
+        async with trio.open_nursery() as nursery:
+            for action in actions:
+                await trio.sleep_until(self._site.record.began_at + action.at)
+                nursery.start_soon(self._play, action)
+
+    async def _play(self, action: Action) -> None:
+        self._site.faults[action.kind.value] += 1
+        self._site.tell(describe(action))
+        await self._plays[action.kind](action)
+        if action.kind not in OPERATOR_KINDS:
+            self.last_fault_ended_at = trio.current_time()
+
+    # Links.
+
+    async def _fault_links(self, action: Action) -> None:
+        first, second = self._sides(action)
+        disturbance = self._site.disturb(action.kind.value, self._struck(action))
+        with self._site.links.during(
+            LinkFault(LINK_KINDS[action.kind], first, second, action.amount)
+        ):
+            await trio.sleep(action.seconds)
+        # What was held up is still on its way.
+        await trio.sleep(action.amount if action.kind is ActionKind.LINK_DELAY else 0.1)
+        disturbance.ended_at = trio.current_time()
+
+    async def _reset_links(self, action: Action) -> None:
+        first, second = self._sides(action)
+        disturbance = self._site.disturb(action.kind.value, self._struck(action))
+        with trio.move_on_after(action.seconds):
+            while True:
+                self._site.links.reset(first, second)
+                await trio.sleep(RESET_EVERY_SECONDS)
+        disturbance.ended_at = trio.current_time()
+
+    def _sides(self, action: Action) -> tuple[frozenset[str], frozenset[str]]:
+        ips = [self._site.ip_of(target) for target in action.targets]
+        return frozenset(ips[:1]), frozenset(ips[1:])
+
+    def _struck(self, action: Action) -> frozenset[str]:
+        struck = (self._site.machines_at(target) for target in action.targets)
+        return frozenset().union(*struck)
+
+    # Processes.
+
+    async def _kill(self, action: Action) -> None:
+        await self._processes.kill(action.targets[0], action.seconds)
+
+    async def _pause(self, action: Action) -> None:
+        await self._processes.pause(action.targets[0], action.seconds)
+
+    async def _stop(self, action: Action) -> None:
+        await self._processes.stop(action.targets[0], action.seconds)
+
+    async def _reload(self, action: Action) -> None:
+        self._processes.reload(action.targets[0], action.amount)
+
+    # Replicas. Their own faults excuse nothing at the entries, so they are no disturbances.
+
+    async def _crash_replica(self, action: Action) -> None:
+        seat = self._seat(action)
+        disturbance = self._site.disturb(action.kind.value, self._site.machines_at(seat.seat.name))
+        gone = seat.listed
+        self._site.end_replica(seat)
+        await trio.sleep(action.seconds)
+        await self._site.start_replica(seat)
+        disturbance.ended_at = trio.current_time()
+        await trio.sleep(max(0.0, LAPSE_SECONDS - action.seconds))
+        if gone is not None:
+            self._site.machines.unlist(gone)
+
+    async def _slow_replica(self, action: Action) -> None:
+        replica = self._seat(action).replica
+        if replica is None:
+            return
+        before = replica.event_seconds, replica.service_seconds
+        replica.event_seconds, replica.service_seconds = action.amount / 2, action.amount
+        await trio.sleep(action.seconds)
+        replica.event_seconds, replica.service_seconds = before
+
+    async def _let_wait(self, action: Action) -> None:
+        replica = self._seat(action).replica
+        if replica is None:
+            return
+        replica.wait_seconds = action.amount
+        await trio.sleep(action.seconds)
+        replica.wait_seconds = 0.0
+
+    async def _break_answers(self, action: Action) -> None:
+        replica = self._seat(action).replica
+        if replica is None:
+            return
+        replica.faults.extend(action.faults)
+        await trio.sleep(action.seconds)
+        replica.faults.clear()
+        with trio.move_on_after(FAULTY_LIMIT_SECONDS):
+            while replica.faulty:
+                await trio.sleep(0.05)
+
+    async def _drain(self, action: Action) -> None:
+        seat = self._seat(action)
+        self._site.drain(seat)
+        gone = seat.listed
+        await trio.sleep(action.seconds)
+        if gone is None or seat.listed is not gone:
+            return  # it crashed meanwhile
+        self._site.end_replica(seat)
+        self._site.unlist_replica(seat)
+        await trio.sleep(RESTART_SECONDS)
+        await self._site.start_replica(seat)
+
+    def _seat(self, action: Action) -> SeatState:
+        return self._site.seats[action.targets[0]]
+
+    # The platform.
+
+    async def _set_mood(self, action: Action) -> None:
+        assert action.mood is not None
+        targets = [self._site.ip_of(target) for target in action.targets] or None
+        disturbance = self._site.disturb(f"store {action.mood.value}", self._struck(action))
+        store = self._site.machines.store
+        store.set_mood(action.mood, targets)
+        await trio.sleep(action.seconds)
+        store.set_mood(Mood.WELL, targets)
+        disturbance.ended_at = trio.current_time()
+
+    async def _forget(self, action: Action) -> None:
+        disturbance = self._site.disturb(action.kind.value, frozenset())
+        self._site.machines.store.forget_history()
+        disturbance.ended_at = trio.current_time()
+
+    async def _take_origin_down(self, action: Action) -> None:
+        self._site.machines.origin.down = True
+        await trio.sleep(action.seconds)
+        self._site.machines.origin.down = False
+
+    async def _slow_origin(self, action: Action) -> None:
+        self._site.machines.origin.seconds_per_chunk = action.amount
+        await trio.sleep(action.seconds)
+        self._site.machines.origin.seconds_per_chunk = 0.0
+
+    async def _corrupt_origin(self, action: Action) -> None:
+        origin = self._site.machines.origin
+        origin.corrupt_next += round(action.amount)
+        await trio.sleep(action.seconds)
+        origin.corrupt_next = 0
+
+    # The operator.
+
+    async def _name_versions(self, action: Action) -> None:
+        for _ in range(round(action.amount)):
+            self._site.name_version()
+            await trio.sleep(action.seconds)
+
+    async def _publish(self, action: Action) -> None:
+        for _ in range(round(action.amount)):
+            self._site.publish()
+            await trio.sleep(action.seconds)
+
+    async def _add_replica(self, action: Action) -> None:
+        name = action.targets[0]
+        pattern = self._site.plan.seats[0]
+        seat = Seat(name, pattern.service_seconds, pattern.slots)
+        await self._site.add_seat(seat, "z0", MODEL_SERVICE, 0)
+        await self._site.start_process(daemon_of(name))
+
+    async def _add_entry(self, action: Action) -> None:
+        name = action.targets[0]
+        self._site.machines.add_entry(name, "z0")
+        disturbance = self._site.disturb(action.kind.value, frozenset({name}))
+        await self._site.start_process(name)
+        await self._site.wait_up(name)
+        disturbance.ended_at = trio.current_time()
+
+
+def describe(action: Action) -> str:
+    """Return an action as a line of progress."""
+    parts = [action.kind.value, *action.targets]
+    parts += [f"{action.seconds:.2f} s"] if action.seconds else []
+    parts += [f"amount {action.amount:.3g}"] if action.amount else []
+    parts += [action.mood.value] if action.mood is not None else []
+    parts += [fault.value for fault in action.faults]
+    return " ".join(parts)
--- /dev/null
+++ b/bench/soak/bounds.py
@@ -0,0 +1,17 @@
+"""The bounds that every soak runs under; the settings of its processes say the same."""
+
+from typing import Final
+
+from bench.soak.record import Bounds
+
+BOUNDS: Final = Bounds(
+    weights=4.0,
+    leaving=2.0,
+    configuration=2.0,
+    reached=3.0,
+    retry_ratio=0.2,
+    retry_slack=100.0,
+    retry_window=10.0,
+    recovery=12.0,
+)
+STOP_SECONDS: Final = 4.0  # from a stop signal to the end of the process
--- /dev/null
+++ b/bench/soak/exchange.py
@@ -0,0 +1,129 @@
+"""One request of a caller: sent, answered, and judged by its caller."""
+
+from dataclasses import dataclass
+from typing import Final
+
+import trio
+from headcross_platform import names
+from headcross_wire.httpclient import Answer, HttpConnection, LinkLostError
+from headcross_wire.httpserver import Headers
+
+from bench.soak.record import CallerRequest, RequestKind
+from bench.soak.site import STREAM_EVENTS
+from testing.machines import HOST, KEY, MODEL
+
+PREFIXES: Final = {
+    RequestKind.REPEATABLE: "/again/",
+    RequestKind.ONCE: "/once/",
+    RequestKind.STREAM: "/stream/",
+    RequestKind.STRICT_STREAM: "/strict/",
+}
+STREAM_KINDS: Final = frozenset({RequestKind.STREAM, RequestKind.STRICT_STREAM})
+OWN_ERROR: Final = b'{"error":"own"}'  # the body of a replica's own failure
+
+
+@dataclass(frozen=True, slots=True)
+class Draft:
+    """A request that is to be sent."""
+
+    id: str
+    kind: RequestKind
+    filler: int  # bytes that the body has beside the id
+    deadline_seconds: float
+    leaves_after: float | None  # seconds after the sending; None for a caller that stays
+    leaves_by_reset: bool
+    repeats: bool  # sends another at once if it got no success
+    fresh: bool  # on a connection of its own
+
+    @property
+    def body(self) -> bytes:
+        """The body, which no other request has."""
+        return self.id.encode() + b" " + b"x" * self.filler
+
+    @property
+    def path(self) -> str:
+        """The target."""
+        return f"{PREFIXES[self.kind]}{self.id}"
+
+    def headers(self) -> Headers:
+        """Return the headers."""
+        found = [
+            ("host", HOST),
+            (names.REQUEST_ID, self.id),
+            (names.DEADLINE_MS, str(round(self.deadline_seconds * 1000))),
+            (names.KEY, KEY),
+        ]
+        return [*found, (names.MODEL, MODEL)] if self.kind in STREAM_KINDS else found
+
+    def to_record(self, entry: str) -> CallerRequest:
+        """Return the request as the record has it, on its sending."""
+        return CallerRequest(
+            self.id,
+            self.kind,
+            entry,
+            trio.current_time(),
+            event_count=STREAM_EVENTS if self.kind in STREAM_KINDS else None,
+            deadline_seconds=self.deadline_seconds,
+        )
+
+
+async def exchange(connection: HttpConnection, draft: Draft, request: CallerRequest) -> None:
+    """Send a request and read its answer into the record; its end is the caller's to note."""
+    body = bytearray()
+    answer: Answer | None = None
+    try:
+        await connection.send("POST", draft.path, draft.headers(), draft.body)
+        request.written = True
+        answer = await connection.receive_answer()
+        request.status = answer.status
+        request.sealed = answer.header(names.SEAL) is not None
+        while (piece := await connection.receive_piece()) is not None:
+            body += piece
+        request.whole = True
+    except LinkLostError:
+        pass
+    finally:
+        if answer is not None:
+            judge(draft, answer, bytes(body), request)
+
+
+def judge(draft: Draft, answer: Answer, body: bytes, request: CallerRequest) -> None:
+    """Note whether an answer is the request's own, and the events of a stream."""
+    named = answer.header(names.REQUEST_ID)
+    is_named = named in (None, draft.id)
+    if not 200 <= answer.status < 300:
+        request.own = is_named and (not request.sealed or OWN_ERROR.startswith(body))
+        return
+    if draft.kind not in STREAM_KINDS:
+        request.own = is_named and draft.body.startswith(body)
+        if request.whole:
+            request.own = request.own and body == draft.body
+        return
+    request.own = is_named and _read_events(draft, body, request)
+
+
+def _read_events(draft: Draft, body: bytes, request: CallerRequest) -> bool:
+    """Note the whole events of a stream; return whether all are the request's own."""
+    *whole, rest = body.split(b"\n\n")
+    for event in whole:
+        try:
+            number, version = parse_event(event, draft.id)
+        except ValueError:
+            return False
+        request.events.append(number)
+        request.event_versions.append(version)
+    return not rest or not request.whole
+
+
+def parse_event(event: bytes, request_id: str) -> tuple[int, int]:
+    r"""Return the number of an event and its version; raise ValueError if it is another's.
+
+    >>> parse_event(b"id: 2\ndata: r-1 2 v7", "r-1")
+    (2, 7)
+    """
+    first, _, second = event.decode("latin-1").partition("\n")
+    number = int(first.removeprefix("id: "))
+    owner, told, version = second.removeprefix("data: ").split(" ")
+    if owner != request_id or int(told) != number or not version.startswith("v"):
+        raise ValueError(f"an event of another request: {event!r}")
+    return number, int(version[1:])
--- /dev/null
+++ b/bench/soak/findings.py
@@ -0,0 +1,55 @@
+"""What is wrong beyond the promises on proper requests: bad requests and unasked-for runs."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from bench.soak.badrequests import SMUGGLED, BadRequest
+from bench.soak.exchange import PREFIXES
+from bench.soak.record import Record
+from testing.platformreplica import FakeReplica, Run
+
+
+@dataclass(frozen=True, slots=True)
+class Finding:
+    """One thing that is wrong, beside the violations of promises."""
+
+    kind: str
+    at: float
+    subject: str
+    detail: str
+
+
+def find_bad_answers(sent: dict[str, BadRequest]) -> Iterator[Finding]:
+    """Find bad requests that were not refused as bad.
+
+    An entry that knows no configuration yet answers 503, and a fault may leave no answer at all.
+    """
+    for bad in sent.values():
+        if bad.status not in (0, 503) and not 400 <= bad.status < 500:
+            detail = f"{bad.form.value} got {bad.status}"
+            yield Finding("bad request not refused", bad.sent_at, bad.id, detail)
+
+
+def find_unasked(
+    record: Record, sent: dict[str, BadRequest], replicas: list[FakeReplica]
+) -> Iterator[Finding]:
+    """Find runs of bad requests, and runs that no caller asked for."""
+    for replica in replicas:
+        for run in replica.runs:
+            problem = _problem(record, sent, run)
+            if problem:
+                detail = f"{problem}: {run.method} {run.target} at {replica.id}"
+                yield Finding("unasked run", run.began_at, run.id, detail)
+
+
+def _problem(record: Record, sent: dict[str, BadRequest], run: Run) -> str:
+    if run.id.removesuffix(SMUGGLED) in sent:
+        return "a bad request ran"
+    request = record.requests.get(run.id)
+    if request is None:
+        return "no caller sent it"
+    if run.target != f"{PREFIXES[request.kind]}{run.id}" or run.method != "POST":
+        return "its target was changed"
+    if not run.body.startswith(run.id.encode()):
+        return "its body was changed"
+    return ""
--- /dev/null
+++ b/bench/soak/main.py
@@ -0,0 +1,129 @@
+"""A randomized soak: the real programs as processes, faults from outside, promises checked.
+
+Prints the seed and, at the end, one JSON line; progress goes to standard error. The exit code is 1
+if a promise was broken and 2 if the arguments are not valid. Run as `python -m bench.soak`.
+
+Usage:
+  soak SEED [--minutes=M] [--processes=N] [--regressions] [--logs=DIR]
+  soak -h | --help
+
+Options:
+  --minutes=M     How long to soak, without start and end. [default: 2]
+  --processes=N   How many entries and daemons to run, 20 to 60; drawn from the seed if not given.
+  --regressions   Play the seeds that failed once before this one.
+  --logs=DIR      Where logs are written; a new temporary directory if not given. They are kept
+                  if a promise was broken, and always in a directory that was given.
+"""
+
+import json
+import shutil
+import sys
+import tempfile
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Final
+
+import trio
+from docopt import DocoptExit, docopt
+
+from bench.soak.plan import LEAST_SECONDS, draw_plan
+from bench.soak.regressions import REGRESSIONS, read_regressions
+from bench.soak.report import to_line, write_story
+from bench.soak.runner import run_soak
+
+MOST_MINUTES: Final = 120.0
+LEAST_PROCESSES: Final = 20
+MOST_PROCESSES: Final = 60
+BROKEN: Final = 1
+BAD_ARGUMENTS: Final = 2
+
+
+class ArgumentError(Exception):
+    """An argument that is not valid; the text names it and says why."""
+
+
+@dataclass(frozen=True, slots=True)
+class Arguments:
+    """What the command line asks for."""
+
+    seed: int
+    minutes: float
+    processes: int  # 0: drawn
+    regressions: bool
+    logs: Path | None
+
+
+def parse_arguments(words: list[str]) -> Arguments:
+    """Read the command line.
+
+    >>> parse_arguments(["7", "--minutes=1.5"]).minutes
+    1.5
+    >>> parse_arguments(["seven"])
+    Traceback (most recent call last):
+    ...
+    bench.soak.main.ArgumentError: SEED: 'seven' is not a whole number
+    """
+    try:
+        found = docopt(__doc__ or "", words)
+    except DocoptExit as error:
+        raise ArgumentError(f"cannot read {' '.join(words)!r}\n{error}") from None
+    processes = found["--processes"]
+    logs = found["--logs"]
+    return Arguments(
+        _whole("SEED", found["SEED"], 0, 1 << 62),
+        _minutes(found["--minutes"]),
+        _whole("--processes", processes, LEAST_PROCESSES, MOST_PROCESSES) if processes else 0,
+        bool(found["--regressions"]),
+        Path(logs) if logs else None,
+    )
+
+
+def _whole(name: str, text: str, least: int, most: int) -> int:
+    try:
+        number = int(text)
+    except ValueError:
+        raise ArgumentError(f"{name}: {text!r} is not a whole number") from None
+    if not least <= number <= most:
+        raise ArgumentError(f"{name}: {number} is not between {least} and {most}")
+    return number
+
+
+def _minutes(text: str) -> float:
+    try:
+        minutes = float(text)
+    except ValueError:
+        raise ArgumentError(f"--minutes: {text!r} is not a number") from None
+    least = LEAST_SECONDS / 60
+    if not least <= minutes <= MOST_MINUTES:
+        raise ArgumentError(f"--minutes: {minutes} is not between {least:.2f} and {MOST_MINUTES}")
+    return minutes
+
+
+def play(seed: int, minutes: float, processes: int, logs: Path | None) -> bool:
+    """Run one soak and report; return whether nothing was wrong."""
+    directory = logs or Path(tempfile.mkdtemp(prefix=f"headcross-soak-{seed}-"))
+    directory.mkdir(parents=True, exist_ok=True)
+    print(f"seed {seed}, logs in {directory}", flush=True)
+    result = trio.run(run_soak, draw_plan(seed, minutes * 60, processes), directory)
+    if not result.passed or logs is not None:
+        write_story(result, directory)
+    else:
+        shutil.rmtree(directory)
+    print(json.dumps(to_line(result)), flush=True)
+    return result.passed
+
+
+def main() -> int:
+    """Run what the command line asks for; return the exit code."""
+    try:
+        arguments = parse_arguments(sys.argv[1:])
+        known = read_regressions(REGRESSIONS) if arguments.regressions else []
+    except (ArgumentError, ValueError) as error:
+        print(error, file=sys.stderr)
+        return BAD_ARGUMENTS
+    passed = True
+    for case in known:
+        logs = arguments.logs / f"seed-{case.seed}" if arguments.logs else None
+        passed = play(case.seed, case.minutes, case.processes, logs) and passed
+    own = play(arguments.seed, arguments.minutes, arguments.processes, arguments.logs)
+    return 0 if own and passed else BROKEN
--- /dev/null
+++ b/bench/soak/plan.py
@@ -0,0 +1,309 @@
+"""The plan of a soak: everything that is drawn, from the seed and the length alone."""
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Final
+
+from bench.soak.actions import Action, ActionKind
+from bench.soak.bounds import BOUNDS
+from testing.platformreplica import Fault
+from testing.platformstore import Mood
+
+# A calm span leaves the time-bounded promises room to be checked, and processes that were killed
+# last in the storm before it time to start.
+CALM_SECONDS: Final = BOUNDS.weights + BOUNDS.reached + 5.0
+RECOVERY_SECONDS: Final = BOUNDS.recovery + 6.0
+STORM_SECONDS: Final = (9.0, 16.0)
+FIRST_SECONDS: Final = 3.0
+# A soak shorter than this has no room for a storm, a calm span and the recovery.
+LEAST_SECONDS: Final = FIRST_SECONDS + STORM_SECONDS[0] + RECOVERY_SECONDS
+ACTIONS_PER_SECOND: Final = 0.9  # of a storm
+REPLICA_SECONDS: Final = (0.01, 0.1)  # service time, or time between events
+SLOTS: Final = (4, 16)
+
+
+@dataclass(frozen=True, slots=True)
+class Sizes:
+    """How much of everything there is at the start."""
+
+    entries: int
+    models: int  # replicas with weights, each with a daemon beside it
+    plain: int
+    zones: int
+
+
+@dataclass(frozen=True, slots=True)
+class Seat:
+    """A place of replicas: incarnations follow one another on one machine."""
+
+    name: str
+    service_seconds: float
+    slots: int
+
+
+@dataclass(frozen=True, slots=True)
+class Plan:
+    """What one soak does."""
+
+    seed: int
+    seconds: float
+    sizes: Sizes
+    seats: tuple[Seat, ...]
+    requests_per_second: float
+    actions: tuple[Action, ...]  # in the order of their moments
+    last_storm_ends_at: float
+
+
+def entry_names(sizes: Sizes) -> list[str]:
+    """Return the names of the entries."""
+    return [f"entry{index}" for index in range(sizes.entries)]
+
+
+def model_names(sizes: Sizes) -> list[str]:
+    """Return the names of the seats of replicas with weights."""
+    return [f"model{index}" for index in range(sizes.models)]
+
+
+def plain_names(sizes: Sizes) -> list[str]:
+    """Return the names of the seats of plain replicas."""
+    return [f"plain{index}" for index in range(sizes.plain)]
+
+
+def daemon_of(seat: str) -> str:
+    """Return the name of the daemon beside a replica with weights.
+
+    >>> daemon_of("model3")
+    'daemon3'
+    """
+    return seat.replace("model", "daemon")
+
+
+def draw_sizes(generator: random.Random, processes: int = 0) -> Sizes:
+    """Draw the sizes; with `processes` there are that many entries and daemons together."""
+    zones = generator.randint(2, 3)
+    plain = generator.randint(2, 3)
+    if processes:
+        entries = max(2, processes // 5)
+        return Sizes(entries, processes - entries, plain, zones)
+    return Sizes(generator.randint(2, 5), generator.randint(3, 10), plain, zones)
+
+
+def draw_plan(seed: int, seconds: float, processes: int = 0, sizes: Sizes | None = None) -> Plan:
+    """Draw the plan of a soak of a length; `sizes` replaces those that would be drawn."""
+    generator = random.Random(seed)
+    drawn = draw_sizes(generator, processes)
+    sizes = sizes or drawn
+    seats = tuple(
+        Seat(name, generator.uniform(*REPLICA_SECONDS), generator.randint(*SLOTS))
+        for name in [*model_names(sizes), *plain_names(sizes)]
+    )
+    rate = generator.uniform(15.0, 35.0)
+    drawer = _Drawer(generator, sizes)
+    last_storm_ends_at = drawer.draw_spans(seconds)
+    actions = tuple(sorted(drawer.actions, key=lambda action: action.at))
+    return Plan(seed, seconds, sizes, seats, rate, actions, last_storm_ends_at)
+
+
+class _Drawer:
+    """Draws the actions, span by span."""
+
+    def __init__(self, generator: random.Random, sizes: Sizes) -> None:
+        self.actions: list[Action] = []
+        self._generator = generator
+        self._entries = entry_names(sizes)
+        self._models = model_names(sizes)
+        self._plain = plain_names(sizes)
+        self._busy_until: dict[str, float] = {}  # by process or seat
+        self._added_entries = 0
+        self._added_models = 0
+        everyday: list[tuple[float, Callable[[float, float], None]]] = [
+            (4, self._draw_link),
+            (2, self._draw_kill),
+            (2, self._draw_pause),
+            (2, self._draw_stop),
+            (1, self._draw_reload),
+            (1, self._draw_crash),
+            (2, self._draw_slowness),
+            (3, self._draw_replica_faults),
+            (3, self._draw_store),
+            (2, self._draw_origin),
+            (2, self._draw_versions),
+            (2, self._draw_publish),
+            (1, self._draw_drain),
+            (0.5, self._draw_addition),
+        ]
+        self._weights = [weight for weight, _ in everyday]
+        self._draws = [draw for _, draw in everyday]
+
+    def draw_spans(self, seconds: float) -> float:
+        """Draw storms with calm spans between; return when the last storm ends."""
+        last = seconds - RECOVERY_SECONDS
+        at = FIRST_SECONDS
+        while True:
+            until = min(at + self._generator.uniform(*STORM_SECONDS), last)
+            self._draw_storm(at, until)
+            at = until + CALM_SECONDS
+            if at + STORM_SECONDS[0] > last:
+                break
+            self._draw_calm(until, at)
+        self._draw_calm(until, seconds, last=True)
+        return until
+
+    def _draw_storm(self, since: float, until: float) -> None:
+        count = max(3, round((until - since) * ACTIONS_PER_SECOND))
+        moments = sorted(self._generator.uniform(since, until - 1.0) for _ in range(count))
+        for at in moments:
+            (draw,) = self._generator.choices(self._draws, self._weights)
+            draw(at, until)
+
+    def _draw_calm(self, since: float, until: float, *, last: bool = False) -> None:
+        """Draw operator's work whose promises are bounded in time."""
+        settled = since + BOUNDS.reached + 1.0
+        for moment in (0.0, 3.0):
+            at = settled + moment + self._generator.uniform(0, 1)
+            self._add(at, ActionKind.PUBLISH, amount=1)
+        self._add(settled + self._generator.uniform(0, 1), ActionKind.NAME_VERSIONS, amount=1)
+        if self._generator.random() < 0.7:
+            self._draw_drain(settled, until)
+        if not last and self._generator.random() < 0.6:
+            at = settled + self._generator.uniform(0, 2)
+            name = self._generator.choice(self._entries)
+            if self._take(name, at, 6.0):
+                self._add(at, ActionKind.STOP, name)
+
+    # One action each. `until` is the end of the span.
+
+    def _draw_link(self, at: float, until: float) -> None:
+        kind = self._generator.choice(
+            [
+                ActionKind.LINK_DELAY,
+                ActionKind.LINK_RESET,
+                ActionKind.LINK_CUT,
+                ActionKind.LINK_SILENCE,
+                ActionKind.LINK_NARROW,
+            ]
+        )
+        machines = [*self._entries, *self._models, *self._plain]
+        targets = self._generator.sample(machines, self._generator.choice([1, 2, 2]))
+        amount = 0.0
+        if kind is ActionKind.LINK_DELAY:
+            amount = self._generator.uniform(0.02, 0.4)
+        if kind is ActionKind.LINK_NARROW:
+            amount = self._generator.uniform(1_000, 50_000)
+        self._add(at, kind, *targets, seconds=self._length(at, until, 0.5, 6.0), amount=amount)
+
+    def _draw_kill(self, at: float, until: float) -> None:
+        away = self._generator.choice([0.0, 0.5, 2.0])
+        self._draw_process(ActionKind.KILL, at, until, away)
+
+    def _draw_pause(self, at: float, until: float) -> None:
+        self._draw_process(ActionKind.PAUSE, at, until, self._generator.uniform(0.3, 6.0))
+
+    def _draw_stop(self, at: float, until: float) -> None:
+        self._draw_process(ActionKind.STOP, at, until, self._generator.choice([0.0, 0.5, 2.0]))
+
+    def _draw_reload(self, at: float, until: float) -> None:
+        name = self._generator.choice(self._processes())
+        self._add(at, ActionKind.RELOAD, name, amount=self._generator.randint(150, 250))
+
+    def _draw_process(self, kind: ActionKind, at: float, until: float, seconds: float) -> None:
+        name = self._generator.choice(self._processes())
+        seconds = min(seconds, max(0.1, until - at))
+        if kind is ActionKind.PAUSE:
+            # Pauses may overlap with anything that happens to the same process.
+            self._add(at, kind, name, seconds=seconds)
+            return
+        # A process that is being started again is not killed before that.
+        if self._take(name, at, seconds + 6.0):
+            self._add(at, kind, name, seconds=seconds)
+
+    def _draw_crash(self, at: float, until: float) -> None:
+        seat = self._generator.choice([*self._models, *self._plain])
+        if self._take(seat, at, 4.0):
+            seconds = self._length(at, until, 0.3, 2.0)
+            self._add(at, ActionKind.REPLICA_CRASH, seat, seconds=seconds)
+
+    def _draw_slowness(self, at: float, until: float) -> None:
+        kind = self._generator.choice([ActionKind.REPLICA_SLOW, ActionKind.REPLICA_WAIT])
+        seat = self._generator.choice([*self._models, *self._plain])
+        seconds = self._length(at, until, 1.0, 8.0)
+        self._add(at, kind, seat, seconds=seconds, amount=self._generator.uniform(0.1, 1.5))
+
+    def _draw_replica_faults(self, at: float, until: float) -> None:
+        seat = self._generator.choice([*self._models, *self._plain])
+        kinds = list(Fault)
+        faults = tuple(self._generator.choice(kinds) for _ in range(self._generator.randint(1, 6)))
+        seconds = self._length(at, until, 1.0, 5.0)
+        self._add(at, ActionKind.REPLICA_FAULT, seat, seconds=seconds, faults=faults)
+
+    def _draw_store(self, at: float, until: float) -> None:
+        if self._generator.random() < 0.2:
+            self._add(at, ActionKind.STORE_FORGET)
+            return
+        everybody = self._generator.random() < 0.4
+        count = self._generator.randint(1, 3)
+        names = self._processes()
+        targets = () if everybody else self._generator.sample(names, min(count, len(names)))
+        mood = self._generator.choice([Mood.BUSY, Mood.LIMITED, Mood.RESET, Mood.SILENT])
+        seconds = self._length(at, until, 0.5, 8.0)
+        self._add(at, ActionKind.STORE_MOOD, *targets, seconds=seconds, mood=mood)
+
+    def _draw_origin(self, at: float, until: float) -> None:
+        kinds = [ActionKind.ORIGIN_DOWN, ActionKind.ORIGIN_SLOW, ActionKind.ORIGIN_CORRUPT]
+        kind = self._generator.choice(kinds)
+        amount: float = self._generator.randint(1, 8)
+        if kind is ActionKind.ORIGIN_SLOW:
+            amount = self._generator.uniform(0.05, 0.5)
+        self._add(at, kind, seconds=self._length(at, until, 0.5, 6.0), amount=amount)
+
+    def _draw_versions(self, at: float, until: float) -> None:
+        count, gap = self._generator.randint(1, 3), self._generator.uniform(0.05, 1.5)
+        self._add(at, ActionKind.NAME_VERSIONS, seconds=gap, amount=count)
+
+    def _draw_publish(self, at: float, until: float) -> None:
+        count, gap = self._generator.randint(1, 4), self._generator.uniform(0.02, 0.8)
+        self._add(at, ActionKind.PUBLISH, seconds=gap, amount=count)
+
+    def _draw_drain(self, at: float, until: float) -> None:
+        seat = self._generator.choice([*self._models, *self._plain])
+        serves_on = BOUNDS.leaving + self._generator.uniform(0.5, 2.0)
+        if self._take(seat, at, serves_on + 2.0):
+            self._add(at, ActionKind.DRAIN, seat, seconds=serves_on)
+
+    def _draw_addition(self, at: float, until: float) -> None:
+        if self._generator.random() < 0.5 and not self._added_entries:
+            self._added_entries += 1
+            self._add(at, ActionKind.ADD_ENTRY, f"entry{len(self._entries)}")
+            return
+        if not self._added_models:
+            self._added_models += 1
+            self._add(at, ActionKind.ADD_REPLICA, f"model{len(self._models)}")
+
+    # Helpers.
+
+    def _processes(self) -> list[str]:
+        return [*self._entries, *map(daemon_of, self._models)]
+
+    def _take(self, name: str, at: float, seconds: float) -> bool:
+        """Reserve a process or seat, unless something else still has it."""
+        if self._busy_until.get(name, 0.0) > at:
+            return False
+        self._busy_until[name] = at + seconds
+        return True
+
+    def _length(self, at: float, until: float, least: float, most: float) -> float:
+        """Draw how long an action lasts; it ends with its span."""
+        return max(0.1, min(self._generator.uniform(least, most), until - at))
+
+    def _add(
+        self,
+        at: float,
+        kind: ActionKind,
+        *targets: str,
+        seconds: float = 0.0,
+        amount: float = 0.0,
+        mood: Mood | None = None,
+        faults: tuple[Fault, ...] = (),
+    ) -> None:
+        self.actions.append(Action(at, kind, targets, seconds, amount, mood, faults))
--- /dev/null
+++ b/bench/soak/runner.py
@@ -0,0 +1,129 @@
+"""Runs one soak: traffic, probes and the plan's actions, until recovery has been seen."""
+
+import random
+from collections import Counter
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Final
+
+import trio
+
+from bench.soak.actors import Actors
+from bench.soak.badrequests import BadRequests
+from bench.soak.callers import Callers
+from bench.soak.check_summary import Summary, summarize
+from bench.soak.check_violations import Violation
+from bench.soak.checks import check_all
+from bench.soak.findings import Finding, find_bad_answers, find_unasked
+from bench.soak.plan import RECOVERY_SECONDS, Plan
+from bench.soak.processes import Processes
+from bench.soak.record import Arrival, Record, ReplicaRun
+from bench.soak.site import PROBE_SERVICE, Site, running_site
+from bench.soak.watchers import Clock, Prober, balance
+
+PROGRESS_SECONDS: Final = 10.0
+
+
+@dataclass
+class SoakResult:
+    """What one soak saw."""
+
+    plan: Plan
+    record: Record
+    violations: list[Violation]
+    findings: list[Finding]
+    summary: Summary
+    faults: Counter[str] = field(default_factory=Counter)  # actions by kind
+    replica_faults: Counter[str] = field(default_factory=Counter)  # drawn faults of replicas
+    processes: int = 0
+    starts: int = 0
+    bad_requests: Counter[str] = field(default_factory=Counter)  # by form and status
+    latest_seconds: float = 0.0  # the most that the soak itself was late
+    times_late: int = 0
+
+    @property
+    def passed(self) -> bool:
+        """Whether nothing was wrong."""
+        return not self.violations and not self.findings
+
+
+async def run_soak(plan: Plan, directory: Path) -> SoakResult:
+    """Run a soak; the logs of its processes are written to a directory."""
+    async with running_site(directory, plan) as site:
+        processes = Processes(site)
+        actors = Actors(site, processes)
+        bad = BadRequests(random.Random(f"{plan.seed} bad requests"))
+        callers = Callers(site, random.Random(f"{plan.seed} callers"), bad)
+        clock = Clock(site)
+        async with trio.open_nursery() as nursery:
+            for watch in (processes.watch, clock.run, Prober(site).run):
+                nursery.start_soon(watch)
+            nursery.start_soon(balance, site)
+            nursery.start_soon(_tell_progress, site)
+            await _play(site, actors, callers)
+            nursery.cancel_scope.cancel()
+        site.record.ended_at = trio.current_time()
+        return _judge(site, processes, bad, clock)
+
+
+async def _play(site: Site, actors: Actors, callers: Callers) -> None:
+    """Play the plan under traffic, and go on with traffic until recovery must be seen."""
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(callers.run)
+        await actors.play(site.plan.actions)
+        site.record.last_fault_ended_at = actors.last_fault_ended_at
+        ends = (
+            site.record.began_at + site.plan.seconds,
+            actors.last_fault_ended_at + RECOVERY_SECONDS,
+        )
+        await trio.sleep_until(max(ends))
+        callers.stopped = True
+
+
+async def _tell_progress(site: Site) -> None:
+    while True:
+        await trio.sleep(PROGRESS_SECONDS)
+        requests = site.record.requests.values()
+        served = sum(request.whole and request.status == 200 for request in requests)
+        site.tell(f"{len(requests)} requests, {served} served, {len(site.record.probes)} probes")
+
+
+def _judge(site: Site, processes: Processes, bad: BadRequests, clock: Clock) -> SoakResult:
+    record = site.record
+    _harvest(site)
+    violations = check_all(record)
+    replicas = [
+        listed.replica
+        for listed in site.machines.replicas.values()
+        if listed.service != PROBE_SERVICE
+    ]
+    ended = [Finding("process", f.at, f.process, f.detail) for f in processes.findings]
+    drawn = (fault.value for action in site.plan.actions for fault in action.faults)
+    return SoakResult(
+        site.plan,
+        record,
+        violations,
+        [*ended, *find_bad_answers(bad.sent), *find_unasked(record, bad.sent, replicas)],
+        summarize(record, violations),
+        site.faults,
+        Counter(drawn),
+        len(site.machines.machines),
+        site.lives.total(),
+        Counter(f"{b.form.value} {b.status}" for b in bad.sent.values()),
+        clock.latest,
+        clock.times_late,
+    )
+
+
+def _harvest(site: Site) -> None:
+    """Take what the replicas saw into the record."""
+    record = site.record
+    for listed in site.machines.replicas.values():
+        if listed.service == PROBE_SERVICE:
+            continue
+        replica = listed.replica
+        record.arrivals += [Arrival(a.id, replica.id, a.at) for a in replica.arrived]
+        record.runs += [
+            ReplicaRun(run.id, replica.id, listed.service, run.version, run.began_at)
+            for run in replica.runs
+        ]
--- /dev/null
+++ b/bench/soak/site.py
@@ -0,0 +1,295 @@
+"""The system under a soak: processes, replicas, platform, with a proxy before each listener.
+
+Everything listens at private IP numbers and dials public ones, where the proxies are.
+"""
+
+import sys
+from collections import Counter
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any, Final
+
+import trio
+from headcross_base.addresses import Address
+from headcross_platform import names
+
+from bench.soak.bounds import BOUNDS, STOP_SECONDS
+from bench.soak.plan import Plan, Seat, daemon_of, entry_names
+from bench.soak.proxies import LinkFaults, Proxy
+from bench.soak.record import (
+    ConfigurationPublished,
+    Disturbance,
+    Record,
+    ReplicaDrains,
+    VersionNamed,
+)
+from testing.machines import (
+    CALLERS,
+    HOST,
+    MODEL,
+    MODEL_SERVICE,
+    ORIGIN,
+    PEERS,
+    PLAIN_SERVICE,
+    READINESS,
+    REPLICA,
+    STORE,
+    SWARM,
+    ListedReplica,
+    Machines,
+    running_machines,
+)
+from testing.platformreplica import FakeReplica, new_replica_id
+
+PROBE_SERVICE: Final = "probe"  # its replicas have no faults, so a probe shows its entry alone
+PROBE_SEATS: Final = 2
+PROBE_SLOTS: Final = 64
+ENTRY_PORTS: Final = (CALLERS, READINESS, PEERS, SWARM)
+DAEMON_PORTS: Final = (PEERS, SWARM)
+LISTING_SECONDS: Final = 0.03  # how often a replica looks whether its entry has changed
+STREAM_EVENTS: Final = 4
+ROUTE_MILLISECONDS: Final = 4000
+
+
+def probe_prefix(version: int) -> str:
+    """Return the route that configurations have from a version on.
+
+    >>> probe_prefix(3)
+    '/since/3/'
+    """
+    return f"/since/{version}/"
+
+
+@dataclass
+class SeatState:
+    """A seat of replicas and the incarnation that it has now."""
+
+    seat: Seat
+    ip: str
+    zone: str
+    service: str
+    listed: ListedReplica | None = None
+
+    @property
+    def replica(self) -> FakeReplica | None:
+        """The incarnation, None while there is none."""
+        return None if self.listed is None else self.listed.replica
+
+
+@dataclass
+class Site:
+    """A running system."""
+
+    plan: Plan
+    machines: Machines
+    nursery: trio.Nursery
+    record: Record
+    links: LinkFaults = field(default_factory=LinkFaults)
+    seats: dict[str, SeatState] = field(default_factory=dict)
+    lives: Counter[str] = field(default_factory=Counter)  # starts, by process
+    ready: set[str] = field(default_factory=set)  # entries that the platform sends callers to
+    faults: Counter[str] = field(default_factory=Counter)  # by kind
+    proxies: dict[str, list[Proxy]] = field(default_factory=dict)  # by process or seat
+    newest_version: int = 1
+
+    # What is seen from outside.
+
+    def tell(self, text: str) -> None:
+        """Write a line of progress."""
+        since = trio.current_time() - self.record.began_at
+        print(f"{since:7.2f} {text}", file=sys.stderr, flush=True)
+
+    def disturb(self, kind: str, machines: frozenset[str]) -> Disturbance:
+        """Note that a fault begins."""
+        found = Disturbance(kind, machines, trio.current_time())
+        self.record.disturbances.append(found)
+        return found
+
+    def machines_at(self, target: str) -> frozenset[str]:
+        """Return all names of what is on the machine of a process or seat."""
+        seat = self.seats.get(target.replace("daemon", "model"))
+        if seat is None:
+            return frozenset({target})
+        own = {target, seat.seat.name, daemon_of(seat.seat.name)}
+        return frozenset(own | ({seat.replica.id} if seat.replica else set()))
+
+    def ip_of(self, target: str) -> str:
+        """Return the IP number of a process or seat."""
+        if target in self.seats:
+            return self.seats[target].ip
+        return self.machines.machines[target].ip
+
+    # The operator's work.
+
+    def publish(self) -> None:
+        """Publish a configuration with one route more."""
+        version = self.machines.configuration["version"] + 1
+        route = _probe_route(version)
+        self.machines.change(routes=[*self.machines.configuration["routes"], route])
+        self.record.configurations.append(ConfigurationPublished(version, trio.current_time()))
+
+    def name_version(self) -> None:
+        """Name new weights."""
+        self.newest_version += 1
+        self.machines.name_version(self.newest_version)
+        self.record.versions.append(VersionNamed(self.newest_version, trio.current_time()))
+
+    def drain(self, seat: SeatState) -> None:
+        """Show a replica as leaving; it goes on serving."""
+        if seat.listed is None:
+            return
+        seat.listed.replica.draining = True
+        self.machines.list_replica(seat.listed)
+        self.record.draining.append(ReplicaDrains(seat.listed.replica.id, trio.current_time()))
+
+    # Replicas.
+
+    async def start_replica(self, seat: SeatState, version: int = 0) -> None:
+        """Start the next incarnation; what was staged beside an earlier one is still there."""
+        model = MODEL if seat.service == MODEL_SERVICE else None
+        replica = FakeReplica(new_replica_id(), model, version, seat.seat.slots)
+        replica.events = STREAM_EVENTS
+        replica.serves_draining = True
+        replica.names_versions = True
+        replica.service_seconds = 0.0 if model else seat.seat.service_seconds
+        replica.event_seconds = seat.seat.service_seconds
+        if version:
+            replica.staged = dict(enumerate(self.machines.origin.versions[version]))
+        elif seat.listed is not None:
+            replica.staged = seat.listed.replica.staged
+        seat.listed = ListedReplica(replica, seat.ip, seat.zone, seat.service)
+        self.machines.replicas[replica.id] = seat.listed
+        await self.machines.start_replica(seat.listed)
+        await self._open_proxies(seat.seat.name, seat.ip, (REPLICA,))
+
+    def end_replica(self, seat: SeatState) -> None:
+        """End an incarnation; its entry in the list stays."""
+        if seat.listed is None:
+            return
+        self._shut_proxies(seat.seat.name)
+        self.machines.crash_replica(seat.listed)
+
+    def unlist_replica(self, seat: SeatState) -> None:
+        """Take an incarnation off the list."""
+        if seat.listed is not None:
+            self.machines.unlist(seat.listed)
+
+    async def add_seat(self, seat: Seat, zone: str, service: str, version: int) -> SeatState:
+        """Add a machine with a replica."""
+        state = SeatState(seat, self.machines.new_ip(), zone, service)
+        self.seats[seat.name] = state
+        await self.start_replica(state, version)
+        if service == MODEL_SERVICE:
+            assert state.listed is not None
+            self.machines.add_daemon(daemon_of(seat.name), state.listed)
+        return state
+
+    # Processes.
+
+    async def start_process(self, name: str) -> None:
+        """Start a process and open what stands before it."""
+        machine = self.machines.machines[name]
+        self.lives[name] += 1
+        self.machines.start(name)
+        ports = ENTRY_PORTS if machine.role == "entry" else DAEMON_PORTS
+        await self._open_proxies(name, machine.ip, ports)
+
+    def note_exit(self, name: str) -> None:
+        """Shut what stands before a process that has ended."""
+        self.ready.discard(name)
+        self._shut_proxies(name)
+
+    async def is_up(self, name: str) -> bool:
+        """Tell whether an entry is ready, or a daemon answers."""
+        if self.machines.machines[name].role == "entry":
+            return await self.machines.ready(name)
+        return bool(await self.machines.state(name))
+
+    async def wait_up(self, name: str) -> None:
+        """Wait until a process is up."""
+        while not await self.is_up(name):
+            await trio.sleep(0.05)
+
+    def running_entries(self) -> list[str]:
+        """Return the entries whose process runs."""
+        return [
+            name
+            for name, machine in self.machines.machines.items()
+            if machine.role == "entry"
+            and machine.process is not None
+            and machine.process.poll() is None
+        ]
+
+    # Proxies.
+
+    async def open_platform_proxies(self) -> None:
+        """Open what stands before the store and the origin."""
+        await self._open_proxies("platform", self.machines.address(STORE).ip, (STORE, ORIGIN))
+
+    async def _open_proxies(self, owner: str, ip: str, ports: tuple[int, ...]) -> None:
+        if owner not in self.proxies:
+            addresses = [Address(ip, port) for port in ports]
+            private = self.machines.private
+            self.proxies[owner] = [Proxy(a, private(a), self.links) for a in addresses]
+        for proxy in self.proxies[owner]:
+            await proxy.open(self.nursery)
+
+    def _shut_proxies(self, owner: str) -> None:
+        for proxy in self.proxies.get(owner, []):
+            proxy.shut()
+
+
+def _probe_route(version: int) -> dict[str, Any]:
+    return {
+        "name": f"since-{version}",
+        "host": HOST,
+        "path_prefix": probe_prefix(version),
+        "kind": names.KIND_REPEATABLE,
+        "timeout_ms": ROUTE_MILLISECONDS,
+        names.AIM_MS: 500,
+        "max_attempts": 2,
+        "priority": 0,
+        "service": PROBE_SERVICE,
+    }
+
+
+@asynccontextmanager
+async def running_site(directory: Path, plan: Plan) -> AsyncIterator[Site]:
+    """Run the system of a plan; it is ready when the block begins and ends with it."""
+    async with running_machines(directory, interposed=True) as machines:
+        machines.weights_ms = BOUNDS.weights * 1000
+        machines.stop_seconds = STOP_SECONDS
+        machines.listing_seconds = LISTING_SECONDS
+        record = Record(BOUNDS, trio.current_time())
+        site = Site(plan, machines, machines.nursery, record)
+        await site.open_platform_proxies()
+        machines.configuration["services"].append({"name": PROBE_SERVICE, "max_conns": 200})
+        site.publish()
+        site.name_version()
+        await _fill(site)
+        for name in list(machines.machines):
+            await site.start_process(name)
+        for name in machines.machines:
+            await site.wait_up(name)
+        site.ready.update(entry_names(plan.sizes))
+        record.began_at = trio.current_time()
+        site.tell(f"{len(machines.machines)} processes are up")
+        yield site
+
+
+async def _fill(site: Site) -> None:
+    """Add the machines that are there from the start."""
+    sizes = site.plan.sizes
+    zones = [f"z{index}" for index in range(sizes.zones)]
+    for index, name in enumerate(entry_names(sizes)):
+        site.machines.add_entry(name, zones[index % len(zones)])
+    for index, seat in enumerate(site.plan.seats):
+        is_model = seat.name.startswith("model")
+        service = MODEL_SERVICE if is_model else PLAIN_SERVICE
+        version = site.newest_version if is_model else 0
+        await site.add_seat(seat, zones[index % len(zones)], service, version)
+    for index in range(PROBE_SEATS):
+        seat = Seat(f"probe{index}", 0.0, PROBE_SLOTS)
+        await site.add_seat(seat, zones[index % len(zones)], PROBE_SERVICE, 0)
--- /dev/null
+++ b/bench/soak/watchers.py
@@ -0,0 +1,118 @@
+"""What watches the entries and the soak itself: the platform's balancer, probes, the clock."""
+
+from collections import Counter
+from dataclasses import dataclass
+from typing import Final
+
+import trio
+from headcross_base.addresses import Address
+from headcross_base.errors import Failure
+from headcross_platform import names
+from headcross_wire.httpclient import call
+
+from bench.soak.record import RouteProbe
+from bench.soak.site import Site, probe_prefix
+from testing.machines import CALLERS, HOST, KEY
+
+READINESS_SECONDS: Final = 1.0  # how often the platform asks whether an entry is ready
+MISSES: Final = 2  # after so many in a row an entry gets no more callers
+PROBE_SECONDS: Final = 0.4
+NEWEST_ROUTES: Final = 3  # how many of the newest configurations are probed
+PROBE_LIMIT_SECONDS: Final = 6.0  # longer than the time limit of the probed routes
+MAX_ANSWER_BYTES: Final = 1 << 16
+LATE_EVERY_SECONDS: Final = 0.02
+# A soak that is later than this has seen things too late itself; it notes that as a disturbance of
+# everybody and reports it.
+LATE_SECONDS: Final = 0.3
+# Answers that tell nothing of the configuration: the entry did not take the request.
+NO_WORD: Final = frozenset({408, 421, 429, 503})
+
+
+async def balance(site: Site) -> None:
+    """Ask entries whether they are ready, as the platform does."""
+    misses: Counter[str] = Counter()
+    while True:
+        for name, machine in list(site.machines.machines.items()):
+            if machine.role == "entry":
+                site.nursery.start_soon(_ask_ready, site, name, misses)
+        await trio.sleep(READINESS_SECONDS)
+
+
+async def _ask_ready(site: Site, name: str, misses: Counter[str]) -> None:
+    if await site.machines.ready(name):
+        misses[name] = 0
+        site.ready.add(name)
+        return
+    misses[name] += 1
+    if misses[name] >= MISSES:
+        site.ready.discard(name)
+
+
+@dataclass
+class Prober:
+    """Asks each entry for the routes of the newest configurations, past all proxies."""
+
+    site: Site
+    _asked: int = 0
+
+    async def run(self) -> None:
+        """Probe until cancelled."""
+        while True:
+            newest = self.site.machines.configuration["version"]
+            for entry in self.site.running_entries():
+                for version in range(newest, max(1, newest - NEWEST_ROUTES), -1):
+                    self.site.nursery.start_soon(self._probe, entry, version)
+            await trio.sleep(PROBE_SECONDS)
+
+    async def _probe(self, entry: str, version: int) -> None:
+        life, sent_at = self.site.lives[entry], trio.current_time()
+        private = self.site.machines.private(Address(self.site.ip_of(entry), CALLERS))
+        self._asked += 1
+        request_id = f"p{self._asked:06d}"
+        headers = [
+            ("host", HOST),
+            (names.REQUEST_ID, request_id),
+            (names.DEADLINE_MS, "5000"),
+            (names.KEY, KEY),
+        ]
+        outcome = await call(
+            private,
+            "POST",
+            f"{probe_prefix(version)}{request_id}",
+            headers=headers,
+            body=b"probe",
+            seconds=PROBE_LIMIT_SECONDS,
+            max_bytes=MAX_ANSWER_BYTES,
+        )
+        if self.site.lives[entry] != life:
+            return  # another process may have answered
+        found = None if isinstance(outcome, Failure) else _is_found(outcome.value.status)
+        probe = RouteProbe(entry, life, version, sent_at, found)
+        self.site.record.probes.append(probe)
+
+
+def _is_found(status: int) -> bool | None:
+    return None if status in NO_WORD else status != 404
+
+
+@dataclass
+class Clock:
+    """Notes when the soak itself is late."""
+
+    site: Site
+    latest: float = 0.0  # seconds
+    times_late: int = 0
+
+    async def run(self) -> None:
+        """Watch until cancelled."""
+        while True:
+            due = trio.current_time() + LATE_EVERY_SECONDS
+            await trio.sleep_until(due)
+            late = trio.current_time() - due
+            self.latest = max(self.latest, late)
+            if late > LATE_SECONDS:
+                self.times_late += 1
+                disturbance = self.site.disturb("soak late", frozenset())
+                disturbance.began_at = due
+                disturbance.ended_at = trio.current_time()
+                self.site.tell(f"the soak was {late:.2f} s late")
--- a/testing/machines.py
+++ b/testing/machines.py
@@ -167,6 +167,10 @@
     stop_seconds: float = 4.0
     mirrors: bool = True  # whether entries mirror weights
     entry_memory_mb: float = 200.0
+    # With a block of private IP numbers everything listens there, and whoever opened the machines
+    # stands between: others dial the public numbers. Empty: everything listens in public.
+    private_block: str = ""
+    listing_seconds: float = 0.01  # how often replicas look whether their entry has changed
     _numbers: int = 10
 
     # The platform.
@@ -176,9 +180,9 @@
         server = HttpServer(
             self.store.handle, ServerLimits(end_of_input_is_gone=True, max_body_bytes=1024)
         )
-        listeners, _ = await server.listen(self.address(STORE))
+        listeners, _ = await server.listen(self.private(self.address(STORE)))
         self.nursery.start_soon(server.serve, listeners)
-        await self._listen(self.address(ORIGIN), self.origin.serve_connection)
+        await self._listen(self.private(self.address(ORIGIN)), self.origin.serve_connection)
         origin = {"name": ORIGIN_SERVICE, "max_conns": 48, "origin": str(self.address(ORIGIN))}
         self.configuration["services"].append(origin)
         self.publish()
@@ -187,6 +191,12 @@
         """Return an address of the platform."""
         return Address(f"127.{self.block}.1", port)
 
+    def private(self, address: Address) -> Address:
+        """Return where the listener of a public address really is."""
+        if not self.private_block:
+            return address
+        return Address(address.ip.replace(self.block, self.private_block, 1), address.port)
+
     def publish(self) -> int:
         """Publish the configuration as it stands; return the store's revision."""
         return self.store.put(names.CONFIGURATION_KEY, self.configuration)
@@ -220,7 +230,8 @@
     async def start_replica(self, listed: ListedReplica) -> None:
         """Listen for a replica and keep its entry in the list."""
         listed.scope = trio.CancelScope()
-        listeners = await trio.open_tcp_listeners(REPLICA, host=listed.ip)
+        private = self.private(listed.address)
+        listeners = await trio.open_tcp_listeners(private.port, host=private.ip)
 
         async def run() -> None:
             with listed.scope:
@@ -267,7 +278,7 @@
             if state != before:
                 before = state
                 self.list_replica(listed)
-            await trio.sleep(0.01)
+            await trio.sleep(self.listing_seconds)
 
     async def _listen(self, address: Address, serve: Any) -> None:  # noqa: ANN401
         listeners = await trio.open_tcp_listeners(address.port, host=address.ip)
@@ -340,7 +351,7 @@
 
     async def ready(self, name: str) -> bool:
         """Tell whether an entry calls itself ready."""
-        address = Address(self.machines[name].ip, READINESS)
+        address = self.private(Address(self.machines[name].ip, READINESS))
         outcome = await call(address, "GET", "/ready", seconds=1, max_bytes=1 << 16)
         return not isinstance(outcome, Failure) and outcome.value.status == 200
 
@@ -363,16 +374,26 @@
                 machine.process.kill()
                 machine.process.wait()
 
+    def _seeds_of(self, machine: Machine) -> list[str]:
+        """Return the entries that a process is told of.
+
+        A process knows itself by the address that it listens at. Behind a private one it would
+        count itself among the others.
+        """
+        own = f"{machine.ip}:{PEERS}"
+        return [seed for seed in self.seeds if not self.private_block or seed != own]
+
     def _settings(self, machine: Machine) -> str:
-        listen = f'peers = "{machine.ip}:{PEERS}"'
+        ip = self.private(Address(machine.ip, PEERS)).ip
+        listen = f'peers = "{ip}:{PEERS}"'
         replica = ""
         if machine.role == "entry":
             if self.mirrors:
-                listen += f'\nswarm = "{machine.ip}:{SWARM}"'
-            listen += f'\ncallers = "{machine.ip}:{CALLERS}"'
-            listen += f'\nreadiness = "{machine.ip}:{READINESS}"'
+                listen += f'\nswarm = "{ip}:{SWARM}"'
+            listen += f'\ncallers = "{ip}:{CALLERS}"'
+            listen += f'\nreadiness = "{ip}:{READINESS}"'
         else:
-            listen += f'\nswarm = "{machine.ip}:{SWARM}"'
+            listen += f'\nswarm = "{ip}:{SWARM}"'
             address = f"{machine.ip}:{REPLICA}"
             replica = f'[replica]\naddress = "{address}"\nservice = "{MODEL_SERVICE}"'
         zones = sorted({m.zone for m in self.machines.values()})
@@ -383,7 +404,7 @@
             role=machine.role,
             zones="\n".join(f'{zone} = "r-{zone}"' for zone in zones),
             listen=listen,
-            seeds=msgspec.json.encode(self.seeds).decode(),
+            seeds=msgspec.json.encode(self._seeds_of(machine)).decode(),
             replica=replica,
             store=self.address(STORE),
             link=self.entry_link_mbits if machine.role == "entry" else self.link_mbits,
@@ -394,14 +415,22 @@
 
 
 @asynccontextmanager
-async def running_machines(directory: Path) -> AsyncIterator[Machines]:
-    """Open the platform; every process started on it ends with the block."""
+async def running_machines(
+    directory: Path, *, interposed: bool = False
+) -> AsyncIterator[Machines]:
+    """Open the platform; every process started on it ends with the block.
+
+    `interposed` lets everything listen at private IP numbers.
+    """
     seed = random.randrange(1 << 30)
     print(f"seed {seed}")
     generator = random.Random(os.getpid() * 7919 + seed)
     block = f"{generator.randrange(16, 250)}.{generator.randrange(1, 250)}"
+    private_block = f"{generator.randrange(16, 250)}.{generator.randrange(1, 250)}"
     async with trio.open_nursery() as nursery:
         machines = Machines(directory, block, nursery)
+        if interposed:
+            machines.private_block = private_block
         SOURCE_IP.set(f"127.{block}.2")
         try:
             await machines.open_platform()
--- a/testing/platformreplica.py
+++ b/testing/platformreplica.py
@@ -69,6 +69,14 @@
     began_at: float  # trio's clock
 
 
+@dataclass(frozen=True)
+class ArrivedRequest:
+    """A request that reached a replica, whether it ran or not."""
+
+    id: str
+    at: float  # trio's clock
+
+
 @dataclass
 class FakeReplica:
     """One replica. Its answer to a request is the request's own body, or numbered events."""
@@ -87,6 +95,8 @@
     runs: list[Run] = field(default_factory=list)
     cancelled: list[str] = field(default_factory=list)
     arrivals: int = 0
+    arrived: list[ArrivedRequest] = field(default_factory=list)
+    faulty: int = 0  # requests under way that a fault befell
     active: int = 0
     connections: int = 0
     opened: int = 0
@@ -94,6 +104,8 @@
     loading_version: int = 0
     load_due: float = 0.0  # trio's clock
     draining: bool = False
+    serves_draining: bool = False  # takes requests also while it leaves
+    names_versions: bool = False  # each event ends with the version of the weights
     orders: int = 0
     staged: dict[int, bytes] = field(default_factory=dict)
     loads: list[tuple[int, list[str]]] = field(default_factory=list)  # version, chunk digests
@@ -186,6 +198,7 @@
         """Answer a request; return whether the connection may carry another."""
         self.arrivals += 1
         request_id = headers.get(names.REQUEST_ID, "")
+        self.arrived.append(ArrivedRequest(request_id, trio.current_time()))
         base = [(names.REQUEST_ID, request_id)]
         expected = headers.get(names.EXPECT_INSTANCE)
         version = headers.get(names.EXPECT_VERSION)
@@ -193,10 +206,12 @@
             await stream.send_all(json_bytes(421, {}, base))
             return True
         fault = self.faults.popleft() if self.faults else None
-        if fault is Fault.SHED or self.loading or self.active >= self.slots or self.draining:
+        refuses = self.loading or (self.draining and not self.serves_draining)
+        if fault is Fault.SHED or refuses or self.active >= self.slots:
             await stream.send_all(json_bytes(503, {}, [*base, (names.NOT_EXECUTED, "1")]))
             return True
         self.active += 1
+        self.faulty += fault is not None
         try:
             await sleep_watching(stream, self.wait_seconds)
             method, target = head.method.decode(), head.target.decode()
@@ -208,6 +223,7 @@
             return False
         finally:
             self.active -= 1
+            self.faulty -= fault is not None
 
     async def _answer(
         self,
@@ -297,6 +313,8 @@
                 headers[names.REQUEST_ID].encode(),
                 number,
             )
+            if self.names_versions:
+                event = event[:-2] + b" v%d\n\n" % self.version
             if fault is Fault.CUT_WITHIN_EVENT and number == first + 1:
                 await stream.send_all(chunk_bytes(event[:-4]))
                 return await reset(stream)
