--- /dev/null
+++ b/bench/soak/coverage.py
@@ -0,0 +1,86 @@
+"""How much a soak could judge: news and stops that no fault excused.
+
+A promise with a time bound that was never due shows nothing by being unbroken.
+"""
+
+from dataclasses import dataclass
+from typing import Final
+
+from bench.soak.check_quiet import quiet_everywhere, undisturbed
+from bench.soak.record import PlannedStop, Record
+
+# How long after its bound a promise is looked at.
+LOOK_SECONDS: Final = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class Coverage:
+    """Counts of what was judged without an excuse."""
+
+    versions: int  # named while no fault was on anywhere, until after their bound
+    old_starts: int  # runs after the bound of such a version
+    configurations: int  # pairs of a publication and an entry that was in touch
+    drains: int  # replicas shown as leaving that no fault concerned
+    stops: int  # planned stops of entries in touch
+    stopped_requests: int  # requests under way when such a stop began
+
+
+def measure_coverage(record: Record) -> Coverage:
+    """Count what a record allows to be judged."""
+    bounds = record.bounds
+    named = [
+        v.at
+        for v in record.versions
+        if _covers(record, v.at, bounds.weights)
+        and quiet_everywhere(record, v.at - bounds.reached, v.at + bounds.weights + LOOK_SECONDS)
+    ]
+    due = [(at + bounds.weights, at + bounds.weights + LOOK_SECONDS) for at in named]
+    runs = sum(
+        any(since < run.began_at <= until for since, until in due)
+        for run in record.runs
+        if run.version
+    )
+    drains = sum(
+        _covers(record, d.at, bounds.leaving)
+        and record.is_quiet(
+            frozenset({d.replica_id}), d.at - bounds.reached, d.at + bounds.leaving + LOOK_SECONDS
+        )
+        for d in record.draining
+    )
+    stops = [stop for stop in record.stops if _is_fair(record, stop)]
+    under_way = sum(_was_under_way(record, stop) for stop in stops)
+    return Coverage(len(named), runs, _configurations(record), drains, len(stops), under_way)
+
+
+def _covers(record: Record, at: float, bound: float) -> bool:
+    return record.began_at <= at and at + bound + LOOK_SECONDS <= record.ended_at
+
+
+def _configurations(record: Record) -> int:
+    entries = {probe.entry for probe in record.probes}
+    bounds = record.bounds
+    return sum(
+        _covers(record, c.at, bounds.configuration)
+        and undisturbed(
+            record,
+            frozenset({entry}),
+            c.at - bounds.reached,
+            c.at + bounds.configuration + LOOK_SECONDS,
+        )
+        for c in record.configurations
+        for entry in entries
+    )
+
+
+def _is_fair(record: Record, stop: PlannedStop) -> bool:
+    until = record.ended_at if stop.ended_at is None else stop.ended_at
+    return record.is_quiet(frozenset({stop.entry}), stop.at - record.bounds.reached, until)
+
+
+def _was_under_way(record: Record, stop: PlannedStop) -> int:
+    return sum(
+        request.entry == stop.entry
+        and request.sent_at <= stop.at
+        and (request.ended_at is None or request.ended_at > stop.at)
+        for request in record.requests.values()
+    )
--- a/bench/soak/report.py
+++ b/bench/soak/report.py
@@ -1,5 +1,6 @@
 """What a soak reports: one JSON line, and files beside the logs when something was wrong."""
 
+from dataclasses import asdict
 from pathlib import Path
 from typing import Any, Final
 
@@ -30,6 +31,7 @@
         "runs": len(result.record.runs),
         "versions": len(result.record.versions),
         "configurations": len(result.record.configurations),
+        "judged": asdict(result.coverage),
         "latest_seconds": round(result.latest_seconds, 3),
         "times_late": result.times_late,
         "violations": {
--- a/bench/soak/runner.py
+++ b/bench/soak/runner.py
@@ -14,6 +14,7 @@
 from bench.soak.check_summary import Summary, summarize
 from bench.soak.check_violations import Violation
 from bench.soak.checks import check_all
+from bench.soak.coverage import Coverage, measure_coverage
 from bench.soak.findings import Finding, find_bad_answers, find_unasked
 from bench.soak.plan import RECOVERY_SECONDS, Plan
 from bench.soak.processes import Processes
@@ -33,6 +34,7 @@
     violations: list[Violation]
     findings: list[Finding]
     summary: Summary
+    coverage: Coverage
     faults: Counter[str] = field(default_factory=Counter)  # actions by kind
     replica_faults: Counter[str] = field(default_factory=Counter)  # drawn faults of replicas
     processes: int = 0
@@ -105,6 +107,7 @@
         violations,
         [*ended, *find_bad_answers(bad.sent), *find_unasked(record, bad.sent, replicas)],
         summarize(record, violations),
+        measure_coverage(record),
         site.faults,
         Counter(drawn),
         len(site.machines.machines),
