Checkers of the soak: ten promises, judged from a record

What the soak saw is judged by pure functions of its record, one for each promise, and a summary counts violations by promise and requests by kind and outcome. Promises with a time bound hold for machines that no fault concerned; a planned stop also excuses its own entry's late news, from the signal until the entry is back, as the users' rules have it.

--- /dev/null
+++ b/bench/soak/check_news.py
@@ -0,0 +1,127 @@
+"""Promises on how soon news take effect: weights, leaving replicas, configurations."""
+
+from collections import defaultdict
+from collections.abc import Iterator
+
+from bench.soak.check_quiet import quiet_everywhere, sender_machines, undisturbed
+from bench.soak.check_violations import Promise, Violation
+from bench.soak.record import (
+    Arrival,
+    Record,
+    ReplicaDrains,
+    ReplicaRun,
+    RouteProbe,
+    VersionNamed,
+)
+
+
+def check_old_weights(record: Record) -> list[Violation]:
+    """Find runs that began on old weights too long after newer ones were named."""
+    violations = []
+    for run in record.runs:
+        named = next((n for n in record.versions if _is_late_start(record, run, n)), None)
+        if named is None:
+            continue
+        detail = (
+            f"request {run.request_id} began on version {run.version} "
+            f"{run.began_at - named.at:.3f} s after version {named.version} was named"
+        )
+        violations.append(Violation(Promise.OLD_WEIGHTS, run.began_at, run.replica_id, detail))
+    return violations
+
+
+def _is_late_start(record: Record, run: ReplicaRun, named: VersionNamed) -> bool:
+    if run.version == 0 or named.version <= run.version:
+        return False
+    if run.began_at <= named.at + record.bounds.weights:
+        return False
+    since = named.at - record.bounds.reached
+    sender = sender_machines(record, run.request_id)
+    return quiet_everywhere(record, since, run.began_at) and undisturbed(
+        record, sender, since, run.began_at
+    )
+
+
+def check_leaving(record: Record) -> list[Violation]:
+    """Find requests that reached a replica too long after the store had shown it as leaving."""
+    draining: defaultdict[str, list[ReplicaDrains]] = defaultdict(list)
+    for drains in record.draining:
+        draining[drains.replica_id].append(drains)
+    violations = []
+    for arrival in record.arrivals:
+        shows = draining[arrival.replica_id]
+        shown = next((s for s in shows if _is_late_arrival(record, arrival, s)), None)
+        if shown is None:
+            continue
+        detail = (
+            f"request {arrival.request_id} arrived {arrival.at - shown.at:.3f} s "
+            "after the replica was shown as leaving"
+        )
+        violations.append(Violation(Promise.LEAVING, arrival.at, arrival.replica_id, detail))
+    return violations
+
+
+def _is_late_arrival(record: Record, arrival: Arrival, shown: ReplicaDrains) -> bool:
+    if arrival.at <= shown.at + record.bounds.leaving:
+        return False
+    concerned = sender_machines(record, arrival.request_id) | {arrival.replica_id}
+    return undisturbed(record, concerned, shown.at - record.bounds.reached, arrival.at)
+
+
+def check_configuration(record: Record) -> list[Violation]:
+    """Find routes that an entry learned too late, or lost again within one life."""
+    return [*_late_routes(record), *_lost_routes(record)]
+
+
+def _late_routes(record: Record) -> Iterator[Violation]:
+    for probe in record.probes:
+        published_at = _published_at(record, probe.configuration)
+        if probe.found or published_at is None:
+            continue
+        if probe.sent_at <= published_at + record.bounds.configuration:
+            continue
+        if not _is_in_touch(record, probe):
+            continue
+        outcome = "no answer" if probe.found is None else "not found"
+        detail = (
+            f"configuration {probe.configuration}: {outcome} "
+            f"{probe.sent_at - published_at:.3f} s after its publication"
+        )
+        yield Violation(Promise.CONFIGURATION, probe.sent_at, probe.entry, detail)
+
+
+def _published_at(record: Record, configuration: int) -> float | None:
+    """Return the first publication of a configuration or of a later one, which contains it."""
+    return min((c.at for c in record.configurations if c.version >= configuration), default=None)
+
+
+def _is_in_touch(record: Record, probe: RouteProbe) -> bool:
+    bounds = record.bounds
+    since = probe.sent_at - bounds.reached - bounds.configuration
+    # A fault that comes while the probe is under way explains a missing answer, but not one that
+    # says the route does not exist.
+    until = probe.sent_at + (bounds.reached if probe.found is None else 0.0)
+    return undisturbed(record, frozenset({probe.entry}), since, until)
+
+
+def _lost_routes(record: Record) -> Iterator[Violation]:
+    """Yield the probes that an entry answered as though it had gone back to older settings."""
+    lives: defaultdict[tuple[str, int], list[RouteProbe]] = defaultdict(list)
+    for probe in record.probes:
+        lives[probe.entry, probe.life].append(probe)
+    for probes in lives.values():
+        yield from _lost_in_life(probes)
+
+
+def _lost_in_life(probes: list[RouteProbe]) -> Iterator[Violation]:
+    newest = 0
+    # Of two probes sent at one moment neither came later: what was not found goes first.
+    for probe in sorted(probes, key=lambda probe: (probe.sent_at, probe.found is True)):
+        if probe.found:
+            newest = max(newest, probe.configuration)
+        elif probe.found is False and probe.configuration <= newest:
+            detail = (
+                f"life {probe.life}: the route of configuration {probe.configuration} not found "
+                f"after that of {newest} was"
+            )
+            yield Violation(Promise.CONFIGURATION, probe.sent_at, probe.entry, detail)
--- /dev/null
+++ b/bench/soak/check_service.py
@@ -0,0 +1,141 @@
+"""Promises on service as a whole: planned stops, retries, recovery after faults."""
+
+from bisect import bisect_left
+from collections.abc import Iterator
+from typing import Final
+
+from bench.soak.check_answers import is_served
+from bench.soak.check_violations import Promise, Violation
+from bench.soak.record import Bounds, CallerRequest, PlannedStop, Record
+
+# What a request may have used of its deadline so that its loss counts (LOST in the users' rules).
+DEADLINE_SHARE: Final = 0.7
+# Sums of binary fractions differ from the decimal ones that the bounds are written in.
+ROUNDING: Final = 1e-9
+# The least service, as a share and in requests, that shows a recovery (the soak's own choice).
+RECOVERED_SHARE: Final = 0.5
+RECOVERED_REQUESTS: Final = 20
+# How long callers are watched, in seconds, until too few requests are a failure of the soak
+# (its own choice).
+RECOVERY_WATCHED: Final = 5.0
+
+
+def check_planned_stop(record: Record) -> list[Violation]:
+    """Find requests that a planned stop cut off without an answer."""
+    return [
+        Violation(
+            Promise.PLANNED_STOP,
+            ended_at,
+            request.id,
+            f"sent to {request.entry} at {request.sent_at:.3f}, no answer",
+        )
+        for request in record.requests.values()
+        if (ended_at := request.ended_at) is not None
+        and _lost_without_reason(record, request, ended_at)
+        and any(_is_cut_by(record, stop, request, ended_at) for stop in record.stops)
+    ]
+
+
+def _lost_without_reason(record: Record, request: CallerRequest, ended_at: float) -> bool:
+    if not request.written or request.status != 0 or request.caller_left:
+        return False
+    since = request.sent_at - record.bounds.reached
+    return record.is_quiet(frozenset({request.entry}), since, ended_at)
+
+
+def _is_cut_by(record: Record, stop: PlannedStop, request: CallerRequest, ended_at: float) -> bool:
+    process_ended_at = record.ended_at if stop.ended_at is None else stop.ended_at
+    if stop.entry != request.entry or request.sent_at >= process_ended_at:
+        return False
+    if ended_at < stop.at:
+        return False
+    if request.deadline_seconds == 0.0:
+        return True
+    # A caller may notice the end later than it came.
+    used_seconds = min(ended_at, process_ended_at) - request.sent_at
+    return used_seconds < DEADLINE_SHARE * request.deadline_seconds
+
+
+def check_retry_bound(record: Record) -> list[Violation]:
+    """Find windows in which replicas got more repeated requests than they may.
+
+    Of windows that overlap, only the first is told.
+    """
+    requests = sorted(request.sent_at for request in record.requests.values())
+    repeats = _repeats(record)
+    violations: list[Violation] = []
+    told_until = float("-inf")
+    for start in _window_starts(requests, repeats, record.bounds.retry_window):
+        if start < told_until:
+            continue
+        count = _count(repeats, start, record.bounds.retry_window)
+        if count <= record.bounds.retry_slack:
+            continue
+        allowed = _allowed(requests, start, record.bounds)
+        if count <= allowed + ROUNDING:
+            continue
+        told_until = start + record.bounds.retry_window
+        detail = f"{count} repeats from {start:.3f} to {told_until:.3f}, {allowed:.2f} allowed"
+        violations.append(Violation(Promise.RETRY_BOUND, start, "all replicas", detail))
+    return violations
+
+
+def _repeats(record: Record) -> list[float]:
+    """Return when requests came to a replica that had come to one before."""
+    known: set[str] = set()
+    repeats = []
+    for arrival in sorted(record.arrivals, key=lambda arrival: arrival.at):
+        if arrival.request_id in known:
+            repeats.append(arrival.at)
+        known.add(arrival.request_id)
+    return repeats
+
+
+def _window_starts(requests: list[float], repeats: list[float], window: float) -> list[float]:
+    """Return the starts of the windows with the least room for repeats.
+
+    A window holds its start and not its end. Moved to later, it has no more room until one of its
+    repeats drops out or a request comes into one of the windows that allow repeats: just before
+    that, and nowhere else, its room is least.
+    """
+    starts = set(repeats)
+    starts.update(at - ahead for at in requests for ahead in (0.0, window / 2, window))
+    return sorted(starts)
+
+
+def _allowed(requests: list[float], start: float, bounds: Bounds) -> float:
+    window = bounds.retry_window
+    begins = (start, start - window, start - window / 2)
+    most = max(_count(requests, begin, window) for begin in begins)
+    return bounds.retry_ratio * most + bounds.retry_slack
+
+
+def _count(moments: list[float], start: float, window: float) -> int:
+    return bisect_left(moments, start + window) - bisect_left(moments, start)
+
+
+def check_recovery(record: Record) -> list[Violation]:
+    """Find out whether ordinary service came back after the last fault."""
+    return list(_recovery_faults(record))
+
+
+def _recovery_faults(record: Record) -> Iterator[Violation]:
+    if record.last_fault_ended_at is None:
+        return
+    due_at = record.last_fault_ended_at + record.bounds.recovery
+    judged = [
+        request
+        for request in record.requests.values()
+        if request.sent_at > due_at and not request.caller_left
+    ]
+    if len(judged) < RECOVERED_REQUESTS:
+        if record.ended_at - due_at > RECOVERY_WATCHED:
+            yield _not_recovered(due_at, f"only {len(judged)} requests were sent")
+        return
+    served = sum(is_served(request) for request in judged)
+    if served < RECOVERED_SHARE * len(judged):
+        yield _not_recovered(due_at, f"{served} of {len(judged)} requests were served")
+
+
+def _not_recovered(due_at: float, detail: str) -> Violation:
+    return Violation(Promise.RECOVERY, due_at, "all entries", detail)
--- /dev/null
+++ b/bench/soak/check_summary.py
@@ -0,0 +1,77 @@
+"""What a soak came to, as rows of tables."""
+
+from collections import Counter
+from collections.abc import Iterable
+from dataclasses import dataclass
+from enum import Enum
+
+from bench.soak.check_answers import is_refused, is_served, is_success
+from bench.soak.check_violations import Promise, Violation
+from bench.soak.record import CallerRequest, Record, RequestKind
+
+
+class Outcome(Enum):
+    """How a request ended for its caller."""
+
+    SERVED = "served"  # a whole success
+    CUT = "cut"  # a success that did not end as it should
+    REFUSED = "refused"  # the system's own answer that it has not run
+    FAILED = "failed"  # any other answer
+    NO_ANSWER = "no answer"
+    LEFT = "left"  # the caller did not wait for the end
+    UNDER_WAY = "under way"  # not ended when the soak did
+
+
+@dataclass(frozen=True, slots=True)
+class PromiseCount:
+    """How often a promise was broken."""
+
+    promise: Promise
+    violations: int
+
+
+@dataclass(frozen=True, slots=True)
+class OutcomeCount:
+    """How many requests of a kind ended in one way."""
+
+    kind: RequestKind
+    outcome: Outcome
+    requests: int
+
+
+@dataclass(frozen=True, slots=True)
+class Summary:
+    """The figures of a soak. Promises are all there, outcomes only if a request had them."""
+
+    promises: tuple[PromiseCount, ...]
+    outcomes: tuple[OutcomeCount, ...]
+
+
+def summarize(record: Record, violations: Iterable[Violation]) -> Summary:
+    """Count violations by promise and requests by kind and outcome."""
+    broken = Counter(violation.promise for violation in violations)
+    ended = Counter((request.kind, outcome_of(request)) for request in record.requests.values())
+    return Summary(
+        promises=tuple(PromiseCount(promise, broken[promise]) for promise in Promise),
+        outcomes=tuple(
+            OutcomeCount(kind, outcome, ended[kind, outcome])
+            for kind in RequestKind
+            for outcome in Outcome
+            if ended[kind, outcome]
+        ),
+    )
+
+
+def outcome_of(request: CallerRequest) -> Outcome:
+    """Tell how a request ended."""
+    if request.caller_left:
+        return Outcome.LEFT
+    if request.ended_at is None:
+        return Outcome.UNDER_WAY
+    if request.status == 0:
+        return Outcome.NO_ANSWER
+    if is_served(request):
+        return Outcome.SERVED
+    if is_success(request):
+        return Outcome.CUT
+    return Outcome.REFUSED if is_refused(request) else Outcome.FAILED
--- /dev/null
+++ b/bench/soak/checks.py
@@ -0,0 +1,40 @@
+"""The checkers of the soak: from what was seen to the promises that were broken.
+
+Each checker is a pure function of a record and judges one promise.
+"""
+
+from collections.abc import Callable
+from typing import Final
+
+from bench.soak.check_answers import (
+    check_at_most_once,
+    check_not_run_true,
+    check_one_version,
+    check_whole_own,
+)
+from bench.soak.check_news import check_configuration, check_leaving, check_old_weights
+from bench.soak.check_service import check_planned_stop, check_recovery, check_retry_bound
+from bench.soak.check_summary import Summary, summarize
+from bench.soak.check_violations import Promise, Violation
+from bench.soak.record import Record
+
+__all__ = ["CHECKS", "Promise", "Summary", "Violation", "check_all", "summarize"]
+
+CHECKS: Final[dict[Promise, Callable[[Record], list[Violation]]]] = {
+    Promise.WHOLE_OWN: check_whole_own,
+    Promise.AT_MOST_ONCE: check_at_most_once,
+    Promise.NOT_RUN_TRUE: check_not_run_true,
+    Promise.ONE_VERSION: check_one_version,
+    Promise.OLD_WEIGHTS: check_old_weights,
+    Promise.LEAVING: check_leaving,
+    Promise.PLANNED_STOP: check_planned_stop,
+    Promise.CONFIGURATION: check_configuration,
+    Promise.RETRY_BOUND: check_retry_bound,
+    Promise.RECOVERY: check_recovery,
+}
+
+
+def check_all(record: Record) -> list[Violation]:
+    """Return all violations, in the order in which they came."""
+    found = [violation for check in CHECKS.values() for violation in check(record)]
+    return sorted(found, key=lambda violation: violation.at)
