--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -662,6 +662,12 @@
     assert len(check_retry_bound(record_of_retries(requests, [110.0] * 3))) == 1
 
 
+def test_the_window_half_a_window_before_may_hold_the_most_requests() -> None:
+    requests = [97.0] * 4 + [101.0] * 4
+    assert check_retry_bound(record_of_retries(requests, [101.0] * 4)) == []
+    assert len(check_retry_bound(record_of_retries(requests, [101.0] * 5))) == 1
+
+
 def test_first_arrivals_are_no_repeats_though_no_request_was_recorded() -> None:
     record = record_of()
     record.arrivals = [Arrival(f"r{number}", "i-1", 100.0) for number in range(50)]
