A route counts as there from the answer that shows it, not from the probe's sending

Cause, found by reading: probes of one entry overlap, so one that is sent later may be answered earlier, from settings that the other's answer had not yet replaced. The checker took the order of sending for that of the answers and would have told a lost route where none was. Change: `RouteProbe.answered_at`, with a default; what fills the record does not set it yet, and until then the order of sending still counts.

--- a/bench/soak/check_news.py
+++ b/bench/soak/check_news.py
@@ -114,14 +114,19 @@
 
 
 def _lost_in_life(probes: list[RouteProbe]) -> Iterator[Violation]:
-    newest = 0
-    # Of two probes sent at one moment neither came later: what was not found goes first.
-    for probe in sorted(probes, key=lambda probe: (probe.sent_at, probe.found is True)):
-        if probe.found:
-            newest = max(newest, probe.configuration)
-        elif probe.found is False and probe.configuration <= newest:
+    there = [probe for probe in probes if probe.found]
+    for probe in probes:
+        if probe.found is not False:
+            continue
+        before = (p.configuration for p in there if _answered_at(p) < probe.sent_at)
+        newest = max(before, default=0)
+        if probe.configuration <= newest:
             detail = (
                 f"life {probe.life}: the route of configuration {probe.configuration} not found "
                 f"after that of {newest} was"
             )
             yield Violation(Promise.CONFIGURATION, probe.sent_at, probe.entry, detail)
+
+
+def _answered_at(probe: RouteProbe) -> float:
+    return probe.sent_at if probe.answered_at is None else probe.answered_at
--- a/bench/soak/record.py
+++ b/bench/soak/record.py
@@ -5,6 +5,7 @@
 To find streams that end early or mix weights, the checkers need `CallerRequest.event_count` and
 `event_versions`; to excuse an entry that has just started again, `PlannedStop.restarted_at`. A
 planned stop is not a `Disturbance` as well: whatever is one excuses the requests cut by the stop.
+Probes that overlap need `RouteProbe.answered_at`: one sent later may be answered earlier.
 """
 
 from dataclasses import dataclass, field
@@ -95,6 +96,8 @@
     configuration: int  # the first version that has the route
     sent_at: float
     found: bool | None  # None if there was no answer
+    # None if not known: probes are then taken to be answered at once, in the order of sending.
+    answered_at: float | None = None
 
 
 @dataclass(slots=True)
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -584,6 +584,12 @@
     assert len(check_configuration(record)) == 1
 
 
+def test_a_route_is_there_from_the_answer_on_that_shows_it() -> None:
+    there = replace(probe(True, 101.0), answered_at=103.0)
+    assert check_configuration(record_of_probes(there, probe(False, 103.0))) == []
+    assert len(check_configuration(record_of_probes(there, probe(False, 103.0 + SHORTLY)))) == 1
+
+
 @pytest.mark.parametrize(
     "later",
     [
