--- a/bench/soak/actors.py
+++ b/bench/soak/actors.py
@@ -6,10 +6,10 @@
 import trio
 
 from bench.soak.actions import OPERATOR_KINDS, Action, ActionKind
-from bench.soak.plan import Seat, daemon_of
 from bench.soak.processes import Processes
 from bench.soak.proxies import LinkFault, LinkKind
 from bench.soak.site import SeatState, Site
+from bench.soak.sizes import Seat, daemon_of
 from testing.machines import MODEL_SERVICE
 from testing.platformstore import Mood
 
--- a/bench/soak/site.py
+++ b/bench/soak/site.py
@@ -16,7 +16,7 @@
 from headcross_platform import names
 
 from bench.soak.bounds import BOUNDS, STOP_SECONDS
-from bench.soak.plan import Plan, Seat, daemon_of, entry_names
+from bench.soak.plan import Plan
 from bench.soak.proxies import LinkFaults, Proxy
 from bench.soak.record import (
     ConfigurationPublished,
@@ -25,6 +25,7 @@
     ReplicaDrains,
     VersionNamed,
 )
+from bench.soak.sizes import Seat, daemon_of, entry_names
 from testing.machines import (
     CALLERS,
     HOST,
--- /dev/null
+++ b/bench/soak/sizes.py
@@ -0,0 +1,57 @@
+"""How large the system of a soak is, and what its parts are called."""
+
+import random
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class Sizes:
+    """How much of everything there is at the start."""
+
+    entries: int
+    models: int  # replicas with weights, each with a daemon beside it
+    plain: int
+    zones: int
+
+
+@dataclass(frozen=True, slots=True)
+class Seat:
+    """A place of replicas: incarnations follow one another on one machine."""
+
+    name: str
+    service_seconds: float
+    slots: int
+
+
+def entry_names(sizes: Sizes) -> list[str]:
+    """Return the names of the entries."""
+    return [f"entry{index}" for index in range(sizes.entries)]
+
+
+def model_names(sizes: Sizes) -> list[str]:
+    """Return the names of the seats of replicas with weights."""
+    return [f"model{index}" for index in range(sizes.models)]
+
+
+def plain_names(sizes: Sizes) -> list[str]:
+    """Return the names of the seats of plain replicas."""
+    return [f"plain{index}" for index in range(sizes.plain)]
+
+
+def daemon_of(seat: str) -> str:
+    """Return the name of the daemon beside a replica with weights.
+
+    >>> daemon_of("model3")
+    'daemon3'
+    """
+    return seat.replace("model", "daemon")
+
+
+def draw_sizes(generator: random.Random, processes: int = 0) -> Sizes:
+    """Draw the sizes; with `processes` there are that many entries and daemons together."""
+    zones = generator.randint(2, 3)
+    plain = generator.randint(2, 3)
+    if processes:
+        entries = max(2, processes // 5)
+        return Sizes(entries, processes - entries, plain, zones)
+    return Sizes(generator.randint(2, 5), generator.randint(3, 10), plain, zones)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -20,7 +20,7 @@
 from bench.soak.coverage import measure_coverage
 from bench.soak.exchange import Draft, judge
 from bench.soak.findings import find_bad_answers, find_unasked
-from bench.soak.plan import Sizes, draw_plan
+from bench.soak.plan import draw_plan
 from bench.soak.proxies import LinkFault, LinkFaults, LinkKind, Proxy
 from bench.soak.record import (
     CallerRequest,
@@ -34,6 +34,7 @@
 )
 from bench.soak.report import to_line, write_story
 from bench.soak.runner import run_soak
+from bench.soak.sizes import Sizes
 from testing.platformreplica import FakeReplica, Run
 
 # A plan of this seed has kills and pauses, faults of links, replicas that answer badly, a store in
--- a/tests/test_soak_plan.py
+++ b/tests/test_soak_plan.py
@@ -5,19 +5,9 @@
 from bench.soak.actions import OPERATOR_KINDS, Action, ActionKind
 from bench.soak.bounds import BOUNDS
 from bench.soak.main import ArgumentError, parse_arguments
-from bench.soak.plan import (
-    CALM_SECONDS,
-    LEAST_SECONDS,
-    RECOVERY_SECONDS,
-    Plan,
-    Sizes,
-    daemon_of,
-    draw_plan,
-    entry_names,
-    model_names,
-    plain_names,
-)
+from bench.soak.plan import CALM_SECONDS, LEAST_SECONDS, RECOVERY_SECONDS, Plan, draw_plan
 from bench.soak.regressions import REGRESSIONS, read_regressions
+from bench.soak.sizes import Sizes, daemon_of, entry_names, model_names, plain_names
 
 SEEDS = range(60)
 RESTARTING = {ActionKind.KILL, ActionKind.STOP, ActionKind.REPLICA_CRASH, ActionKind.DRAIN}
