--- a/bench/soak/actors.py
+++ b/bench/soak/actors.py
@@ -10,7 +10,7 @@
 from bench.soak.proxies import LinkFault, LinkKind
 from bench.soak.site import SeatState, Site
 from bench.soak.sizes import Seat, daemon_of
-from testing.machines import MODEL_SERVICE
+from testing.machinelayout import MODEL_SERVICE
 from testing.platformstore import Mood
 
 RESET_EVERY_SECONDS: Final = 0.5
--- a/bench/soak/badrequests.py
+++ b/bench/soak/badrequests.py
@@ -9,7 +9,7 @@
 from headcross_base.addresses import Address
 from headcross_platform import names
 
-from testing.machines import HOST, KEY
+from testing.machinelayout import HOST, KEY
 
 ANSWER_SECONDS: Final = 6.0  # longer than the entry waits for a header
 SMUGGLED: Final = "-smuggled"
--- a/bench/soak/exchange.py
+++ b/bench/soak/exchange.py
@@ -10,7 +10,7 @@
 
 from bench.soak.record import CallerRequest, RequestKind
 from bench.soak.site import STREAM_EVENTS
-from testing.machines import HOST, KEY, MODEL
+from testing.machinelayout import HOST, KEY, MODEL
 
 PREFIXES: Final = {
     RequestKind.REPEATABLE: "/again/",
--- a/bench/soak/site.py
+++ b/bench/soak/site.py
@@ -26,7 +26,7 @@
     VersionNamed,
 )
 from bench.soak.sizes import Seat, daemon_of, entry_names
-from testing.machines import (
+from testing.machinelayout import (
     CALLERS,
     HOST,
     MODEL,
@@ -38,10 +38,8 @@
     REPLICA,
     STORE,
     SWARM,
-    ListedReplica,
-    Machines,
-    running_machines,
 )
+from testing.machines import ListedReplica, Machines, running_machines
 from testing.platformreplica import FakeReplica, new_replica_id
 
 PROBE_SERVICE: Final = "probe"  # its replicas have no faults, so a probe shows its entry alone
--- a/bench/soak/watchers.py
+++ b/bench/soak/watchers.py
@@ -12,7 +12,7 @@
 
 from bench.soak.record import RouteProbe
 from bench.soak.site import Site, probe_prefix
-from testing.machines import CALLERS, HOST, KEY
+from testing.machinelayout import CALLERS, HOST, KEY
 
 READINESS_SECONDS: Final = 1.0  # how often the platform asks whether an entry is ready
 MISSES: Final = 2  # after so many in a row an entry gets no more callers
--- a/testing/machinecaller.py
+++ b/testing/machinecaller.py
@@ -9,7 +9,7 @@
 from headcross_wire.httpclient import ConnectError, LinkLostError, closing, connect
 from headcross_wire.httpserver import Headers
 
-from testing.machines import HOST, KEY, MODEL
+from testing.machinelayout import HOST, KEY, MODEL
 
 _numbers = itertools.count(1)
 
--- a/testing/machinedemo.py
+++ b/testing/machinedemo.py
@@ -16,7 +16,8 @@
 import trio
 
 from testing.machinecaller import Reply, ask
-from testing.machines import MODEL_SERVICE, Machines, replicas_of, small_site
+from testing.machinelayout import MODEL_SERVICE
+from testing.machines import Machines, replicas_of, small_site
 
 ZONES: Final = ("honam", "yeongnam", "jeju")
 REPLICAS: Final = 6
--- a/tests/test_gateway_lapsed.py
+++ b/tests/test_gateway_lapsed.py
@@ -15,7 +15,8 @@
 from headcross_wire.peermessages import ReplicaLoad
 
 from testing.machinecaller import ask
-from testing.machines import PLAIN_SERVICE, replicas_of, small_site
+from testing.machinelayout import PLAIN_SERVICE
+from testing.machines import replicas_of, small_site
 from testing.platformstore import Mood
 
 LEAVING_SECONDS = 2.0
--- a/tests/test_machine_attempts.py
+++ b/tests/test_machine_attempts.py
@@ -14,7 +14,8 @@
 from headcross_platform import names
 
 from testing.machinecaller import Reply, ask
-from testing.machines import MODEL_SERVICE, PLAIN_SERVICE, Machines, replicas_of, small_site
+from testing.machinelayout import MODEL_SERVICE, PLAIN_SERVICE
+from testing.machines import Machines, replicas_of, small_site
 from testing.platformreplica import FakeReplica, Fault
 
 PROMISES = (429, 503, 408, 421)
--- a/tests/test_machine_callers.py
+++ b/tests/test_machine_callers.py
@@ -7,7 +7,8 @@
 from headcross_platform import names
 
 from testing.machinecaller import ask
-from testing.machines import HOST, KEY, PLAIN_SERVICE, Machines, replicas_of, small_site
+from testing.machinelayout import HOST, KEY, PLAIN_SERVICE
+from testing.machines import Machines, replicas_of, small_site
 
 HEAD = (
     f"POST /again/x HTTP/1.1\r\nHost: {HOST}\r\n{names.REQUEST_ID}: r-1\r\n"
--- a/tests/test_machine_facts.py
+++ b/tests/test_machine_facts.py
@@ -38,7 +38,8 @@
 from hypothesis import strategies as st
 
 from testing.machinecaller import ask
-from testing.machines import MODEL_SERVICE, PLAIN_SERVICE, Machines, replicas_of, small_site
+from testing.machinelayout import MODEL_SERVICE, PLAIN_SERVICE
+from testing.machines import Machines, replicas_of, small_site
 from testing.platformstore import Mood
 from tests.test_machine_weights import wait_loaded, wait_offered
 
--- a/tests/test_machine_stopping.py
+++ b/tests/test_machine_stopping.py
@@ -8,7 +8,8 @@
 from headcross_wire.httpclient import LinkLostError, connect
 
 from testing.machinecaller import Reply, ask
-from testing.machines import MODEL_SERVICE, replicas_of, small_site
+from testing.machinelayout import MODEL_SERVICE
+from testing.machines import replicas_of, small_site
 
 
 async def test_a_planned_stop_cuts_nothing_and_ends_in_time(tmp_path: Path) -> None:
--- a/tests/test_machine_weights.py
+++ b/tests/test_machine_weights.py
@@ -8,7 +8,8 @@
 import trio
 
 from testing.machinecaller import ask
-from testing.machines import CHUNKS, MODEL_SERVICE, Machines, replicas_of, small_site
+from testing.machinelayout import CHUNKS, MODEL_SERVICE
+from testing.machines import Machines, replicas_of, small_site
 from testing.platformreplica import FakeReplica
 
 LOADED_SECONDS = 25.0
--- a/tests/test_mirrors.py
+++ b/tests/test_mirrors.py
@@ -35,7 +35,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from testing.machines import CHUNKS, MODEL_SERVICE, Machines, replicas_of, small_site
+from testing.machinelayout import CHUNKS, MODEL_SERVICE
+from testing.machines import Machines, replicas_of, small_site
 from tests.test_machine_weights import check_loads, wait_loaded, wait_offered
 
 MIRRORS_SECONDS = 20.0
--- a/tests/test_old_weights.py
+++ b/tests/test_old_weights.py
@@ -16,7 +16,8 @@
 from headcross_platform import names
 
 from testing.machinecaller import Reply, ask
-from testing.machines import MODEL, MODEL_SERVICE, Machines, replicas_of, small_site
+from testing.machinelayout import MODEL, MODEL_SERVICE
+from testing.machines import Machines, replicas_of, small_site
 
 STREAM = "/stream/x"
 STRICT = "/strict/x"  # runs at most once
--- a/tests/test_renewal_plan.py
+++ b/tests/test_renewal_plan.py
@@ -27,7 +27,8 @@
 from headcross_wire.peermessages import AskPlan, PeerMessage, ReplicaLoad, WeightsPlan
 from headcross_wire.peernode import PeerNode
 
-from testing.machines import MODEL_SERVICE, ORIGIN, replicas_of, small_site
+from testing.machinelayout import MODEL_SERVICE, ORIGIN
+from testing.machines import replicas_of, small_site
 from testing.platformorigin import FakePlatformOrigin
 from tests.test_machine_weights import check_loads, wait_loaded, wait_offered
 
