A failing test: a link that delivers late starts a withdrawn request on old weights

A replica's link is squeezed from 19.4 to 26.4 s; a stream that was sent there after 23.696 s was left after 1.6 s of silence, served elsewhere by 26.8 s, and reached the first replica at 26.698 s all the same, 8.7 s after the new version. The caller got its whole answer. The test holds a link to the replica and delivers what it holds 0.3 s after the bound: the run begins 4.30 s after the naming where 4.0 are allowed.

--- a/tests/test_old_weights.py
+++ b/tests/test_old_weights.py
@@ -8,10 +8,12 @@
 requests.
 """
 
+from contextlib import suppress
 from pathlib import Path
 
 import pytest
 import trio
+from headcross_base.addresses import Address
 from headcross_gateway.weightsrules import WITHDRAWAL_SECONDS
 from headcross_platform import names
 
@@ -131,3 +133,83 @@
         reply = await ask(site.callers("entry0"), STREAM)
         assert reply.whole and reply.events == [0, 1, 2, 3], (reply, site.log("entry0")[-5:])
         assert trio.current_time() > named_at + BOUND_SECONDS
+
+
+async def test_a_request_that_a_link_delivers_after_its_withdrawal_does_not_start_on_old_weights(
+    tmp_path: Path,
+) -> None:
+    """A narrow link delivered a stream 2.9 s after it was sent and 1.3 s after its reset."""
+    async with small_site(tmp_path, models=1, plain=0, weights_ms=1000 * BOUND_SECONDS) as site:
+        listed = next(iter(site.replicas.values()))
+        link = HeldLink(Address(site.new_ip(), listed.address.port), listed.address)
+        await link.open(site.nursery)
+        site.unlist(listed)
+        listed.ip = link.public.ip
+        site.list_replica(listed)
+        with trio.fail_after(10):
+            # Requests take the link from now on.
+            while not link.connections:
+                await ask(site.callers("entry0"), STRICT)
+        served = len(listed.replica.runs)
+        named_at = trio.current_time()
+        name_version_without_weights(site, 2)
+        link.hold()
+        await trio.sleep(1.2)  # entries send to old weights until 2.4 s after the naming
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ask, site.callers("entry0"), STRICT)
+            await trio.sleep_until(named_at + BOUND_SECONDS + 0.3)
+            link.release()
+        await trio.sleep(0.3)
+        late = [run.began_at - named_at for run in listed.replica.runs[served:]]
+        assert link.held and not late, late
+
+
+class HeldLink:
+    """A link that can hold what goes to a replica, and delivers it even after a reset."""
+
+    def __init__(self, public: Address, private: Address) -> None:
+        self.public = public
+        self.connections = 0
+        self.held = 0  # bytes
+        self._private = private
+        self._released = trio.Event()
+        self._released.set()
+
+    async def open(self, nursery: trio.Nursery) -> None:
+        """Listen at the public address until the nursery ends."""
+        listeners = await trio.open_tcp_listeners(self.public.port, host=self.public.ip)
+        nursery.start_soon(trio.serve_listeners, self._serve, listeners)
+
+    def hold(self) -> None:
+        """Hold what comes from now on."""
+        self._released = trio.Event()
+
+    def release(self) -> None:
+        """Deliver what is held, and pass on what comes."""
+        self._released.set()
+
+    async def _serve(self, caller: trio.SocketStream) -> None:
+        self.connections += 1
+        target = await trio.open_tcp_stream(self._private.ip, self._private.port)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._answer, target, caller)
+            with suppress(trio.BrokenResourceError):
+                while data := await caller.receive_some():
+                    self.held += 0 if self._released.is_set() else len(data)
+                    nursery.start_soon(self._deliver, target, data)
+            await self._released.wait()
+            await trio.sleep(0.2)  # the reset comes behind the bytes
+            nursery.cancel_scope.cancel()
+        for stream in (caller, target):
+            await trio.aclose_forcefully(stream)
+
+    async def _deliver(self, target: trio.SocketStream, data: bytes) -> None:
+        await self._released.wait()
+        with suppress(trio.BrokenResourceError, trio.ClosedResourceError):
+            await target.send_all(data)
+
+    @staticmethod
+    async def _answer(target: trio.SocketStream, caller: trio.SocketStream) -> None:
+        with suppress(trio.BrokenResourceError, trio.ClosedResourceError):
+            while data := await target.receive_some():
+                await caller.send_all(data)
