--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -61,9 +61,9 @@
     assert len(result.record.requests) > 300 and len(result.record.probes) > 50
     assert any(probe.found for probe in result.record.probes)
     assert result.bad_requests.total() and result.starts > result.processes
-    # A machine too busy to run the soak itself in time excuses everybody for a while.
-    covered = result.coverage.versions and result.coverage.old_starts
-    assert (covered and result.coverage.configurations) or result.times_late, result.coverage
+    # A run that could judge nothing shows nothing, also where the soak itself was late.
+    assert result.coverage.versions and result.coverage.old_starts, result.coverage
+    assert result.coverage.configurations, result.coverage
 
 
 # The proxies.
