An entry no longer ends by itself when a peer goes whose messages wait unread

Cause: libzmq 4.3.5 stops polling a connection whose receive queue is full (RCVHWM, 256 here, 32 for chunks). If that connection then breaks, it removes it and sets _io_error; the next heartbeat of the connection runs out_event, which asserts !_io_error (stream_engine_base.cpp:310) and aborts the process. Ruled out: memory; the heartbeat's own time-out (with a time-out shorter than the peer's end nothing happens). Before: 3 of 3 runs of the new test end with the assertion. After, without a limit on what is received: 3 of 3 pass.

--- a/libs/wire/src/headcross_wire/zmqsocket.py
+++ b/libs/wire/src/headcross_wire/zmqsocket.py
@@ -18,6 +18,11 @@
 # Heartbeats of the transport find a link that is cut but not closed.
 HEARTBEAT_MS: Final = 5000
 HEARTBEAT_TIMEOUT_MS: Final = 12000
+# Messages received and not yet read are not limited. With a limit libzmq stops polling a
+# connection whose queue is full; if that then breaks, the next heartbeat ends the process by an
+# assertion (`!_io_error`, stream_engine_base.cpp, libzmq 4.3.5: 3 of 3 runs of its test). limit
+# what they send: by their own queues, and chunks come only when they were asked for.
+NO_RECEIVE_LIMIT: Final = 0
 RECONNECT_MS: Final = 100
 RECONNECT_MAX_MS: Final = 2000
 
@@ -37,7 +42,7 @@
         self._socket = context.socket(kind)
         self._socket.setsockopt(zmq.LINGER, 0)
         self._socket.setsockopt(zmq.SNDHWM, queue)
-        self._socket.setsockopt(zmq.RCVHWM, queue)
+        self._socket.setsockopt(zmq.RCVHWM, NO_RECEIVE_LIMIT)
         self._socket.setsockopt(zmq.MAXMSGSIZE, max_bytes)
         self._socket.setsockopt(zmq.HEARTBEAT_IVL, HEARTBEAT_MS)
         self._socket.setsockopt(zmq.HEARTBEAT_TIMEOUT, HEARTBEAT_TIMEOUT_MS)
--- a/tests/test_zmqsocket.py
+++ b/tests/test_zmqsocket.py
@@ -1,6 +1,8 @@
 """The channel's socket on trio: a message that is here is received."""
 
 import socket
+import subprocess
+import sys
 from typing import Any
 
 import pytest
@@ -78,3 +80,43 @@
                 full.inbox.append([b"here"])
                 assert not channel.send([b"x"])
         assert received == [[b"here"]]
+
+
+# A listener that does not read, as one whose processor is busy, with fast heartbeats.
+DEAF_LISTENER = """
+import sys, time, zmq
+from headcross_wire import zmqsocket
+zmqsocket.HEARTBEAT_MS, zmqsocket.HEARTBEAT_TIMEOUT_MS = 100, 20000
+channel = zmqsocket.ZmqSocket(zmq.Context(), zmq.ROUTER, 16, 1 << 20)
+print(channel.bind("tcp://127.0.0.1:*"), flush=True)
+sys.stdin.readline()  # the peer is gone
+time.sleep(1.0)
+"""
+
+
+def test_a_process_outlives_a_peer_that_goes_while_its_messages_wait_unread() -> None:
+    """Entries ended by themselves on one day in ten, on days with kills of other processes.
+
+    libzmq stops polling a connection once its receive queue is full. When that connection then
+    broke and the next heartbeat was due, libzmq asserted `!_io_error` and ended the process.
+    """
+    listener = subprocess.Popen(
+        [sys.executable, "-c", DEAF_LISTENER],
+        stdin=subprocess.PIPE,
+        stdout=subprocess.PIPE,
+        stderr=subprocess.PIPE,
+        text=True,
+    )
+    assert listener.stdout is not None
+    endpoint = listener.stdout.readline().strip()
+    with zmq.Context() as context:
+        peer = context.socket(zmq.DEALER)
+        peer.connect(endpoint)
+        monitor = peer.get_monitor_socket(zmq.EVENT_HANDSHAKE_SUCCEEDED)
+        assert monitor.poll(5000)
+        for _ in range(200):
+            peer.send(b"x" * 1000)
+        peer.disable_monitor()
+        peer.close(linger=200)
+    _, errors = listener.communicate("gone\n", timeout=20)
+    assert listener.returncode == 0, errors
