Callers that come back wait behind fresh ones, and places are kept free for these under overload

Cause (overload without a fault): 340 asked of some 280 served; callers that were refused come back too late for their aim and take places of fresh ones, which the order by deadline puts behind them; answers in the aim fall from 480 in 2 s to 260 of 550. Now a caller that comes back is known by a hash of what it asks (path, key, prompt), which the entries of a zone tell one another; it waits behind fresh ones of its priority, and gets places only beyond a reserved share, which grows with the share of fresh callers that were refused in the last seconds. The decisions stand in overload.py, without network or clock, and the queue in admission.py.

--- /dev/null
+++ b/bench/pool/model.py
@@ -0,0 +1,287 @@
+"""Callers, entries and replicas of one pool, in virtual time.
+
+The entries are the product's own: its list of replicas, its choice among them, its queue and its
+decisions under overload. Callers come whether or not others are served (open loop), return once
+when they are refused, as told, and leave when nothing comes for long.
+"""
+
+import itertools
+import random
+import time
+from collections.abc import Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass, field
+from typing import Final
+
+import trio
+import trio.testing
+from headcross_base.addresses import Address
+from headcross_facts.facts import Facts
+from headcross_gateway.admission import Admission, QueueOrder
+from headcross_gateway.directory import Directory
+from headcross_gateway.overload import Overload, OverloadSettings
+from headcross_gateway.picking import Picker, Wish
+from headcross_gateway.weightsrules import WeightsRules
+from headcross_platform.store import MetadataStore
+from headcross_ports.configuration import CallerLimits, Configuration, Service, WeightsLayout
+from headcross_ports.published import LoadedModel, Replica
+from headcross_wire.peermessages import ReplicaLoad
+
+from bench.pool.engine import BatchReplica, Job
+from bench.pool.specs import ExperimentSpec, KindSpec
+
+SERVICE: Final = "lm"
+MODEL: Final = "m"
+# A caller leaves when nothing came for so long.
+PATIENCE_SECONDS: Final = 2.4
+# Callers honour up to this part of their time limit.
+MOST_HONOURED: Final = 1 / 3
+TELL_REFUSED_SECONDS: Final = 0.2
+
+
+@dataclass
+class Tally:
+    """What became of the callers that count."""
+
+    in_aim: int = 0
+    late: int = 0
+    refused: int = 0  # in the end, tries of one caller counted once
+    refused_again: int = 0  # of these, those that came back
+    gone: int = 0  # left, or ran out of time
+    worth: float = 0.0
+    owed: float = 0.0
+    first_event_seconds: list[float] = field(default_factory=list)  # from the first try
+
+    @property
+    def callers(self) -> int:
+        """How many came."""
+        return self.in_aim + self.late + self.refused + self.gone
+
+
+@dataclass
+class _Entry:
+    zone: str
+    directory: Directory
+    admission: Admission
+    overload: Overload
+
+
+class PoolModel:
+    """One run."""
+
+    tally: Tally
+
+    def __init__(
+        self, spec: ExperimentSpec, settings: OverloadSettings, offered: float, seed: int
+    ) -> None:
+        self.tally = Tally()
+        self._spec = spec
+        self._offered = offered
+        self._random = random.Random(seed)
+        self._numbers = itertools.count(1)
+        fleet = spec.fleet
+        self._zones = [f"z{number}" for number in range(fleet.zones)]
+        listed = [
+            Replica(
+                f"i-{number}",
+                SERVICE,
+                Address(f"10.0.{number // 250}.{number % 250 + 1}", 80),
+                self._zones[number % fleet.zones],
+                spec.engine.slots,
+                False,
+                (LoadedModel(MODEL, 1),),
+            )
+            for number in range(fleet.replicas)
+        ]
+        self._replicas = {replica.id: BatchReplica(spec.engine) for replica in listed}
+        self._listed = listed
+        services = {SERVICE: Service(SERVICE, 1000, WeightsLayout((MODEL,), 1, 1))}
+        self._configuration = Configuration(1, (), services, (), CallerLimits(1, 1, 1.0, 1.0))
+        self._entries = [
+            self._make_entry(f"entry-{n}", self._zones[n % fleet.zones], settings)
+            for n in range(fleet.entries)
+        ]
+
+    def _make_entry(self, host: str, zone: str, settings: OverloadSettings) -> _Entry:
+        facts = Facts(MetadataStore(Address("127.0.0.1", 1)))
+        facts.configuration = self._configuration
+        facts.replicas = {replica.id: replica for replica in self._listed}
+        directory = Directory(facts, self._spec.fleet.entries, host, zone)
+        directory.update()
+        directory.choose_subset()
+        overload = Overload(settings)
+        picker = Picker(zone, directory, WeightsRules(facts, 8.0))
+        return _Entry(zone, directory, Admission(picker, overload.reserved_share), overload)
+
+    async def run(self) -> None:
+        """Play the whole run."""
+        async with trio.open_nursery() as nursery:
+            for replica in self._listed:
+                nursery.start_soon(self._replicas[replica.id].run)
+                nursery.start_soon(self._tell, replica)
+            for entry in self._entries:
+                nursery.start_soon(self._keep_house, entry)
+            nursery.start_soon(self._tell_refused)
+            async with trio.open_nursery() as callers:
+                for kind in self._spec.kinds:
+                    callers.start_soon(self._send, kind, callers)
+            nursery.cancel_scope.cancel()
+
+    # Entries.
+
+    async def _tell(self, listed: Replica) -> None:
+        """Tell every entry a replica's load, as it was a moment ago."""
+        fleet = self._spec.fleet
+        replica = self._replicas[listed.id]
+        sequence = 0
+        await trio.sleep(fleet.tell_seconds * self._random.random())
+        while True:
+            active, queued = len(replica.running), len(replica.queued)
+            await trio.sleep(fleet.report_lag_seconds)
+            sequence += 1
+            load = ReplicaLoad(
+                str(listed.address),
+                sequence,
+                True,
+                False,
+                {MODEL: 1},
+                active,
+                queued,
+                0.0,
+                1.0,
+                fleet.entries,
+            )
+            for entry in self._entries:
+                if entry.directory.hear(load) is not None:
+                    entry.admission.notify(SERVICE)
+            await trio.sleep(max(0.01, fleet.tell_seconds - fleet.report_lag_seconds))
+
+    @staticmethod
+    async def _keep_house(entry: _Entry) -> None:
+        while True:
+            await trio.sleep(1.0)
+            entry.overload.measure()
+
+    async def _tell_refused(self) -> None:
+        while True:
+            await trio.sleep(TELL_REFUSED_SECONDS)
+            for entry in self._entries:
+                refused = entry.overload.refused.take_untold()
+                for other in self._entries:
+                    if refused and other is not entry and other.zone == entry.zone:
+                        other.overload.refused.hear(refused, trio.current_time())
+
+    # Callers.
+
+    async def _send(self, kind: KindSpec, callers: trio.Nursery) -> None:
+        rate = kind.per_second * self._offered
+        while True:
+            await trio.sleep(self._random.expovariate(rate))
+            if trio.current_time() >= self._spec.seconds - self._spec.cool_down_seconds:
+                return
+            callers.start_soon(self._call, kind)
+
+    async def _call(self, kind: KindSpec) -> None:
+        """Ask, and once more if refused; note what became of it."""
+        first_at = trio.current_time()
+        counts = first_at >= self._spec.warm_up_seconds
+        zone = self._random.choice(self._zones)
+        fingerprint = next(self._numbers)
+        job = Job(
+            max(1, int(self._random.expovariate(1 / kind.prompt_tokens))),
+            max(1, round(self._random.expovariate(1 / kind.events))),
+        )
+        told = await self._try(kind, job, zone, fingerprint, kind.deadline_seconds)
+        returned = told is not None
+        if told is not None:
+            await trio.sleep(min(told, MOST_HONOURED * kind.deadline_seconds))
+            left = kind.deadline_seconds - (trio.current_time() - first_at)
+            told = await self._try(kind, job, zone, fingerprint, left)
+        if counts:
+            self._note(kind, job, first_at, refused=told is not None, returned=returned)
+
+    async def _try(
+        self, kind: KindSpec, job: Job, zone: str, fingerprint: int, seconds_left: float
+    ) -> float | None:
+        """Ask one entry; return when to come back if it refuses, None if it does not."""
+        entry = self._random.choice([each for each in self._entries if each.zone == zone])
+        now = trio.current_time()
+        returning = entry.overload.refused.returns(fingerprint, now)
+        entry.overload.note_request(SERVICE, returning=returning)
+        last = entry.overload.comes_last(returning=returning)
+        place = await entry.admission.take_place(
+            Wish(SERVICE, MODEL, None, (), True),
+            self._configuration,
+            QueueOrder(kind.priority, last, now + seconds_left),
+            now + entry.overload.wait_seconds(kind.aim_seconds),
+            returning=returning,
+        )
+        if place is None:
+            entry.overload.note_refused(SERVICE, returning=returning)
+            entry.overload.refused.note(fingerprint, trio.current_time())
+            return entry.overload.come_back_seconds(SERVICE)
+        fleet = self._spec.fleet
+        way = fleet.way_seconds if place.replica.zone == zone else fleet.far_way_seconds
+        try:
+            await trio.sleep(way)
+            await self._be_served(self._replicas[place.replica.id], job, way, seconds_left)
+        finally:
+            entry.admission.give_back(place)
+        return None
+
+    async def _be_served(
+        self, replica: BatchReplica, job: Job, way: float, seconds_left: float
+    ) -> None:
+        replica.submit(job)
+        with trio.move_on_after(seconds_left):
+            with trio.move_on_after(PATIENCE_SECONDS):
+                await job.began.wait()
+                await trio.sleep(way + self._spec.engine.first_ms / 1000)
+                job.first_event_at = trio.current_time()
+            if job.began.is_set():
+                await job.ended.wait()
+        if not job.ended.is_set():
+            replica.drop(job)
+
+    def _note(
+        self, kind: KindSpec, job: Job, first_at: float, *, refused: bool, returned: bool
+    ) -> None:
+        tally = self.tally
+        tally.owed += kind.worth
+        if refused:
+            tally.refused += 1
+            tally.refused_again += returned
+        elif not job.ended.is_set():
+            tally.gone += 1
+        else:
+            seconds = job.first_event_at - first_at
+            tally.first_event_seconds.append(seconds)
+            in_aim = seconds <= kind.aim_seconds
+            tally.in_aim += in_aim
+            tally.late += not in_aim
+            tally.worth += kind.worth if in_aim else kind.late_worth
+
+
+@contextmanager
+def virtual_time() -> Iterator[None]:
+    """Have the product's clock follow trio's during the block."""
+    real = time.clock_gettime
+    time.clock_gettime = lambda _: trio.current_time()
+    try:
+        yield
+    finally:
+        time.clock_gettime = real
+
+
+def play(spec: ExperimentSpec, settings: OverloadSettings, offered: float, seed: int) -> Tally:
+    """Return what became of the callers of one run."""
+    random.seed(seed)  # the product's own chances
+    clock = trio.testing.MockClock(autojump_threshold=0)
+
+    async def run() -> Tally:
+        model = PoolModel(spec, settings, offered, seed)
+        await model.run()
+        return model.tally
+
+    with virtual_time():
+        return trio.run(run, clock=clock)
--- /dev/null
+++ b/bench/pool/specs.py
@@ -0,0 +1,99 @@
+"""What an experiment on the model plays, as its TOML file says."""
+
+import tomllib
+from pathlib import Path
+
+import msgspec
+from headcross_gateway.overload import OverloadSettings
+
+from bench.pool.engine import EngineSpec
+
+
+class KindSpec(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """One kind of request."""
+
+    name: str
+    per_second: float  # at an offered load of 1
+    prompt_tokens: float  # mean
+    events: float  # mean
+    worth: float  # of an answer within the aim
+    late_worth: float
+    priority: int = 1
+    aim_seconds: float = 0.405
+    deadline_seconds: float = 6.0
+
+
+class FleetSpec(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """How many there are of what."""
+
+    zones: int = 3
+    entries: int = 13
+    replicas: int = 24
+    # How old the load is that an entry is told, and how often it is told.
+    report_lag_seconds: float = 0.1
+    tell_seconds: float = 0.2
+    # One way, within a zone and between zones.
+    way_seconds: float = 0.001
+    far_way_seconds: float = 0.003
+
+
+class VariantSpec(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """One way to decide."""
+
+    name: str
+    fresh_first: bool = True
+    # Zero or less: no places are kept free.
+    full_reservation_share: float = 0.05
+    wait_part: float = 0.22
+
+    def settings(self) -> OverloadSettings:
+        """Return it as the product takes it."""
+        share = self.full_reservation_share
+        return OverloadSettings(
+            self.fresh_first, share if share > 0 else float("inf"), self.wait_part
+        )
+
+
+class ExperimentSpec(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """An experiment: every variant under every offered load, with every seed."""
+
+    kinds: tuple[KindSpec, ...]
+    variants: tuple[VariantSpec, ...]
+    offered: tuple[float, ...] = (1.0,)  # times the rates of the kinds
+    seeds: tuple[int, ...] = (1,)
+    seconds: float = 20.0
+    # The first seconds do not count, nor do callers that come in the last ones.
+    warm_up_seconds: float = 4.0
+    cool_down_seconds: float = 4.0
+    fleet: FleetSpec = FleetSpec()
+    engine: EngineSpec = EngineSpec()
+
+
+class SpecError(Exception):
+    """An experiment's file that cannot be played; the text names file and field."""
+
+
+def read_experiment(path: Path) -> ExperimentSpec:
+    """Return the experiment that a file describes; raise SpecError."""
+    try:
+        table = tomllib.loads(path.read_text())
+        spec = msgspec.convert(table, ExperimentSpec)
+    except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
+        raise SpecError(f"{path}: {error}") from None
+    except msgspec.ValidationError as error:
+        raise SpecError(f"{path}: {error}") from None
+    counted = spec.seconds - spec.warm_up_seconds - spec.cool_down_seconds
+    checks = {
+        "kinds: at least one is needed": spec.kinds,
+        "variants: at least one is needed": spec.variants,
+        "offered: positive numbers are needed": spec.offered and min(spec.offered) > 0,
+        "seeds: at least one is needed": spec.seeds,
+        "seconds: must exceed warm_up_seconds + cool_down_seconds": counted > 0,
+        "fleet.entries: must be at least fleet.zones": spec.fleet.entries >= spec.fleet.zones > 0,
+        "fleet.replicas: must be at least 1": spec.fleet.replicas > 0,
+        "engine.slots: must be at least 1": spec.engine.slots > 0,
+    }
+    for problem, holds in checks.items():
+        if not holds:
+            raise SpecError(f"{path}: {problem}")
+    return spec
--- a/libs/daemon/src/headcross_daemon/gatewayrole.py
+++ b/libs/daemon/src/headcross_daemon/gatewayrole.py
@@ -14,8 +14,8 @@
 from headcross_facts.following import entry_pace
 from headcross_gateway.admission import Admission
 from headcross_gateway.budget import RetryBudget
-from headcross_gateway.demand import DemandMeter
 from headcross_gateway.directory import Directory
+from headcross_gateway.overload import Overload
 from headcross_gateway.picking import Picker
 from headcross_gateway.requestpath import RequestPath
 from headcross_gateway.subsetting import every_other
@@ -26,6 +26,7 @@
 from headcross_wire.peermessages import (
     AskPlan,
     KnownPlan,
+    RefusedNews,
     ReplicaLoad,
     Subscribe,
     WeightsPlan,
@@ -47,6 +48,8 @@
 PROOF_SECONDS: Final = 0.3
 PROOFS_AHEAD_SECONDS: Final = ENDING_SECONDS + 1.5
 HOUSEKEEPING_SECONDS: Final = 1.0
+# Refused callers come back after 0.4 s at the earliest, to another entry of the zone.
+TELL_REFUSED_SECONDS: Final = 0.2
 # Descriptors that are not connections of callers or to replicas.
 RESERVED_DESCRIPTORS: Final = 300
 # After a stop signal callers still come for this long: the platform asks for readiness once a
@@ -80,7 +83,7 @@
             self._other_entries,
         )
         facts = self.process.facts
-        self._demand = DemandMeter()
+        self._overload = Overload()
         self._directory = Directory(
             facts,
             host=settings.host,
@@ -89,10 +92,11 @@
         )
         rules = WeightsRules(facts, settings.bounds.weights_seconds)
         self._rules = rules
-        self._admission = Admission(Picker(settings.zone, self._directory, rules))
+        picker = Picker(settings.zone, self._directory, rules)
+        self._admission = Admission(picker, self._overload.reserved_share)
         budget = RetryBudget(settings.bounds.retry_ratio, settings.bounds.retry_slack)
         self._path = RequestPath(
-            facts, adapter.dialect, self._admission, rules, budget, self._demand, self._observe
+            facts, adapter.dialect, self._admission, rules, budget, self._overload, self._observe
         )
         self._mirror = self._make_mirror(adapter)
         self._pages = AdminPages(self.dump, self._samples)
@@ -123,6 +127,7 @@
             nursery.start_soon(self.process.on_change, self._take_facts)
             nursery.start_soon(self._subscribe)
             nursery.start_soon(self._keep_house)
+            nursery.start_soon(self._tell_refused)
             nursery.start_soon(self._path.unbegun.run)
             if self._mirror is not None:
                 nursery.start_soon(self._mirror.run)
@@ -256,6 +261,15 @@
         known = self._mirror.known() if self._mirror is not None else []
         return [Address(mirror.ip, port) for mirror in known]
 
+    def _zone_entries(self) -> list[Address]:
+        """Return the other entries of this zone, to which callers that were refused return."""
+        settings = self.process.settings
+        port = parse_address(settings.listen.peers).port
+        known = self._mirror.known() if self._mirror is not None else []
+        return [
+            Address(m.ip, port) for m in known if m.zone == settings.zone and m.ip != settings.ip
+        ]
+
     def _hear(self, incoming: Incoming) -> None:
         if isinstance(incoming.message, AskPlan):
             plan = self._plan()
@@ -264,6 +278,9 @@
             return
         if self._mirror is not None and self._mirror.hear(incoming):
             return
+        if isinstance(incoming.message, RefusedNews):
+            self._overload.refused.hear(incoming.message.fingerprints, trio.current_time())
+            return
         if not isinstance(incoming.message, ReplicaLoad):
             self.process.node.malformed += 1
             return
@@ -320,11 +337,19 @@
         configuration = self.process.facts.configuration
         return plan_of(configuration) if configuration is not None else None
 
+    async def _tell_refused(self) -> None:
+        """Tell the other entries of the zone which requests were refused here."""
+        while True:
+            await trio.sleep(TELL_REFUSED_SECONDS)
+            refused = self._overload.refused.take_untold()
+            for address in self._zone_entries() if refused else []:
+                self.process.node.send(address, RefusedNews(refused))
+
     async def _keep_house(self) -> None:
         """Once a second: measure the demand, close connections that were idle for too long."""
         while True:
             await trio.sleep(HOUSEKEEPING_SECONDS)
-            self._demand.measure()
+            self._overload.measure()
             self._directory.update()
             await self._path.attempts.connections.close_expired()
 
--- a/libs/gateway/src/headcross_gateway/admission.py
+++ b/libs/gateway/src/headcross_gateway/admission.py
@@ -1,13 +1,15 @@
 """Places at replicas, and the queue for them.
 
 A request that finds a replica with room goes there at once. Otherwise it waits for a moment, in
-order of priority, and is refused while its caller still has time to come back. Among equals the
-one with the earliest deadline goes first: callers that were refused before come back with less
-time.
+order of priority, and is refused while its caller still has time to come back. Callers that were
+refused before and come back go behind fresh ones of their priority, and find room only where
+enough is left for these (see `overload`). Among equals the one with the earliest deadline goes
+first.
 """
 
 import heapq
 import itertools
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Final
 
@@ -21,25 +23,38 @@
 MAX_WAITING: Final = 256
 
 
+@dataclass(order=True, frozen=True, slots=True)
+class QueueOrder:
+    """A request's place in the queue: the least goes first."""
+
+    priority: int
+    last: bool  # it goes behind all others of its priority
+    deadline: float  # trio's clock
+
+
 @dataclass(order=True, slots=True)
 class _Waiter:
     """A request in the queue."""
 
-    priority: int
-    deadline: float  # trio's clock
+    order: "QueueOrder"
     number: int
     wish: Wish = field(compare=False)
     configuration: Configuration = field(compare=False)
     came: trio.Event = field(compare=False, default_factory=trio.Event)
     place: ReplicaState | None = field(compare=False, default=None)
+    returning: bool = field(compare=False, default=False)
     left: bool = field(compare=False, default=False)
 
 
 class Admission:
     """The places of all services, as one entry hands them out."""
 
-    def __init__(self, picker: Picker) -> None:
+    def __init__(
+        self, picker: Picker, reserved_share: Callable[[str], float] = lambda service: 0.0
+    ) -> None:
+        """`reserved_share` tells the part of a replica's places that returning callers leave."""
         self._picker = picker
+        self._reserved_share = reserved_share
         self._queues: dict[str, list[_Waiter]] = {}
         self._numbers = itertools.count()
 
@@ -55,23 +70,26 @@
         self,
         wish: Wish,
         configuration: Configuration,
-        priority: int,
-        deadline: float,
+        order: QueueOrder,
         until: float,
+        *,
+        returning: bool = False,
     ) -> ReplicaState | None:
         """Return a replica with a place reserved on it, None if there is none by `until`.
 
-        `until` is on trio's clock. The place must be given back with `give_back`.
+        `until` is on trio's clock; `returning` tells that the caller was refused before. The place
+        must be given back with `give_back`.
         """
         queue = self._queues.setdefault(wish.service, [])
         if not queue:
-            place = self._picker.pick(wish, configuration)
+            place = self._pick(wish, configuration, returning)
             if place is not None:
                 place.take_place()
                 return place
         if len(queue) >= MAX_WAITING or until <= trio.current_time():
             return None
-        waiter = _Waiter(priority, deadline, next(self._numbers), wish, configuration)
+        number = next(self._numbers)
+        waiter = _Waiter(order, number, wish, configuration, returning=returning)
         heapq.heappush(queue, waiter)
         self.notify(wish.service)
         try:
@@ -96,9 +114,9 @@
         for waiter in sorted(self._queues.get(service, [])):
             if waiter.left:
                 continue
-            place = self._picker.pick(waiter.wish, waiter.configuration)
+            place = self._pick(waiter.wish, waiter.configuration, waiter.returning)
             if place is None:
-                if waiter.wish.is_particular:
+                if waiter.wish.is_particular or waiter.returning:
                     continue
                 break
             place.take_place()
@@ -107,6 +125,12 @@
             waiter.came.set()
         self._drop_left(service)
 
+    def _pick(
+        self, wish: Wish, configuration: Configuration, returning: bool
+    ) -> ReplicaState | None:
+        reserved = self._reserved_share(wish.service) if returning else 0.0
+        return self._picker.pick(wish, configuration, reserved)
+
     def _drop_left(self, service: str) -> None:
         queue = self._queues.get(service)
         while queue and queue[0].left:
--- a/libs/gateway/src/headcross_gateway/admitted.py
+++ b/libs/gateway/src/headcross_gateway/admitted.py
@@ -33,6 +33,9 @@
     arrived_at: float  # trio's clock, like the next one
     deadline: float
     relay: StreamRelay | None
+    # What tells it from other requests, None if it does not say enough.
+    fingerprint: int | None = None
+    returning: bool = False  # it was refused before
     tried: set[str] = field(default_factory=set)
     runs: int = 0  # replicas that may have run it
     refusals: int = 0  # replicas that saw it and did not run it
--- /dev/null
+++ b/libs/gateway/src/headcross_gateway/overload.py
@@ -0,0 +1,96 @@
+"""What an entry decides when more is asked of a service than its replicas can serve.
+
+The load this answers: fresh callers ask for a fifth more than there are places, and each one that
+is refused comes back once. An answer is worth most within an aim that counts from the first try,
+so a caller that comes back cannot get that any more; where it takes a place that a fresh one would
+have had, that one is late or comes back in its turn, and in the end all answers are late ones. So
+callers that come back wait behind fresh ones of their priority, and places are kept free for fresh
+callers as long as some of these are refused (trunk reservation: F. P. Kelly, "Loss networks",
+Annals of Applied Probability 1, 1991). They get what fresh ones leave: idle replicas, troughs, and
+everything as soon as the overload ends. No decision here needs a network or a clock.
+"""
+
+import random
+from dataclasses import dataclass
+from typing import Final
+
+from headcross_gateway.demand import DemandMeter
+from headcross_gateway.refusedrequests import RefusedRequests
+
+# When a caller is told to come back: where all places are taken just now, and where they will be
+# taken for a while or nobody has any. Callers honour up to a third of their time limit (6 s).
+COME_BACK_SECONDS: Final = 0.5
+COME_BACK_LATER_SECONDS: Final = 1.8
+# Callers that were refused at one moment come back spread by this part of their wait.
+COME_BACK_SPREAD: Final = 0.2
+
+
+@dataclass(frozen=True, slots=True)
+class OverloadSettings:
+    """How callers that come back are treated, and how long anyone waits for a place."""
+
+    # Whether they wait behind fresh ones of their priority, or by their deadlines alone.
+    fresh_first: bool = True
+    # The share of fresh callers refused lately from which on they get only idle replicas; in
+    # between, as much of the places is kept free. Infinite: nothing is kept free.
+    full_reservation_share: float = 0.05
+    # The part of the aim that a request waits for a place at most.
+    wait_part: float = 0.22
+
+
+DEFAULT_OVERLOAD_SETTINGS: Final = OverloadSettings()
+
+
+class Overload:
+    """The decisions of one entry, from what it sees and what others of its zone refuse."""
+
+    refused: RefusedRequests
+
+    def __init__(self, settings: OverloadSettings = DEFAULT_OVERLOAD_SETTINGS) -> None:
+        self.refused = RefusedRequests()
+        self.settings = settings
+        self._all = DemandMeter()
+        self._fresh = DemandMeter()
+
+    def note_request(self, service: str, *, returning: bool) -> None:
+        """Count a request that came."""
+        self._all.note(service)
+        if not returning:
+            self._fresh.note(service)
+
+    def note_refused(self, service: str, *, returning: bool) -> None:
+        """Count a request that found no place."""
+        self._all.note_refused(service)
+        if not returning:
+            self._fresh.note_refused(service)
+
+    def measure(self) -> None:
+        """Take in what came since the last measurement; to be called once a second."""
+        self._all.measure()
+        self._fresh.measure()
+
+    def comes_last(self, *, returning: bool) -> bool:
+        """Tell whether a request waits behind others of its priority."""
+        return returning and self.settings.fresh_first
+
+    def reserved_share(self, service: str) -> float:
+        """Return which part of a replica's places is kept free for fresh callers, 0 to 1.
+
+        At 1 a caller that comes back is placed only where nothing runs.
+        """
+        refused = self._fresh.refused_share(service)
+        return min(1.0, refused / self.settings.full_reservation_share)
+
+    def wait_seconds(self, aim_seconds: float) -> float:
+        """Return how long a request waits for a place, from its arrival or its last refusal."""
+        return self.settings.wait_part * aim_seconds
+
+    def come_back_seconds(self, service: str) -> float:
+        """Return when a caller without a place should come back, in seconds.
+
+        The more callers found no place lately, the longer that will last: one that comes back into
+        the same overload is refused for good.
+        """
+        longer = COME_BACK_LATER_SECONDS - COME_BACK_SECONDS
+        seconds = COME_BACK_SECONDS + longer * self._all.refused_share(service)
+        return seconds * random.uniform(1 - COME_BACK_SPREAD, 1)
--- a/libs/gateway/src/headcross_gateway/picking.py
+++ b/libs/gateway/src/headcross_gateway/picking.py
@@ -54,18 +54,24 @@
         self._directory = directory
         self._rules = rules
 
-    def pick(self, wish: Wish, configuration: Configuration) -> ReplicaState | None:
-        """Return the best replica that has room, or None."""
+    def pick(
+        self, wish: Wish, configuration: Configuration, reserved: float = 0.0
+    ) -> ReplicaState | None:
+        """Return the best replica that has room, or None.
+
+        `reserved` is the part of each replica's places that must be free for others.
+        """
         everyone = self._directory.serving(wish.service)
         informed = [state for state in everyone if state.in_subset]
         if len(informed) < len(everyone):
             # Of a replica outside of the subset nothing is known but the list: it comes last.
             fitting = self._fitting(informed, wish, configuration)
             sound = [s for s in fitting if s.told_reachable() and self._is_healthy(s, wish)]
-            with_room = [state for state in sound if state.has_room()]
+            with_room = [state for state in sound if state.has_room(reserved)]
             if with_room:
                 return min(with_room, key=self._cost)
-        with_room = [s for s in self.candidates(wish, configuration) if s.has_room()]
+        candidates = self.candidates(wish, configuration)
+        with_room = [state for state in candidates if state.has_room(reserved)]
         return min(with_room, key=self._cost, default=None)
 
     def candidates(self, wish: Wish, configuration: Configuration) -> list[ReplicaState]:
--- a/libs/gateway/src/headcross_gateway/replicastate.py
+++ b/libs/gateway/src/headcross_gateway/replicastate.py
@@ -98,14 +98,16 @@
         others = max(0, told.load.active + told.load.queued - told.own_in_flight)
         return self.in_flight + others
 
-    def has_room(self) -> bool:
-        """Tell whether a place is free, as far as is known.
+    def has_room(self, reserved: float = 0.0) -> bool:
+        """Tell whether a place is free, as far as is known; `reserved` is a part to be left free.
 
         All places are filled. One with 16 ends a request every 70 ms or so: a request that comes a
         moment too soon waits less there than it would for another try.
         """
         if monotonic() < self.full_until:
             return False
+        if reserved and self.load() > (1 - reserved) * self.replica.slots:
+            return False
         if not self.replica.loaded and self.told is None:
             return self.load() < self.replica.slots  # a plain service: nobody tells its load
         if self.fresh_load() is None:
--- a/libs/gateway/src/headcross_gateway/requestpath.py
+++ b/libs/gateway/src/headcross_gateway/requestpath.py
@@ -5,7 +5,6 @@
 request may have run. What an entry gives up on is answered at once.
 """
 
-import random
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import replace
@@ -33,17 +32,22 @@
     verdict_name,
 )
 from headcross_facts.facts import Facts
-from headcross_ports.requests import HandOver, RequestDialect, RequestProblem
-from headcross_wire.httpserver import Exchange
+from headcross_ports.requests import HandOver, RequestDialect, RequestFacts, RequestProblem
+from headcross_wire.httpserver import Exchange, Request
 
-from headcross_gateway.admission import Admission
+from headcross_gateway.admission import Admission, QueueOrder
 from headcross_gateway.admitted import Admitted, NotAdmitted
 from headcross_gateway.answers import send_refusal
 from headcross_gateway.attempts import Attempts, AttemptTimes, Patience
 from headcross_gateway.budget import RetryBudget
-from headcross_gateway.demand import DemandMeter
 from headcross_gateway.outcomes import DidNotRun, MayRun, Outcome, Streamed, Whole
+from headcross_gateway.overload import (
+    COME_BACK_LATER_SECONDS,
+    COME_BACK_SECONDS,
+    Overload,
+)
 from headcross_gateway.picking import Wish, wish_of
+from headcross_gateway.refusedrequests import fingerprint_of
 from headcross_gateway.relay import StreamRelay, passed_headers
 from headcross_gateway.replicastate import ReplicaState
 from headcross_gateway.requestlog import (
@@ -56,18 +60,10 @@
 from headcross_gateway.unbegun import UnbegunAttempts
 from headcross_gateway.weightsrules import WeightsRules
 
-# Of the time in which an answer is worth most, a request waits for a place at most this part.
-WAIT_PART: Final = 0.22
 # A request that may have run waits so long for its second place, and goes first.
 RUN_AGAIN_WAIT_SECONDS: Final = 1.0
 RUN_AGAIN_PRIORITY: Final = -1
-# When a caller is told to come back: where all places are taken just now, and where they will be
-# taken for a while or nobody has any. Callers honour up to a third of their time limit (6 s).
-COME_BACK_SECONDS: Final = 0.5
-COME_BACK_LATER_SECONDS: Final = 1.8
-# Callers that were refused at one moment come back spread by this part of their wait.
-COME_BACK_SPREAD: Final = 0.2
-# ... and where another entry will serve it.
+# When a caller is told to come back whom another entry will serve.
 COME_BACK_SOON_SECONDS: Final = 0.02
 # Refusals that one request is carried on after; each is an arrival that the budget pays for.
 MAX_REFUSALS: Final = 3
@@ -98,7 +94,7 @@
         admission: Admission,
         rules: WeightsRules,
         budget: RetryBudget,
-        demand: DemandMeter,
+        overload: Overload,
         observe: Observe,
     ) -> None:
         self.counts = Counter()
@@ -111,7 +107,7 @@
         self._dialect = dialect
         self._admission = admission
         self._rules = rules
-        self._demand = demand
+        self._overload = overload
         self._observe = observe
 
     async def handle(self, exchange: Exchange) -> None:
@@ -167,10 +163,22 @@
             return NotAdmitted(refusal, facts.id)
         relay = StreamRelay(exchange, facts.resume_after) if route.repetition.is_stream else None
         service = route.pick_service()
+        fingerprint = _fingerprint_of(request, facts)
+        returning = fingerprint is not None and self._overload.refused.returns(fingerprint, now)
         self.budget.earn(service)
-        self._demand.note(service)
+        self._overload.note_request(service, returning=returning)
         return Admitted(
-            exchange, facts, configuration, route, team, service, now, now + seconds, relay
+            exchange,
+            facts,
+            configuration,
+            route,
+            team,
+            service,
+            now,
+            now + seconds,
+            relay,
+            fingerprint,
+            returning,
         )
 
     # Attempts.
@@ -185,7 +193,7 @@
             place = await self._take_place(request, wish)
             if place is None:
                 if not request.runs:
-                    self._demand.note_refused(request.service)
+                    self._overload.note_refused(request.service, returning=request.returning)
                 return self._last_word(request, last or self._no_room(request, wish))
             weights = self._weights_of(request, place)
             times = AttemptTimes()
@@ -217,19 +225,10 @@
     def _no_room(self, request: Admitted, wish: Wish) -> Refusal:
         """Return what a request is told that finds no place."""
         if self._admission.has_candidates(wish, request.configuration):
-            return NotRun(NO_ROOM, "no replica has room", self.come_back_seconds(request.service))
+            seconds = self._overload.come_back_seconds(request.service)
+            return NotRun(NO_ROOM, "no replica has room", seconds)
         return NotRun(NO_REPLICA, "no replica may serve this now", COME_BACK_LATER_SECONDS)
 
-    def come_back_seconds(self, service: str) -> float:
-        """Return when a caller without a place should come back, in seconds.
-
-        The more callers found no place lately, the longer that will last: one that comes back into
-        the same overload is refused for good.
-        """
-        longer = COME_BACK_LATER_SECONDS - COME_BACK_SECONDS
-        seconds = COME_BACK_SECONDS + longer * self._demand.refused_share(service)
-        return seconds * random.uniform(1 - COME_BACK_SPREAD, 1)
-
     async def _take_place(self, request: Admitted, wish: Wish) -> ReplicaState | None:
         now = trio.current_time()
         priority = request.priority
@@ -237,12 +236,15 @@
             # It has run somewhere: without a place it fails for good, so it goes first.
             until, priority = now + RUN_AGAIN_WAIT_SECONDS, RUN_AGAIN_PRIORITY
         elif request.refusals or request.unreached:
-            until = now + WAIT_PART * request.route.aim_seconds
+            until = now + self._overload.wait_seconds(request.route.aim_seconds)
         else:
-            until = request.arrived_at + WAIT_PART * request.route.aim_seconds
+            until = request.arrived_at + self._overload.wait_seconds(request.route.aim_seconds)
         until = min(until, request.deadline)
+        returning = request.returning and not request.tried
+        last = self._overload.comes_last(returning=returning)
+        order = QueueOrder(priority, last, request.deadline)
         return await self._admission.take_place(
-            wish, request.configuration, priority, request.deadline, until
+            wish, request.configuration, order, until, returning=returning
         )
 
     def _weights_of(self, request: Admitted, place: ReplicaState) -> WeightsPlacedOn:
@@ -364,6 +366,8 @@
             log_completed(request, verdict)
             return
         self._count_refused(verdict)
+        if isinstance(verdict, NotRun) and request.fingerprint is not None:
+            self._overload.refused.note(request.fingerprint, trio.current_time())
         log_refused(verdict, request.facts.id, request)
         if request.exchange.started:
             await request.exchange.abort()
@@ -376,6 +380,13 @@
         self.counts[f"{verdict_name(refusal)} {refusal.reason.code}"] += 1
 
 
+def _fingerprint_of(request: Request, facts: RequestFacts) -> int | None:
+    """Return what tells a request from others, None if it does not say what its prompt is."""
+    if facts.prompt is None:
+        return None
+    return fingerprint_of(request.header("host") or "", request.target, facts.key, facts.prompt)
+
+
 def _too_late(request: Admitted) -> Verdict:
     """Return the verdict on a request whose time is up."""
     if request.relay is not None and request.relay.started:
--- a/libs/ports/src/headcross_ports/requests.py
+++ b/libs/ports/src/headcross_ports/requests.py
@@ -18,6 +18,8 @@
     key: str | None
     resume_after: str | None  # the last event the caller has, if it resumes a stream
     model: str | None
+    # The hashes and sizes of its prompt's parts, None if it has none; the same for each try.
+    prompt: str | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/libs/wire/src/headcross_wire/peermessages.py
+++ b/libs/wire/src/headcross_wire/peermessages.py
@@ -272,6 +272,12 @@
     subscribed_at: float = 0.0
 
 
+class RefusedNews(_Message, frozen=True, tag=49):
+    """Requests that the sender has refused since it last told; see headcross_gateway."""
+
+    fingerprints: list[int]
+
+
 class AskDigests(_Message, frozen=True, tag=44):
     """Ask a daemon for the digests of a version, now or once it knows them."""
 
@@ -304,6 +310,7 @@
     | KnownMirrors
     | AskPlan
     | KnownPlan
+    | RefusedNews
 )
 SwarmMessage = (
     Join | Have | AskChunk | Chunk | NoChunk | AskManifest | ManifestBody | AskIntent | Intent
--- a/tests/test_gateway_places.py
+++ b/tests/test_gateway_places.py
@@ -9,11 +9,11 @@
 from headcross_base.addresses import Address
 from headcross_base.clocks import monotonic
 from headcross_facts.facts import VersionNotice
-from headcross_gateway.admission import Admission
-from headcross_gateway.budget import RetryBudget
+from headcross_gateway.admission import Admission, QueueOrder
 from headcross_gateway.demand import DemandMeter
 from headcross_gateway.directory import Directory
 from headcross_gateway.health import Health
+from headcross_gateway.overload import COME_BACK_LATER_SECONDS, Overload
 from headcross_gateway.picking import Picker, Wish
 from headcross_gateway.replicastate import (
     PLACED_TOGETHER,
@@ -21,9 +21,7 @@
     ReplicaState,
     Told,
 )
-from headcross_gateway.requestpath import COME_BACK_LATER_SECONDS, RequestPath
 from headcross_gateway.weightsrules import WeightsRules
-from headcross_platform.dialect import PlatformDialect
 from headcross_ports.configuration import CallerLimits, Configuration, Service, WeightsLayout
 from headcross_ports.published import LoadedModel, Replica
 from headcross_wire.peermessages import ReplicaLoad
@@ -227,7 +225,8 @@
     order: list[str] = []
 
     async def wait(name: str, priority: int, deadline: float, wish: Wish, until: float) -> None:
-        place = await admission.take_place(wish, configuration, priority, deadline, until)
+        queue_order = QueueOrder(priority, False, deadline)
+        place = await admission.take_place(wish, configuration, queue_order, until)
         order.append(name if place is not None else f"{name} refused")
         if place is not None:
             await trio.sleep(0.01)
@@ -287,29 +286,16 @@
     """Callers that came back into the same overload were refused twice, for good."""
     now = 0.0
     monkeypatch.setattr("headcross_gateway.demand.monotonic", lambda: now)
-    demand = DemandMeter()
-    facts = rules([]).facts
-    directory = Directory(facts)
-    admission = Admission(Picker("z", directory, WeightsRules(facts, 8.0)))
-    budget = RetryBudget(ratio=0.2, slack=0)
-    path = RequestPath(
-        facts,
-        PlatformDialect(),
-        admission,
-        WeightsRules(facts, 8.0),
-        budget,
-        demand,
-        lambda service, verdict, seconds: None,
-    )
+    overload = Overload()
     waits = []
     for refused in (0, 5, 10):
         for _ in range(10):
-            demand.note("lm")
+            overload.note_request("lm", returning=False)
         for _ in range(refused):
-            demand.note_refused("lm")
+            overload.note_refused("lm", returning=False)
         now += 100.0  # what was before has faded
-        demand.measure()
-        waits.append([path.come_back_seconds("lm") for _ in range(200)])
+        overload.measure()
+        waits.append([overload.come_back_seconds("lm") for _ in range(200)])
     means = [sum(each) / len(each) for each in waits]
     assert means == sorted(means) and means[2] > 2 * means[0]
     assert all(0 < seconds <= COME_BACK_LATER_SECONDS for each in waits for seconds in each)
