--- a/bench/pool/specs.py
+++ b/bench/pool/specs.py
@@ -43,8 +43,8 @@
     name: str
     fresh_first: bool = True
     # Zero or less: no places are kept free.
-    full_reservation_share: float = 0.05
-    wait_part: float = 0.22
+    full_reservation_share: float = 0.2
+    wait_part: float = 0.1
 
     def settings(self) -> OverloadSettings:
         """Return it as the product takes it."""
--- /dev/null
+++ b/tests/test_overload.py
@@ -0,0 +1,200 @@
+"""Overload: what callers get when more is asked than replicas can serve.
+
+The load is played on a model of a replica pool in virtual time, around the product's own list of
+replicas, choice, queue and decisions; nothing of them is copied.
+"""
+
+from pathlib import Path
+
+import pytest
+import trio
+import trio.testing
+from headcross_base.addresses import Address
+from headcross_gateway.admission import Admission, QueueOrder
+from headcross_gateway.directory import Directory
+from headcross_gateway.overload import Overload, OverloadSettings
+from headcross_gateway.picking import Picker, Wish
+from headcross_gateway.refusedrequests import (
+    MAX_REMEMBERED,
+    REMEMBERED_SECONDS,
+    RefusedRequests,
+)
+from headcross_gateway.weightsrules import WeightsRules
+from headcross_platform import names
+from headcross_platform.dialect import PlatformDialect
+from headcross_ports.configuration import CallerLimits, Configuration, Service
+from headcross_ports.published import Replica
+from headcross_ports.requests import RequestFacts
+
+from bench.pool.model import Tally, play
+from bench.pool.specs import ExperimentSpec, FleetSpec, KindSpec, SpecError, read_experiment
+from tests.test_gateway_rules import rules
+
+EXPERIMENT = Path(__file__).parent.parent / "bench" / "experiments" / "overload.toml"
+BY_DEADLINE = OverloadSettings(
+    fresh_first=False, full_reservation_share=float("inf"), wait_part=0.22
+)
+
+
+def small_overload() -> ExperimentSpec:
+    """Return a quarter of the fleet and of the load of the experiment."""
+    whole = read_experiment(EXPERIMENT)
+    fleet = FleetSpec(zones=2, entries=4, replicas=6)
+    kinds = tuple(
+        KindSpec(
+            kind.name,
+            kind.per_second / 4,
+            kind.prompt_tokens,
+            kind.events,
+            kind.worth,
+            kind.late_worth,
+        )
+        for kind in whole.kinds
+    )
+    return ExperimentSpec(
+        kinds,
+        whole.variants,
+        seconds=14.0,
+        warm_up_seconds=5.0,
+        cool_down_seconds=3.0,
+        fleet=fleet,
+        engine=whole.engine,
+    )
+
+
+def shares(tally: Tally) -> tuple[float, float]:
+    """Return the share of callers answered in their aim, and the share of the worth earned."""
+    return tally.in_aim / tally.callers, tally.worth / tally.owed
+
+
+@pytest.mark.parametrize("seed", [11, 12])
+def test_under_overload_fresh_callers_are_answered_within_their_aim(seed: int) -> None:
+    """Callers that come back had taken the places, and nearly all answers were late ones."""
+    spec = small_overload()
+    before, worth_before = shares(play(spec, BY_DEADLINE, 1.2, seed))
+    after, worth_after = shares(play(spec, OverloadSettings(), 1.2, seed))
+    print(f"in the aim {before:.3f} -> {after:.3f}, worth {worth_before:.3f} -> {worth_after:.3f}")
+    assert after > before + 0.1
+    assert worth_after > worth_before + 0.05
+
+
+def test_without_overload_nobody_is_refused_and_all_come_in_time() -> None:
+    tally = play(small_overload(), OverloadSettings(), 0.5, 11)
+    assert not tally.refused and not tally.gone
+    assert shares(tally)[0] > 0.98
+
+
+def test_a_caller_that_comes_back_to_another_entry_is_known_again_for_a_while() -> None:
+    here, there = RefusedRequests(), RefusedRequests()
+    here.note(7, 10.0)
+    assert here.returns(7, 10.5) and not here.returns(8, 10.5)
+    there.hear(here.take_untold(), 10.2)
+    assert there.returns(7, 10.5) and not here.take_untold()
+    assert not there.returns(7, 10.3 + REMEMBERED_SECONDS)
+    for fingerprint in range(100, 101 + MAX_REMEMBERED):
+        there.hear([fingerprint], 10.4)
+    assert not there.returns(7, 10.5) and there.returns(101, 10.5)
+
+
+def test_places_are_kept_for_fresh_callers_as_long_as_some_of_them_are_refused(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    now = 0.0
+    monkeypatch.setattr("headcross_gateway.demand.monotonic", lambda: now)
+    overload = Overload()
+    reserved = []
+    # A second each: no refusal, a few, one in five; then only callers that come back are refused.
+    for refused_fresh, refused_returning in ((0, 0), (2, 0), (20, 0), (0, 20), (0, 20), (0, 20)):
+        for number in range(100):
+            overload.note_request("lm", returning=False)
+            if number < refused_fresh:
+                overload.note_refused("lm", returning=False)
+        for _ in range(refused_returning):
+            overload.note_request("lm", returning=True)
+            overload.note_refused("lm", returning=True)
+        now += 1.0
+        overload.measure()
+        reserved.append(overload.reserved_share("lm"))
+    assert reserved[0] == 0 and 0 < reserved[1] < 1 and reserved[2] == 1
+    # Once fresh callers find places, those that come back do so too, within some seconds.
+    assert reserved[-1] < reserved[-2] < 1
+
+
+async def test_callers_that_come_back_get_what_fresh_ones_leave(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    facts = rules([]).facts
+    facts.replicas["r"] = Replica("r", "api", Address("127.0.0.1", 1), "z", 2, False)
+    directory = Directory(facts)
+    directory.update()
+    reserved = 1.0
+    picker = Picker("z", directory, WeightsRules(facts, 8.0))
+    admission = Admission(picker, lambda service: reserved)
+    limits = CallerLimits(1, 1, 1.0, 1.0)
+    configuration = Configuration(1, (), {"api": Service("api", 1)}, (), limits)
+    wish = Wish("api", None, None, (), True)
+    order: list[str] = []
+
+    async def wait(name: str, priority: int, returning: bool, until: float) -> None:
+        queue_order = QueueOrder(priority, returning, 9.0)
+        place = await admission.take_place(
+            wish, configuration, queue_order, until, returning=returning
+        )
+        order.append(name if place is not None else f"{name} refused")
+        if place is not None:
+            await trio.sleep(0.1)
+            admission.give_back(place)
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(wait, "first", 1, False, 5.0)
+        await trio.testing.wait_all_tasks_blocked()
+        # One of two places is free: not for one that comes back, though it came before the rest.
+        nursery.start_soon(wait, "urgent returning", 0, True, 5.0)
+        nursery.start_soon(wait, "impatient returning", 1, True, 0.05)
+        await trio.testing.wait_all_tasks_blocked()
+        nursery.start_soon(wait, "less urgent fresh", 2, False, 5.0)
+    assert order == [
+        "first",
+        "less urgent fresh",
+        "impatient returning refused",
+        "urgent returning",
+    ]
+    assert admission.waiting("api") == 0
+
+
+def test_tries_of_one_caller_have_the_same_prompt_and_requests_without_one_have_none() -> None:
+    def prompt_of(**headers: str) -> str | None:
+        known = {"count": names.TOKEN_COUNT, "parts": names.PROMPT_PARTS}
+        lines = [(known[name], value) for name, value in headers.items()]
+        facts = PlatformDialect().read_request([(names.REQUEST_ID, "r"), *lines])
+        assert isinstance(facts, RequestFacts)
+        return facts.prompt
+
+    first = prompt_of(count="1460,80", parts="5c:800,91:410")
+    assert first is not None and first == prompt_of(parts="5c:800,91:410", count="1460,80")
+    assert first != prompt_of(count="1460,90", parts="5c:800,91:410")
+    assert first != prompt_of(count="1460,80", parts="5c:800,92:410")
+    assert prompt_of(count="1460,80") is None
+
+
+@pytest.mark.parametrize(
+    ("change", "field"),
+    [
+        (("seconds = 24.0", "seconds = 2.0"), "seconds"),
+        (("seconds = 24.0", 'seconds = "long"'), "$.seconds"),
+        (("entries = 13", "entries = 2"), "fleet.entries"),
+        (("replicas = 24", "replica = 24"), "replica"),
+        (("per_second = 95.7", ""), "per_second"),
+        (("offered = [", "offered = [0.0, "), "offered"),
+        (("[[variants]]", "[[variants"), "line"),
+    ],
+)
+def test_a_bad_experiment_is_told_by_file_and_field(
+    change: tuple[str, str], field: str, tmp_path: Path
+) -> None:
+    path = tmp_path / "bad.toml"
+    path.write_text(EXPERIMENT.read_text().replace(*change, 1))
+    with pytest.raises(SpecError) as raised:
+        read_experiment(path)
+    assert str(path) in str(raised.value) and field in str(raised.value)
+    assert "\n" not in str(raised.value)
