--- a/libs/gateway/src/headcross_gateway/overload.py
+++ b/libs/gateway/src/headcross_gateway/overload.py
@@ -32,14 +32,14 @@
     # Whether they wait behind fresh ones of their priority, or by their deadlines alone.
     fresh_first: bool = True
     # The share of fresh callers refused lately from which on they get only idle replicas; in
-    # between, as much of the places is kept free. Infinite: nothing is kept free. In the model of a
-    # pool (6 replicas, seeds 21 to 23), at 0.8, 1.0 and 1.2 times the sheet's load, 0.2 gives 0.888,
-    # 0.708 and 0.632 of the worth, 0.05 gives 0.848, 0.688 and 0.618, nothing kept free 0.758, 0.605
-    # and 0.541; and 0.2 shuts fewer callers out (0.081, 0.246 and 0.331) than 0.05.
+    # between, as much of the places is kept free. Infinite: nothing is kept free. In the model of
+    # a pool (6 replicas, seeds 21 to 23), at 0.8, 1.0 and 1.2 times the sheet's load, 0.2 earns
+    # 0.888, 0.708 and 0.632 of the worth, 0.05 earns 0.848, 0.688 and 0.618, nothing kept free
+    # 0.758, 0.605 and 0.541; and 0.2 shuts out fewer callers (0.081, 0.246 and 0.331) than 0.05.
     full_reservation_share: float = 0.2
     # The part of the aim that a request waits for a place at most. Under overload one that waits
-    # longer is late or refused later: in the model 0.5 gives 0.787, 0.607 and 0.552 where 0.22 gives
-    # 0.848, 0.688 and 0.618, 0.1 gives 0.850, 0.700 and 0.632, and no waiting is no better.
+    # longer is late or refused later: in the model 0.5 earns 0.787, 0.607 and 0.552 where 0.22
+    # earns 0.848, 0.688 and 0.618, 0.1 earns 0.850, 0.700 and 0.632, and no waiting is no better.
     wait_part: float = 0.1
 
 
