--- a/libs/renewal/src/headcross_renewal/digestbook.py
+++ b/libs/renewal/src/headcross_renewal/digestbook.py
@@ -38,8 +38,10 @@
 STAND_IN_SECONDS: Final = 0.35
 # Readers are asked this often. The first message to a process only opens the link.
 ASK_SECONDS: Final = 0.1
-# Processes that are told digests as soon as they are settled here.
+# Processes that are told digests as soon as they are settled here, and versions that they may ask
+# for: more than a region has, and than are named at a time.
 MAX_ASKERS: Final = 64
+MAX_VERSIONS_ASKED: Final = 8
 
 logger = logging.getLogger(__name__)
 
@@ -113,6 +115,8 @@
         if digests is not None:
             reply(_known(goal, digests), None)
             return
+        if goal not in self._askers and len(self._askers) >= MAX_VERSIONS_ASKED:
+            return
         askers = self._askers.setdefault(goal, {})
         if question.host in askers or len(askers) < MAX_ASKERS:
             askers[question.host] = reply
--- a/libs/renewal/src/headcross_renewal/mirroring.py
+++ b/libs/renewal/src/headcross_renewal/mirroring.py
@@ -149,6 +149,8 @@
 
     def _worth_mirroring(self, notices: list[VersionNotice]) -> list[VersionNotice]:
         """Return the newest version, and the one before it while that may serve for a moment."""
+        if not notices:
+            return []
         *older, newest = notices[-VERSIONS_KEPT:]
         now = monotonic()
         ends_at = newest.seen_at + self._bound - LEAVE_SECONDS - LOAD_SECONDS
--- a/tests/test_digests.py
+++ b/tests/test_digests.py
@@ -143,6 +143,25 @@
     assert region.origin.reads.keys() <= set(order[1 : 2 * READERS]) and seconds < 0.6
 
 
+async def test_what_is_asked_for_and_never_settled_takes_a_bounded_memory() -> None:
+    region = Region(1, 0)
+    book = region.books[region.daemons[0]]
+    told: list[PeerMessage] = []
+
+    def reply(answer: PeerMessage, payload: bytes | None) -> bool:
+        told.append(answer)
+        return True
+
+    for version in range(2, 1000):
+        for host in range(digestbook.MAX_ASKERS + 10):
+            book.answer(AskDigests(f"m@{version}", str(host)), reply)
+    remembered = sum(len(askers) for askers in book._askers.values())
+    assert remembered <= digestbook.MAX_ASKERS * digestbook.MAX_VERSIONS_ASKED
+    # Each process that asked is told once.
+    book.receive(KnownDigests("m@2", DIGESTS.chunk_bytes, list(DIGESTS.digests)))
+    assert len(told) == digestbook.MAX_ASKERS
+
+
 async def test_digests_come_from_wherever_they_are_known_while_the_origin_is_away(
     autojump_clock: trio.testing.MockClock,
 ) -> None:
