A caller that comes back and finds no room is told from first tries in logs and state

The refused line says whether it was refused before and which part of the places was kept; the entry's state has that part for each service.

--- a/libs/daemon/src/headcross_daemon/gatewayrole.py
+++ b/libs/daemon/src/headcross_daemon/gatewayrole.py
@@ -151,6 +151,7 @@
             "attempts": self._path.attempts.made,
             "attempts_withdrawn": self._path.unbegun.withdrawn,
             "connections_opened": self._path.attempts.connections.opened,
+            "reserved_shares": self._reserved_shares(),
             "retries": {"spent": self._path.budget.spent, "denied": self._path.budget.denied},
             "mirror": self._mirror.dump() if self._mirror is not None else None,
             "replica_states": [
@@ -171,6 +172,12 @@
             ],
         }
 
+    def _reserved_shares(self) -> dict[str, float]:
+        """Return the part of the places that is kept for first tries, by service."""
+        configuration = self.process.facts.configuration
+        services = configuration.services if configuration is not None else ()
+        return {name: round(self._overload.reserved_share(name), 3) for name in services}
+
     def _make_mirror(self, adapter: Adapter) -> "MirrorParts | None":
         if not self.process.settings.listen.swarm:
             return None
--- a/libs/gateway/src/headcross_gateway/requestlog.py
+++ b/libs/gateway/src/headcross_gateway/requestlog.py
@@ -98,6 +98,7 @@
     return {
         **times,
         "request": request.facts.id,
+        "returning": request.returning,
         "route": request.route.name,
         "service": request.service,
         "version": request.configuration.version,
--- a/libs/gateway/src/headcross_gateway/requestpath.py
+++ b/libs/gateway/src/headcross_gateway/requestpath.py
@@ -229,9 +229,15 @@
         """Return what a request is told that finds no place."""
         if has_candidates:
             seconds = self._overload.come_back_seconds(request.service)
-            return NotRun(NO_ROOM, "no replica has room", seconds)
+            return NotRun(NO_ROOM, self._why_no_room(request), seconds)
         return NotRun(NO_REPLICA, "no replica may serve this now", COME_BACK_LATER_SECONDS)
 
+    def _why_no_room(self, request: Admitted) -> str:
+        kept = self._overload.reserved_share(request.service)
+        if not request.returning or not kept:
+            return "no replica has room"
+        return f"no replica has room beside {kept:.2f} of the places, kept for first tries"
+
     async def _take_place(self, request: Admitted, wish: Wish) -> ReplicaState | None:
         now = trio.current_time()
         priority = request.priority
