--- a/bench/pool/specs.py
+++ b/bench/pool/specs.py
@@ -46,6 +46,7 @@
     full_reservation_share: float = 1.0
     wait_part: float = 0.1
     returning_wait_seconds: float = 1.5
+    least_reserved_share: float = 0.25
 
     def settings(self) -> OverloadSettings:
         """Return it as the product takes it."""
@@ -55,6 +56,7 @@
             share if share > 0 else float("inf"),
             self.wait_part,
             self.returning_wait_seconds,
+            self.least_reserved_share,
         )
 
 
--- a/libs/gateway/src/headcross_gateway/admission.py
+++ b/libs/gateway/src/headcross_gateway/admission.py
@@ -7,7 +7,7 @@
 first.
 """
 
-import heapq
+import bisect
 import itertools
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -90,7 +90,7 @@
             return None
         number = next(self._numbers)
         waiter = _Waiter(order, number, wish, configuration, returning=returning)
-        heapq.heappush(queue, waiter)
+        bisect.insort(queue, waiter)
         self.notify(wish.service)
         try:
             with trio.move_on_at(until):
@@ -110,13 +110,21 @@
         self.notify(place.replica.service)
 
     def notify(self, service: str) -> None:
-        """Hand places to those who wait, now that something about the service has changed."""
-        for waiter in sorted(self._queues.get(service, [])):
-            if waiter.left:
+        """Hand places to those who wait, now that something about the service has changed.
+
+        This happens with each load that is told, 160 times a second, and callers that come back
+        may wait in their hundreds: where one of them finds no room, none of them is looked at.
+        """
+        returning_blocked = False
+        for waiter in list(self._queues.get(service, [])):
+            if waiter.left or (waiter.returning and returning_blocked):
                 continue
             place = self._pick(waiter.wish, waiter.configuration, waiter.returning)
             if place is None:
-                if waiter.wish.is_particular or waiter.returning:
+                if waiter.wish.is_particular:
+                    continue
+                if waiter.returning:
+                    returning_blocked = True
                     continue
                 break
             place.take_place()
@@ -132,6 +140,5 @@
         return self._picker.pick(wish, configuration, reserved)
 
     def _drop_left(self, service: str) -> None:
-        queue = self._queues.get(service)
-        while queue and queue[0].left:
-            heapq.heappop(queue)
+        queue = self._queues.get(service, [])
+        queue[:] = [waiter for waiter in queue if not waiter.left]
--- a/libs/gateway/src/headcross_gateway/overload.py
+++ b/libs/gateway/src/headcross_gateway/overload.py
@@ -52,6 +52,11 @@
     # all the time) no wait shuts 0.227 and 0.177 of the callers out, 0.8 s 0.205 and 0.165, 1.5 s
     # 0.175 and 0.091, with no fewer of them answered in their aim.
     returning_wait_seconds: float = 1.5
+    # The part of the places that is always kept free from callers that come back: when room comes
+    # after a while without any, those that waited would fill all of it at once. In the model (a
+    # burst, seeds 41 to 44) 0 answers 0.683 in their aim and shuts 0.198 out, 0.25 0.744 and 0.134,
+    # 0.5 0.753 and 0.205.
+    least_reserved_share: float = 0.25
 
 
 DEFAULT_OVERLOAD_SETTINGS: Final = OverloadSettings()
@@ -99,7 +104,8 @@
         At 1 a caller that comes back is placed only where nothing runs.
         """
         refused = self._fresh.refused_share(service)
-        return min(1.0, refused / self.settings.full_reservation_share)
+        reserved = refused / self.settings.full_reservation_share
+        return min(1.0, max(self.settings.least_reserved_share, reserved))
 
     def wait_seconds(self, service: str, aim_seconds: float, *, returning: bool) -> float:
         """Return how long a request waits for a place, from its arrival or its last refusal."""
