--- a/libs/gateway/src/headcross_gateway/overload.py
+++ b/libs/gateway/src/headcross_gateway/overload.py
@@ -54,8 +54,8 @@
     returning_wait_seconds: float = 1.5
     # The part of the places that is always kept free from callers that come back: when room comes
     # after a while without any, those that waited would fill all of it at once. In the model (a
-    # burst, seeds 41 to 44) 0 answers 0.683 in their aim and shuts 0.198 out, 0.25 0.744 and 0.134,
-    # 0.5 0.753 and 0.205.
+    # burst, seeds 41 to 44) 0 answers 0.683 in their aim and shuts 0.198 out, 0.25 answers 0.744
+    # and shuts 0.134 out, 0.5 answers 0.753 and shuts 0.205 out.
     least_reserved_share: float = 0.25
 
 
