Sight: how long a call to the store was under way, and questions to other processes

An entry went by an old configuration for seconds after an outage, and its lines could not tell a call to the store that was held from a question to another process that nobody answered. No change of logic.

--- a/libs/daemon/src/headcross_daemon/machinecommon.py
+++ b/libs/daemon/src/headcross_daemon/machinecommon.py
@@ -104,6 +104,7 @@
                     "revision": state.revision,
                     "age": round(min(state.age(), 1e9), 3),
                     "failing": self.follower.failing.get(topic, 0),
+                    "call_seconds": round(self.follower.call_age(topic), 3),
                 }
                 for topic, state in facts.topics.items()
             },
@@ -127,6 +128,8 @@
             state = self.facts.topics[topic]
             samples[sample("topic_revision", topic=topic.value)] = state.revision
             samples[sample("topic_age_seconds", topic=topic.value)] = state.age()
+            call_age = self.follower.call_age(topic)
+            samples[sample("store_call_age_seconds", topic=topic.value)] = call_age
         return samples
 
     def known_entries(self) -> list[Address]:
--- a/libs/facts/src/headcross_facts/following.py
+++ b/libs/facts/src/headcross_facts/following.py
@@ -15,7 +15,7 @@
 from typing import Final
 
 import trio
-from headcross_base.clocks import PauseWatch
+from headcross_base.clocks import PauseWatch, monotonic
 from headcross_base.errors import Failure, Ok
 from headcross_ports.published import HistoryLost, PublishedStore, Topic
 
@@ -24,6 +24,8 @@
 PAUSE_CHECK_SECONDS: Final = 0.2
 FIRST_RETRY_SECONDS: Final = 0.15
 MAX_RETRY_SECONDS: Final = 0.9
+# A failed call that lasted longer gets a line of its own: the store answers in milliseconds.
+LONG_CALL_SECONDS: Final = 1.0
 
 logger = logging.getLogger(__name__)
 
@@ -132,6 +134,9 @@
         self._pauses = pauses
         self._pace = pace
         self._scopes: dict[Topic, trio.CancelScope] = {}
+        # When the last call to the store began, and when the store was lost (monotonic).
+        self._called_at: dict[Topic, float] = {}
+        self._lost_at: dict[Topic, float] = {}
         # Topics that wait until a listing is asked for, and those that rest after news.
         self._unasked: dict[Topic, trio.Event] = {}
         self._resting: dict[Topic, trio.CancelScope] = {}
@@ -156,6 +161,11 @@
         """Whether all topics that are watched have been read once."""
         return all(self._facts.topics[topic].known for topic in self._pace.watched)
 
+    def call_age(self, topic: Topic) -> float:
+        """Return the seconds since the last call to the store about a topic began, 0 for none."""
+        called_at = self._called_at.get(topic)
+        return monotonic() - called_at if called_at is not None else 0.0
+
     def watches(self, topic: Topic) -> bool:
         """Tell whether a topic is watched, and not only listed when that is asked for."""
         return topic in self._pace.watched
@@ -204,6 +214,7 @@
 
     async def _step(self, topic: Topic, listed: bool) -> bool:
         """Make one call; return whether changes may be watched for next."""
+        self._called_at[topic] = monotonic()
         if not listed:
             listing = await self._store.read(topic)
             if isinstance(listing, Failure):
@@ -232,16 +243,25 @@
         self.failing[topic] = failures + 1
         self._facts.note_failure(topic)
         if not failures:
-            logger.warning(
-                "store lost", extra={"topic": topic.value, "reason": failure.detail[:300]}
-            )
+            self._lost_at[topic] = monotonic()
+        fields = {"topic": topic.value, "call_seconds": round(self.call_age(topic), 3)}
+        # One line for an outage, and one for each call that it kept for long: news waited for it.
+        if not failures or self.call_age(topic) > LONG_CALL_SECONDS:
+            message = "store still lost" if failures else "store lost"
+            logger.warning(message, extra={**fields, "reason": failure.detail[:300]})
         pause = min(MAX_RETRY_SECONDS, FIRST_RETRY_SECONDS * 2.0**failures)
         await trio.sleep(pause * random.uniform(0.7, 1.3))
 
     def _regained(self, topic: Topic) -> None:
         failures = self.failing.pop(topic, 0)
         if failures:
-            logger.info("store regained", extra={"topic": topic.value, "failures": failures})
+            fields = {
+                "topic": topic.value,
+                "failures": failures,
+                "call_seconds": round(self.call_age(topic), 3),
+                "lost_seconds": round(monotonic() - self._lost_at[topic], 3),
+            }
+            logger.info("store regained", extra=fields)
 
     async def _watch_pauses(self) -> None:
         seen = self._pauses.check()
--- a/libs/facts/src/headcross_facts/peerfacts.py
+++ b/libs/facts/src/headcross_facts/peerfacts.py
@@ -8,6 +8,7 @@
 it when it is asked. Nothing is pushed, so a store that serves everyone costs no traffic.
 """
 
+import logging
 import random
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -33,6 +34,8 @@
 # A process that is asked for a topic that it only lists lists it anew, unless it is this fresh.
 FRESH_SECONDS: Final = 0.7
 
+logger = logging.getLogger(__name__)
+
 
 @dataclass(slots=True)
 class _Question:
@@ -117,6 +120,8 @@
             stale = message.age > STALE_SECONDS
             self._questions[topic] = _Question(asks_any=stale)
         state = self._facts.topics[topic]
+        fields = {"topic": topic.value, "revision": message.revision, "held": state.revision}
+        logger.info("facts answered", extra={**fields, "age": round(min(message.age, 1e9), 3)})
         if state.known and message.revision <= state.revision:
             return
         items = tuple(Item(item.key, item.revision, item.value) for item in message.items)
@@ -130,6 +135,9 @@
             peers = self._peers() if question.asks_any else self._entries() or self._peers()
             if not peers:
                 return
+            if question.peer is not None:
+                fields = {"topic": topic.value, "peer": str(question.peer), "sent": question.sent}
+                logger.info("facts not answered", extra=fields)
             question.begin(random.choice(peers), now)
         if question.peer is None or question.sent:
             return
@@ -139,3 +147,6 @@
         # The first message to a process only opens the link.
         question.sent = self._node.send(question.peer, AskFacts(topic.value, revision))
         self.asked += question.sent
+        if question.sent:
+            asked = {"topic": topic.value, "peer": str(question.peer), "revision": revision}
+            logger.info("facts asked", extra=asked)
