News after an outage: no call outlives the store's return for long, who knows nothing says so

Cause: two ways by which an entry learns of a configuration were blind at once after an outage. A call to the store that begins just before its return hears nothing of it and lasted 4.5 s (3 s of watch, 1.5 s for the answer): its length was taken from the sum of two spans, how long the store must have served and the bound on news, but both run at the same time. And a question to another process was one message with the whole topic as its answer: one that knew nothing kept silent, which the asker could not tell from an answer on its way, and waited for up to 5 s. Ruled out: news that were there and not in force.

Change: an entry's calls end before the longer of the two spans (1.4 + 0.8 s), and faster while the store is lost (0.1 + 1.2 s, pauses of 0.65 s at most). Processes first ask several others how much they know, which is always answered, and one that knows more for the whole, one transfer at a time as before. Replaced: the bound on a watch's length added the two spans, it is now below the longer; 'one question at a time' held whole topics and is now kept for these, with bounds on the small questions beside it. Cost: an idle entry makes 1.4 calls a second instead of 0.7 by its settings; measured next.

--- a/libs/daemon/src/headcross_daemon/machinecommon.py
+++ b/libs/daemon/src/headcross_daemon/machinecommon.py
@@ -16,7 +16,12 @@
 from headcross_ports.adapter import Adapter
 from headcross_ports.published import Topic
 from headcross_wire.httpserver import Exchange, HttpServer, ServerLimits
-from headcross_wire.peermessages import AskFacts, TopicFacts
+from headcross_wire.peermessages import (
+    AskFacts,
+    AskRevision,
+    KnownRevision,
+    TopicFacts,
+)
 from headcross_wire.peernode import Handler, Incoming, PeerNode
 
 from headcross_daemon.machinesettings import MachineSettings, read_machine_settings
@@ -144,6 +149,10 @@
 
     def _handle(self, incoming: Incoming) -> None:
         match incoming.message:
+            case AskRevision() as asked:
+                self.peer_facts.tell_revision(asked, incoming.reply)
+            case KnownRevision() as known:
+                self.peer_facts.hear_revision(known, incoming.reply)
             case AskFacts() as question:
                 self.peer_facts.answer(question, incoming.reply)
             case TopicFacts() as facts:
--- a/libs/facts/src/headcross_facts/following.py
+++ b/libs/facts/src/headcross_facts/following.py
@@ -4,9 +4,11 @@
 times a second, while its link is narrow: it watches the named versions, and lists the rest only
 when it is asked to.
 
-A watch that hears nothing proves nothing, so each is short. A call that fails is made again after
-a pause that grows, and meanwhile other daemons are asked (see `peerfacts`). A process that stood
-still gives up its watch, whose connection may be dead, and asks again at once.
+A watch that hears nothing proves nothing: the store may have said nothing to anybody for a moment,
+have served everyone since, and never answer this one call. So each is short, and shorter still
+while the store is lost (see `entry_pace`). A call that fails is made again after a pause that
+grows, and meanwhile other processes are asked (see `peerfacts`). A process that stood still gives
+up its watch, whose connection may be dead, and asks again at once.
 """
 
 import logging
@@ -23,7 +25,9 @@
 
 PAUSE_CHECK_SECONDS: Final = 0.2
 FIRST_RETRY_SECONDS: Final = 0.15
-MAX_RETRY_SECONDS: Final = 0.9
+# Pauses between failed calls are drawn up to this much longer or shorter, so that processes which
+# lost the store together do not come back together.
+RETRY_SPREAD: Final = 0.3
 # A failed call that lasted longer gets a line of its own: the store answers in milliseconds.
 LONG_CALL_SECONDS: Final = 1.0
 
@@ -40,16 +44,32 @@
     reached: float = 3.0
 
 
+@dataclass(frozen=True, slots=True)
+class WatchLimits:
+    """How long one watch may last, in seconds."""
+
+    wait: float  # without news, the store answers after this
+    answer: float  # so much later the call has failed, unless its answer has begun
+
+    @property
+    def longest(self) -> float:
+        """How long a store that went silent can hold the call."""
+        return self.wait + self.answer
+
+
 @dataclass(frozen=True, slots=True)
 class FollowingPace:
     """How often the store is asked."""
 
-    # A watch without news ends after this; a store that went silent is noticed no sooner.
-    watch_seconds: float = 3.0
+    watch: WatchLimits = WatchLimits(3.0, 1.5)
+    # The same for the list of replicas, which a daemon beside one needs less urgently.
+    list_watch: WatchLimits = WatchLimits(3.0, 1.5)
+    # After a call failed, until one is answered; None: as before.
+    lost_watch: WatchLimits | None = None
+    # The longest pause between failed calls, before it is spread.
+    max_retry_seconds: float = 0.9
     # After news, so that a burst of changes comes in one answer.
     rest_seconds: float = 0.15
-    # The same for the list of replicas, which a daemon beside one needs less urgently.
-    list_watch_seconds: float = 3.0
     list_rest_seconds: float = 0.15
     # The same while a process has no need of fresh news of it; see `Follower.set_hurried`.
     calm_list_rest_seconds: float = 0.15
@@ -57,9 +77,11 @@
     watched: tuple[Topic, ...] = (Topic.CONTROL, Topic.REPLICAS)
     listed: tuple[Topic, ...] = ()
 
-    def watch_of(self, topic: Topic) -> float:
-        """Return how long a watch of a topic lasts without news."""
-        return self.list_watch_seconds if topic is Topic.REPLICAS else self.watch_seconds
+    def watch_of(self, topic: Topic, lost: bool) -> WatchLimits:
+        """Return how long a watch of a topic may last."""
+        if lost and self.lost_watch is not None:
+            return self.lost_watch
+        return self.list_watch if topic is Topic.REPLICAS else self.watch
 
     def rest_of(self, topic: Topic, hurried: bool) -> float:
         """Return the pause after news of a topic."""
@@ -67,18 +89,32 @@
             return self.rest_seconds
         return self.list_rest_seconds if hurried else self.calm_list_rest_seconds
 
-
-# A watch that a silent store holds is given up so long before the bounds count again: the call
-# may last 1.5 s longer than the watch, and news need a moment to be in force.
-WATCH_MARGIN_SECONDS: Final = 2.0
-LEAST_WATCH_SECONDS: Final = 1.0
+    def pause_after(self, failures: int) -> float:
+        """Return the pause after so many failed calls in a row and one more."""
+        pause = min(self.max_retry_seconds, FIRST_RETRY_SECONDS * 2.0**failures)
+        return pause * random.uniform(1 - RETRY_SPREAD, 1 + RETRY_SPREAD)
+
+
+# What is left of a bound when the next call begins: for the pause after a first failure (0.2 s),
+# a store that answers slowly (0.24 s at sixty times its usual 4 ms), and for taking a document of
+# hundreds of kilobytes into force.
+NEWS_MARGIN_SECONDS: Final = 0.8
+# The store answers in 4 ms (its sheet): two hundred times that. After a failure the store may be
+# slow and not silent, so its answer has longer; then the watch itself is over at once.
+ANSWER_SECONDS: Final = 0.8
+LOST_ANSWER_SECONDS: Final = 1.2
+LOST_WAIT_SECONDS: Final = 0.1
+LOST_MAX_RETRY_SECONDS: Final = 0.5
+LEAST_WATCH_SECONDS: Final = 0.5
 # The rest after news, as parts of the bounds: each process asks again after every rest.
 REST_PART: Final = 0.075
 LIST_REST_PART: Final = 0.1
-# Daemons beside replicas give no caller an answer. Their watches may last longer by these factors,
-# and news of the list of replicas wait so long: while a version is brought in, and otherwise.
-VERSIONS_WATCH_FACTOR: Final = 1.4
-REPLICAS_WATCH_FACTOR: Final = 2.4
+# Daemons beside replicas give no caller an answer, so none of the bounds counts for them. What
+# they learn late costs time until new weights are here; each of their calls costs as much as an
+# entry's, and there are many more of them. News of the list of replicas wait so long while a
+# version is brought in, and otherwise.
+DAEMON_VERSIONS_WATCH: Final = WatchLimits(4.2, 1.5)
+DAEMON_REPLICAS_WATCH: Final = WatchLimits(7.2, 1.5)
 DAEMON_LIST_REST_SECONDS: Final = 0.8
 DAEMON_CALM_LIST_REST_SECONDS: Final = 5.0
 
@@ -86,14 +122,22 @@
 def entry_pace(bounds: FactBounds) -> FollowingPace:
     """Return how often an entry asks: as seldom as the bounds allow, since each call is priced.
 
-    >>> entry_pace(FactBounds()).watch_seconds
-    3.0
+    A call that begins just before a silent store serves again hears nothing of that. Once the
+    store has served for `reached`, the bound counts for all that was published since: the two
+    spans run at the same time. So the next call has to begin before the longer one is over;
+    watches of 3 s with 1.5 s for the answer let an entry go by an old configuration for 3.9 s.
+
+    >>> entry_pace(FactBounds()).watch
+    WatchLimits(wait=1.4, answer=0.8)
     """
-    watch = _longest_watch(bounds)
+    wait = max(LEAST_WATCH_SECONDS, round(longest_call(bounds) - ANSWER_SECONDS, 3))
+    limits = WatchLimits(wait, ANSWER_SECONDS)
     return FollowingPace(
-        watch_seconds=watch,
+        watch=limits,
+        list_watch=limits,
+        lost_watch=WatchLimits(LOST_WAIT_SECONDS, LOST_ANSWER_SECONDS),
+        max_retry_seconds=LOST_MAX_RETRY_SECONDS,
         rest_seconds=REST_PART * bounds.configuration,
-        list_watch_seconds=watch,
         list_rest_seconds=LIST_REST_PART * bounds.leaving,
         calm_list_rest_seconds=LIST_REST_PART * bounds.leaving,
     )
@@ -101,11 +145,10 @@
 
 def daemon_pace(bounds: FactBounds) -> FollowingPace:
     """Return how often a daemon beside a replica asks."""
-    watch = _longest_watch(bounds)
     return FollowingPace(
-        watch_seconds=VERSIONS_WATCH_FACTOR * watch,
+        watch=DAEMON_VERSIONS_WATCH,
+        list_watch=DAEMON_REPLICAS_WATCH,
         rest_seconds=REST_PART * bounds.configuration,
-        list_watch_seconds=REPLICAS_WATCH_FACTOR * watch,
         list_rest_seconds=DAEMON_LIST_REST_SECONDS,
         calm_list_rest_seconds=DAEMON_CALM_LIST_REST_SECONDS,
         watched=(Topic.VERSIONS, Topic.REPLICAS),
@@ -113,10 +156,10 @@
     )
 
 
-def _longest_watch(bounds: FactBounds) -> float:
-    """Return how long a watch may stay without an answer until a bound could be missed."""
+def longest_call(bounds: FactBounds) -> float:
+    """Return how many seconds a call may last that hears nothing of the store's return."""
     shortest = min(bounds.configuration, bounds.leaving)
-    return max(LEAST_WATCH_SECONDS, bounds.reached + shortest - WATCH_MARGIN_SECONDS)
+    return max(bounds.reached, shortest) - NEWS_MARGIN_SECONDS
 
 
 class Follower:
@@ -224,7 +267,8 @@
             self._facts.take_listing(topic, listing.value, 0.0, FROM_STORE)
             return True
         revision = self._facts.topics[topic].revision
-        outcome = await self._store.watch(topic, revision, self._pace.watch_of(topic))
+        limits = self._pace.watch_of(topic, lost=topic in self.failing)
+        outcome = await self._store.watch(topic, revision, limits.wait, limits.answer)
         match outcome:
             case Ok(value=changes):
                 self._regained(topic)
@@ -249,8 +293,7 @@
         if not failures or self.call_age(topic) > LONG_CALL_SECONDS:
             message = "store still lost" if failures else "store lost"
             logger.warning(message, extra={**fields, "reason": failure.detail[:300]})
-        pause = min(MAX_RETRY_SECONDS, FIRST_RETRY_SECONDS * 2.0**failures)
-        await trio.sleep(pause * random.uniform(0.7, 1.3))
+        await trio.sleep(self._pace.pause_after(failures))
 
     def _regained(self, topic: Topic) -> None:
         failures = self.failing.pop(topic, 0)
--- a/libs/ports/src/headcross_ports/published.py
+++ b/libs/ports/src/headcross_ports/published.py
@@ -92,9 +92,13 @@
         """Return a whole topic as it stands."""
 
     async def watch(
-        self, topic: Topic, after: int, wait_seconds: float
+        self, topic: Topic, after: int, wait_seconds: float, answer_seconds: float
     ) -> Ok[Changes] | HistoryLost | Failure:
-        """Wait for changes after a revision."""
+        """Wait for changes after a revision.
+
+        Without changes the store answers after `wait_seconds`; the call fails if nothing of its
+        answer has come `answer_seconds` later.
+        """
 
     def covers(self, topic: Topic, key: str) -> bool:
         """Tell whether the item of a key belongs to a topic."""
--- a/libs/wire/src/headcross_wire/peermessages.py
+++ b/libs/wire/src/headcross_wire/peermessages.py
@@ -188,6 +188,20 @@
     value: bytes
 
 
+class AskRevision(_Message, frozen=True, tag=50):
+    """Ask how much the receiver knows of a topic; it always answers."""
+
+    topic: str
+
+
+class KnownRevision(_Message, frozen=True, tag=51):
+    """The answer to `AskRevision`."""
+
+    topic: str
+    revision: int  # -1 when it knows nothing
+    age: float  # seconds since the sender knew this to be the newest state
+
+
 class AskFacts(_Message, frozen=True, tag=40):
     """Ask for a topic if the receiver knows a newer state of it than this revision."""
 
@@ -302,6 +316,8 @@
     | AskTurn
     | TurnAnswer
     | Goodbye
+    | AskRevision
+    | KnownRevision
     | AskFacts
     | TopicFacts
     | Subscribe
--- a/tests/test_machine_facts.py
+++ b/tests/test_machine_facts.py
@@ -1,7 +1,7 @@
 """Facts from the platform: in force in time, whole, never back, whatever the store does."""
 
 import itertools
-from dataclasses import replace
+from dataclasses import dataclass, field, replace
 from pathlib import Path
 from typing import Any, cast
 
@@ -14,7 +14,10 @@
 from headcross_base.errors import Failure, Ok
 from headcross_facts.facts import Facts
 from headcross_facts.following import (
+    FIRST_RETRY_SECONDS,
     LEAST_WATCH_SECONDS,
+    NEWS_MARGIN_SECONDS,
+    RETRY_SPREAD,
     FactBounds,
     Follower,
     FollowingPace,
@@ -22,17 +25,26 @@
     entry_pace,
 )
 from headcross_facts.peerfacts import (
-    FIRST_ANSWER_SECONDS,
-    MAX_ANSWER_SECONDS,
+    ASK_SECONDS,
+    ENTRIES_ASKED,
+    FIRST_TRANSFER_SECONDS,
+    MAX_TRANSFER_SECONDS,
+    OTHER_SECONDS,
     STALE_SECONDS,
     PeerFacts,
 )
-from headcross_facts.topicstate import TopicState
+from headcross_facts.topicstate import NOTHING, TopicState
 from headcross_gateway.weightsrules import WeightsRules
 from headcross_platform import names, store
 from headcross_platform.store import MetadataStore
 from headcross_ports.published import Changes, Fact, HistoryLost, Item, Listing, Topic
-from headcross_wire.peermessages import AskFacts, PeerMessage, TopicFacts
+from headcross_wire.peermessages import (
+    AskFacts,
+    AskRevision,
+    KnownRevision,
+    PeerMessage,
+    TopicFacts,
+)
 from headcross_wire.peernode import PeerNode
 from hypothesis import given
 from hypothesis import strategies as st
@@ -262,7 +274,7 @@
         return Ok(Listing((), self.listings))
 
     async def watch(
-        self, topic: Topic, after: int, wait_seconds: float
+        self, topic: Topic, after: int, wait_seconds: float, answer_seconds: float
     ) -> Ok[Changes] | HistoryLost | Failure:
         """Tell of no change."""
         await trio.sleep(wait_seconds)
@@ -312,7 +324,7 @@
         self.watches = 0
 
     async def watch(
-        self, topic: Topic, after: int, wait_seconds: float
+        self, topic: Topic, after: int, wait_seconds: float, answer_seconds: float
     ) -> Ok[Changes] | HistoryLost | Failure:
         """Tell of a change at once."""
         await trio.lowlevel.checkpoint()
@@ -342,16 +354,30 @@
 
 
 @given(st.floats(0.5, 10), st.floats(0.5, 10), st.floats(0.5, 10))
-def test_a_watch_that_a_silent_store_holds_ends_before_a_bound_could_be_missed(
+def test_a_call_that_a_silent_store_holds_ends_before_a_bound_could_be_missed(
     configuration: float, leaving: float, reached: float
 ) -> None:
+    """The bounds count `reached` after the store's return, whenever the call began."""
     pace = entry_pace(FactBounds(configuration, leaving, reached))
-    until = reached + min(configuration, leaving)
-    call = pace.watch_seconds + store.READ_SECONDS
-    assert call < until or pace.watch_seconds == LEAST_WATCH_SECONDS
+    until = max(reached, min(configuration, leaving))
+    for topic in pace.watched:
+        watch = pace.watch_of(topic, lost=False)
+        assert watch.longest + FIRST_RETRY_SECONDS * (1 + RETRY_SPREAD) < until or (
+            watch.wait == LEAST_WATCH_SECONDS
+        )
     assert pace.rest_seconds < configuration / 4 and pace.list_rest_seconds < leaving / 4
 
 
+def test_failed_calls_and_their_pauses_end_before_a_bound_could_be_missed() -> None:
+    """A listing, a watch and the pause after each, however long the store was lost."""
+    pace = entry_pace(FactBounds())
+    longest_pause = max(pace.pause_after(failures) for failures in range(100))
+    assert longest_pause <= pace.max_retry_seconds * (1 + RETRY_SPREAD)
+    until = FactBounds().reached - NEWS_MARGIN_SECONDS
+    for longest in (pace.watch_of(Topic.CONTROL, lost=True).longest, store.READ_SECONDS):
+        assert longest + pace.max_retry_seconds * (1 + RETRY_SPREAD) <= until
+
+
 def test_a_version_that_a_daemon_tells_counts_from_when_it_was_named() -> None:
     """The store's news came 1.9 s late, with a large configuration, and an old version ran on."""
     facts = Facts(MetadataStore(Address("127.0.0.1", 1)))
@@ -412,7 +438,7 @@
 
     def send(self, address: Address, message: PeerMessage, payload: bytes | None = None) -> bool:
         """Keep a message."""
-        assert isinstance(message, AskFacts)
+        assert isinstance(message, AskRevision)
         opened = address in self._open
         self._open.add(address)
         if opened:
@@ -420,37 +446,94 @@
         return opened
 
 
-async def test_a_process_that_the_store_turns_away_has_one_question_out_at_a_time(
-    mock_clock: trio.testing.MockClock, monkeypatch: pytest.MonkeyPatch
-) -> None:
-    """Two were asked for all of a topic three times a second until the first answer came."""
+@dataclass
+class TurnedAway:
+    """A process that the store turns away, with what it sent and what it asked for."""
+
+    peers: PeerFacts
+    node: AskedNode
+    # When a whole topic was asked for, and from which revision.
+    transfers: list[tuple[float, int]] = field(default_factory=list)
+
+    def hear(self, revision: int, age: float) -> None:
+        """Let another process tell how much it knows."""
+
+        def reply(message: PeerMessage, payload: bytes | None) -> bool:
+            assert isinstance(message, AskFacts)
+            self.transfers.append((trio.current_time(), message.revision))
+            return True
+
+        self.peers.hear_revision(KnownRevision(Topic.CONTROL.value, revision, age), reply)
+
+
+ENTRIES = [Address(f"10.0.0.{number}", 1) for number in range(1, 6)]
+DAEMONS = [Address(f"10.0.1.{number}", 1) for number in range(1, 9)]
+
+
+@pytest.fixture
+def turned_away(mock_clock: trio.testing.MockClock, monkeypatch: pytest.MonkeyPatch) -> TurnedAway:
+    """Return a process that the store turns away, on simulated time."""
     mock_clock.autojump_threshold = 0
     monkeypatch.setattr("headcross_facts.peerfacts.monotonic", trio.current_time)
-    entries = [Address("10.0.0.1", 1), Address("10.0.0.2", 1)]
-    daemons = [Address("10.0.1.1", 1), Address("10.0.1.2", 1)]
-    facts = Facts(CountingStore())
     follower = follower_of(CountingStore(), FollowingPace(watched=(Topic.CONTROL,)))
     follower.failing[Topic.CONTROL] = 1
+    facts = Facts(CountingStore())
     node = AskedNode()
-    peers = PeerFacts(facts, follower, cast(PeerNode, node), lambda: daemons, lambda: entries)
+    peers = PeerFacts(facts, follower, cast(PeerNode, node), lambda: DAEMONS, lambda: ENTRIES)
+    return TurnedAway(peers, node)
+
+
+async def test_a_process_that_the_store_turns_away_asks_for_one_whole_topic_at_a_time(
+    turned_away: TurnedAway,
+) -> None:
+    """Two were asked for all of a topic three times a second until the first answer came."""
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(peers.run)
-        await trio.sleep(60)
-        # Nobody answers: it waits ever longer, and asks entries and others by turns.
-        times = [at for at, _ in node.sent]
-        assert all(b - a >= FIRST_ANSWER_SECONDS / 2 for a, b in itertools.pairwise(times))
-        assert len(times) <= 60 / MAX_ANSWER_SECONDS + 5
-        kinds = [address in entries for _, address in node.sent]
-        assert kinds[0] and {True, False} == set(kinds)
-        # With answers it goes on with entries, at its usual pace.
-        for _ in range(10):
-            peers.receive(TopicFacts(Topic.CONTROL.value, 1, 0.1, []), "peer")
-            node.sent.clear()
-            await trio.sleep(0.8)
-            assert node.sent and all(address in entries for _, address in node.sent)
-        # ... unless they are not served either.
-        peers.receive(TopicFacts(Topic.CONTROL.value, 1, STALE_SECONDS + 1, []), "peer")
-        node.sent.clear()
-        await trio.sleep(1.0)
-        assert node.sent and node.sent[0][1] in daemons
+        nursery.start_soon(turned_away.peers.run)
+        end = trio.current_time() + 60
+        while trio.current_time() < end:
+            # Everybody knows more, and what was asked for never comes: it waits ever longer.
+            await trio.sleep(0.05)
+            turned_away.hear(7, 0.1)
+        times = [at for at, _ in turned_away.transfers]
+        assert all(b - a >= FIRST_TRANSFER_SECONDS for a, b in itertools.pairwise(times))
+        assert len(times) <= 60 / MAX_TRANSFER_SECONDS + 5
+        # One that comes ends the waiting.
+        turned_away.peers.receive(TopicFacts(Topic.CONTROL.value, 7, 0.1, []), "peer")
+        turned_away.hear(7, 0.1)
+        asked = len(turned_away.transfers)
+        turned_away.hear(8, 0.1)
+        assert [held for _, held in turned_away.transfers[asked:]] == [7]
         nursery.cancel_scope.cancel()
+
+
+async def test_questions_are_few_and_go_to_entries_while_one_of_them_has_fresh_facts(
+    turned_away: TurnedAway,
+) -> None:
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(turned_away.peers.run)
+        for _ in range(40):
+            turned_away.hear(NOTHING, 0.1)
+            await trio.sleep(0.25)
+        sent = turned_away.node.sent
+        assert sent and all(address in ENTRIES for _, address in sent)
+        assert len(sent) <= 10 / (0.7 * ASK_SECONDS) * ENTRIES_ASKED
+        # When none of them is served either, one other process is asked beside them at a time.
+        sent.clear()
+        for _ in range(40):
+            turned_away.hear(NOTHING, STALE_SECONDS + 1)
+            await trio.sleep(0.25)
+        others = {address for _, address in sent if address in DAEMONS}
+        assert 1 <= len(others) <= 10 / OTHER_SECONDS + 1
+        assert not turned_away.transfers
+        nursery.cancel_scope.cancel()
+
+
+async def test_a_process_that_knows_nothing_says_so(turned_away: TurnedAway) -> None:
+    answers: list[PeerMessage] = []
+
+    def reply(message: PeerMessage, payload: bytes | None) -> bool:
+        answers.append(message)
+        return True
+
+    turned_away.peers.tell_revision(AskRevision(Topic.CONTROL.value), reply)
+    assert answers == [KnownRevision(Topic.CONTROL.value, NOTHING, float("inf"))]
