--- a/bench/soak/check_news.py
+++ b/bench/soak/check_news.py
@@ -97,7 +97,9 @@
 
 def _is_in_touch(record: Record, probe: RouteProbe) -> bool:
     bounds = record.bounds
-    since = probe.sent_at - bounds.reached - bounds.configuration
+    # How long an entry must have been undisturbed, and how long ago a configuration was published,
+    # count at the same time: a call that a silent store holds may last no longer than either.
+    since = probe.sent_at - bounds.reached
     # A fault that comes while the probe is under way explains a missing answer, but not one that
     # says the route does not exist.
     until = probe.sent_at + (bounds.reached if probe.found is None else 0.0)
--- a/libs/facts/src/headcross_facts/following.py
+++ b/libs/facts/src/headcross_facts/following.py
@@ -111,10 +111,13 @@
 LIST_REST_PART: Final = 0.1
 # Daemons beside replicas give no caller an answer, so none of the bounds counts for them. What
 # they learn late costs time until new weights are here; each of their calls costs as much as an
-# entry's, and there are many more of them. News of the list of replicas wait so long while a
-# version is brought in, and otherwise.
-DAEMON_VERSIONS_WATCH: Final = WatchLimits(4.2, 1.5)
-DAEMON_REPLICAS_WATCH: Final = WatchLimits(7.2, 1.5)
+# entry's, and there are many more of them. Their watches last as long as the bounds together, less
+# a margin, times these factors. News of the list of replicas wait so long while a version is
+# brought in, and otherwise.
+DAEMON_MARGIN_SECONDS: Final = 2.0
+DAEMON_ANSWER_SECONDS: Final = 1.5
+VERSIONS_WATCH_FACTOR: Final = 1.4
+REPLICAS_WATCH_FACTOR: Final = 2.4
 DAEMON_LIST_REST_SECONDS: Final = 0.8
 DAEMON_CALM_LIST_REST_SECONDS: Final = 5.0
 
@@ -145,9 +148,11 @@
 
 def daemon_pace(bounds: FactBounds) -> FollowingPace:
     """Return how often a daemon beside a replica asks."""
+    shortest = min(bounds.configuration, bounds.leaving)
+    calm = max(LEAST_WATCH_SECONDS, bounds.reached + shortest - DAEMON_MARGIN_SECONDS)
     return FollowingPace(
-        watch=DAEMON_VERSIONS_WATCH,
-        list_watch=DAEMON_REPLICAS_WATCH,
+        watch=WatchLimits(VERSIONS_WATCH_FACTOR * calm, DAEMON_ANSWER_SECONDS),
+        list_watch=WatchLimits(REPLICAS_WATCH_FACTOR * calm, DAEMON_ANSWER_SECONDS),
         rest_seconds=REST_PART * bounds.configuration,
         list_rest_seconds=DAEMON_LIST_REST_SECONDS,
         calm_list_rest_seconds=DAEMON_CALM_LIST_REST_SECONDS,
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -551,7 +551,7 @@
 
 @pytest.mark.parametrize("machines", [[], ["entry"]])
 def test_a_route_counts_again_a_fixed_time_after_a_fault(machines: list[str]) -> None:
-    healed = 200.0 - REACHED - BOUNDS.configuration
+    healed = 200.0 - REACHED
     fault = fault_on(*machines, began_at=50.0, ended_at=healed)
     assert late_probe_beside(disturbances=[fault]) == []
     earlier = fault_on(*machines, began_at=50.0, ended_at=healed - SHORTLY)
@@ -574,7 +574,7 @@
 
 
 def test_a_route_counts_again_a_fixed_time_after_an_entry_is_back_from_a_stop() -> None:
-    back = 200.0 - REACHED - BOUNDS.configuration
+    back = 200.0 - REACHED
     stop = PlannedStop("entry", 50.0, 60.0, restarted_at=back)
     assert late_probe_beside(stops=[stop]) == []
     assert late_probe_beside(stops=[PlannedStop("entry", 50.0, ended_at=None)]) == []
