A replica's lives are told apart, foreign entries name nothing, an entry is ready once it knows loads

Incarnations. A replica may start again under its id; 'born' tells its lives apart. Before: read nowhere; every belief was keyed by the id. Cause of harm, by reading: a replica at whose address 'another incarnation' had answered was gone for good; loads, versions and failures of the earlier life counted for the later one; an order for one life could be taken by the next, beside which nothing was staged, if both had taken no orders. Now nothing is sent while list and daemon name different lives, an entry begins anew with a new life, and an order goes over the connection on which that life has just told its start. Ruled out: 'not run' from a later life; an answer comes on the request's own connection.

Foreign entries. Now fifteen kinds take it out, one line each time its standing changes, and a good entry brings it back; random histories by hypothesis through watch, listing and peers in any order.

Tests first written failed for reasons of their own: one waited for a stream at a replica that need not be chosen, one asked a replica for more than it may be given between two words of its daemon.

--- a/libs/daemon/src/headcross_daemon/gatewayrole.py
+++ b/libs/daemon/src/headcross_daemon/gatewayrole.py
@@ -50,6 +50,11 @@
 PROOF_SECONDS: Final = 0.3
 PROOFS_AHEAD_SECONDS: Final = ENDING_SECONDS + 1.5
 HOUSEKEEPING_SECONDS: Final = 1.0
+# An entry that has just started calls itself ready when it has heard most daemons, and at the
+# latest so long after its facts are complete. The first subscription opens a link only and the
+# second comes 0.2 s later; a request that came before had been refused by two replicas that loaded
+# (0.9 s after a start). Daemons that started together with it may take longer.
+INFORMED_SECONDS: Final = 1.0
 # Refused callers come back after 0.4 s at the earliest, to another entry of the zone.
 OVERLOAD_SECONDS: Final = 0.2
 # Descriptors that are not connections of callers or to replicas.
@@ -111,6 +116,9 @@
         )
         self._server = HttpServer(self._path.handle, self._limits())
         self._stopping = False
+        # Whether loads are known, or need not be waited for any longer, once facts are complete.
+        self._informed = False
+        self._complete_since: float | None = None
         # Rounds of telling others that this entry mirrors weights.
         self._announcements = 0
         # How many entries there are, as far as this one can tell.
@@ -164,6 +172,7 @@
                     "load": round(state.load(), 2),
                     "told_age": round(min(state.told_age(), 1e9), 3),
                     "draining": state.replica.draining,
+                    "between_lives": state.is_between_lives(),
                     "resting": state.health.resting(),
                     "in_subset": state.in_subset,
                     "failures": state.health.failures,
@@ -201,7 +210,19 @@
         await exchange.respond_json(200 if ready else 503, {"ready": ready})
 
     def _ready(self) -> bool:
-        return self.process.facts.complete and not self._stopping
+        return self.process.facts.complete and self._is_informed() and not self._stopping
+
+    def _is_informed(self) -> bool:
+        """Tell whether this entry has heard most daemons once, or waited for them long enough.
+
+        Before that it knows neither loads nor which replicas are about to load new weights.
+        """
+        if self._informed or not self.process.facts.complete:
+            return self._informed
+        since = self._complete_since
+        waited = since is not None and trio.current_time() - since >= INFORMED_SECONDS
+        self._informed = waited or self._directory.hears_most_daemons()
+        return self._informed
 
     def _limits(self) -> ServerLimits:
         """Return what the configuration in force lets callers do."""
@@ -244,14 +265,21 @@
 
     def _take_facts(self) -> None:
         self._directory.entries = len(self.process.known_entries()) + 1
-        self._directory.update()
+        self._update_directory()
         self._directory.choose_subset()
+        if self.process.facts.complete and self._complete_since is None:
+            self._complete_since = trio.current_time()
         self._server.limits = self._limits()
         configuration = self.process.facts.configuration
         if configuration is not None:
             for service in configuration.services:
                 self._admission.notify(service)
 
+    def _update_directory(self) -> None:
+        """Take the list of replicas; connections to earlier incarnations are of no use."""
+        for address in self._directory.update():
+            self._path.attempts.connections.forget(address)
+
     def _daemons(self) -> list[Address]:
         port = self.process.settings.peers.control_port
         return [Address(address.ip, port) for address in self._directory.subset_daemons()]
@@ -366,7 +394,7 @@
         """Once a second: take the list anew, close connections that were idle for too long."""
         while True:
             await trio.sleep(HOUSEKEEPING_SECONDS)
-            self._directory.update()
+            self._update_directory()
             await self._path.attempts.connections.close_expired()
 
     # Metrics.
--- a/libs/facts/src/headcross_facts/facts.py
+++ b/libs/facts/src/headcross_facts/facts.py
@@ -17,6 +17,7 @@
     Changes,
     Item,
     Listing,
+    LoadedModel,
     NamedVersion,
     PublishedStore,
     Replica,
@@ -49,8 +50,11 @@
     """Everything one process knows from the platform."""
 
     configuration: Configuration | None
-    # The list of replicas, by the id of their incarnation.
+    # The list of replicas, by id.
     replicas: dict[str, Replica]
+    # Replicas whose entries were whole before and are another writer's now, by id, as they were
+    # last named. Nothing new goes there, and no order, until a whole entry is back.
+    disowned: dict[str, Replica]
     # When the entries of replicas lapsed, around an outage of the store (monotonic), by id: those
     # that live are listed again within two seconds or so of its return (the platform's pages).
     lapsed_at: dict[str, float]
@@ -63,11 +67,14 @@
     def __init__(self, store: PublishedStore) -> None:
         self.configuration = None
         self.replicas = {}
+        self.disowned = {}
         self.lapsed_at = {}
         self.versions = {}
         self.topics = {topic: TopicState(topic) for topic in Topic}
         self.counts = Counter()
         self._store = store
+        # Why the newest entry under an id names no replica.
+        self._foreign: dict[str, str] = {}
         self._changed = trio.Event()
         self._started_at = monotonic()
         # When the store last failed to serve the list of replicas (monotonic).
@@ -161,7 +168,11 @@
         outcome = self._store.decode(item)
         if isinstance(outcome, Failure):
             self.counts["rejected"] += 1
-            logger.error("fact rejected", extra={**fields, "reason": outcome.detail})
+            replica_id = self._store.replica_id(item.key) if topic is Topic.REPLICAS else None
+            if replica_id is not None:
+                self._take_foreign_entry(replica_id, outcome.detail, fields)
+            else:
+                logger.error("fact rejected", extra={**fields, "reason": outcome.detail})
             return
         match outcome.value:
             case Configuration() as configuration:
@@ -175,13 +186,32 @@
         self.counts["taken"] += 1
 
     def _take_gone(self, topic: Topic, item: Item) -> None:
-        if topic is Topic.REPLICAS:
-            replica_id = item.key.rpartition("/")[2]
-            replica = self.replicas.pop(replica_id, None)
-            now = monotonic()
-            outage = now - self._list_failed_at < LAPSE_SECONDS
-            if replica is not None and outage and not replica.draining:
-                self.lapsed_at[replica_id] = now
+        replica_id = self._store.replica_id(item.key) if topic is Topic.REPLICAS else None
+        if replica_id is None:
+            return
+        self._foreign.pop(replica_id, None)
+        self.disowned.pop(replica_id, None)
+        replica = self.replicas.pop(replica_id, None)
+        now = monotonic()
+        outage = now - self._list_failed_at < LAPSE_SECONDS
+        if replica is not None and outage and not replica.draining:
+            self.lapsed_at[replica_id] = now
+
+    def _take_foreign_entry(self, replica_id: str, why: str, fields: dict[str, object]) -> None:
+        """Take an entry of another writer: it names no replica, and the earlier word goes.
+
+        Requests under way there go on. A line is written when an id's standing changes only, since
+        such an entry may be written again with every heartbeat.
+        """
+        if self._foreign.get(replica_id) == why:
+            return
+        self._foreign[replica_id] = why
+        replica = self.replicas.pop(replica_id, None)
+        self.lapsed_at.pop(replica_id, None)
+        if replica is not None:
+            self.disowned[replica_id] = replica
+        detail = {"replica": replica_id, "was_listed": replica is not None, "reason": why}
+        logger.error("fact rejected", extra={**fields, **detail})
 
     def _take_configuration(self, configuration: Configuration, fields: dict[str, object]) -> None:
         held = self.configuration
@@ -206,12 +236,20 @@
         held = self.replicas.get(replica.id)
         self.replicas[replica.id] = replica
         self.lapsed_at.pop(replica.id, None)
-        if held is None or (held.draining, held.loaded) != (replica.draining, replica.loaded):
+        self.disowned.pop(replica.id, None)
+        self._foreign.pop(replica.id, None)
+        if held is None or _standing(held) != _standing(replica):
             detail = {
                 "replica": replica.id,
                 "service": replica.service,
                 "address": str(replica.address),
                 "draining": replica.draining,
                 "loaded": {m.model: m.version for m in replica.loaded},
+                "started_ms": replica.started_ms,
             }
             logger.info("replica listed", extra={**fields, **detail})
+
+
+def _standing(replica: Replica) -> tuple[bool, tuple[LoadedModel, ...], int | None]:
+    """Return what of an entry is worth a line when it changes."""
+    return replica.draining, replica.loaded, replica.started_ms
--- a/libs/gateway/src/headcross_gateway/connections.py
+++ b/libs/gateway/src/headcross_gateway/connections.py
@@ -30,6 +30,7 @@
     def __init__(self) -> None:
         self.opened = 0
         self._idle: dict[Address, list[_Idle]] = {}
+        self._forgotten: list[_Idle] = []
 
     async def take(self, address: Address, *, fresh: bool) -> HttpConnection:
         """Return a connection; with `fresh`, one that has never carried a request.
@@ -52,8 +53,17 @@
             return
         idle.append(_Idle(connection, trio.current_time() + seconds))
 
+    def forget(self, address: Address) -> None:
+        """Use no idle connection to an address any more: what was at their other end has ended.
+
+        Where that machine lost its power no end of the connection ever comes.
+        """
+        self._forgotten += self._idle.pop(address, [])
+
     async def close_expired(self) -> None:
-        """Close what has been idle for too long, and forget addresses without connections."""
+        """Close what has been idle for too long, or is of no use, and forget idle addresses."""
+        while self._forgotten:
+            await self._forgotten.pop().connection.close()
         now = trio.current_time()
         for address, idle in list(self._idle.items()):
             expired = [entry for entry in idle if entry.until <= now]
--- a/libs/gateway/src/headcross_gateway/directory.py
+++ b/libs/gateway/src/headcross_gateway/directory.py
@@ -50,20 +50,31 @@
         self._by_service: dict[str, list[ReplicaState]] = {}
         self._by_address: dict[str, ReplicaState] = {}
 
-    def update(self) -> None:
-        """Take the list of replicas as it is now."""
+    def update(self) -> list[Address]:
+        """Take the list of replicas as it is now; return where another incarnation has begun.
+
+        Nothing that is known of an earlier incarnation holds for a later one, and what waits to be
+        sent to the earlier one is not sent any more.
+        """
         listed = self._facts.replicas
         for replica_id in set(self._states) - set(listed):
             if not self._keep_lapsed(self._states[replica_id]):
-                del self._states[replica_id]
+                self._states.pop(replica_id).gone = True
+        begun: list[Address] = []
         for replica in listed.values():
             state = self._states.get(replica.id)
+            if state is not None and replica.incarnation.is_other_than(state.replica.incarnation):
+                state.gone = True
+                begun.append(replica.address)
+                logger.info("incarnation begun", extra=_change_of(state.replica, replica))
+                state = None
             if state is None:
                 self._states[replica.id] = ReplicaState(replica, own_share=1 / self.entries)
             else:
                 state.replica = replica
                 state.lapsed_until = None
         self._index()
+        return begun
 
     def _keep_lapsed(self, state: ReplicaState) -> bool:
         """Tell whether a replica that is not listed any more is kept for a moment."""
@@ -96,6 +107,11 @@
             state.own_share = 1 / max(1, load.listeners)
         return state
 
+    def hears_most_daemons(self) -> bool:
+        """Tell whether at least half of the subset's daemons were heard, or there are none."""
+        states = [state for state in self._with_daemons() if state.in_subset]
+        return 2 * sum(state.told is not None for state in states) >= len(states)
+
     def choose_subset(self) -> None:
         """Choose anew which replicas to keep informed of, from what is known now."""
         states = self._with_daemons()
@@ -152,3 +168,7 @@
             self._by_address[str(state.replica.address)] = state
             if not state.replica.draining:
                 self._by_service.setdefault(state.replica.service, []).append(state)
+
+
+def _change_of(before: Replica, now: Replica) -> dict[str, object]:
+    return {"replica": now.id, "before_ms": before.started_ms, "started_ms": now.started_ms}
--- a/libs/gateway/src/headcross_gateway/replicastate.py
+++ b/libs/gateway/src/headcross_gateway/replicastate.py
@@ -9,7 +9,7 @@
 from typing import Final
 
 from headcross_base.clocks import monotonic
-from headcross_ports.published import Replica
+from headcross_ports.published import Incarnation, Replica
 from headcross_wire.peermessages import ReplicaLoad
 
 from headcross_gateway.health import Health
@@ -174,9 +174,23 @@
             return not self.health.answered_within(LAPSED_ANSWERED_SECONDS)
         return self.told_age() > LAPSED_TOLD_SECONDS or not self.told.load.reachable
 
+    def is_between_lives(self) -> bool:
+        """Tell whether the list and its daemon speak of different incarnations.
+
+        Which is the later one is not known then, nor whether that one holds any weights: it begins
+        without, and the list and the daemon agree within a second or two.
+        """
+        load = self.fresh_load()
+        if load is None:
+            return False
+        told = Incarnation(self.replica.id, load.started_ms)
+        return told.is_other_than(self.replica.incarnation)
+
     def takes_nothing(self) -> bool:
-        """Tell whether it must be sent nothing new: it leaves, is gone, or is about to load."""
-        return self.replica.draining or self.is_gone() or self.told_leaving()
+        """Tell whether it must be sent nothing new: it leaves, is gone, loads, or begins anew."""
+        if self.replica.draining or self.is_gone() or self.told_leaving():
+            return True
+        return self.is_between_lives()
 
     def seems_alive(self) -> bool:
         """Tell whether it and its daemon answer, as far as this entry has heard."""
--- a/libs/ports/src/headcross_ports/published.py
+++ b/libs/ports/src/headcross_ports/published.py
@@ -30,6 +30,8 @@
     key: str
     revision: int  # of its last change
     value: bytes | None  # None: the item is gone
+    # Why the value could not be read from the store's answer; empty if it could.
+    problem: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -69,17 +71,50 @@
     version: int
 
 
+@dataclass(frozen=True, slots=True)
+class Incarnation:
+    """One life of a replica, which begins with nothing of the lives before it.
+
+    A replica may start again under the id that it had. Which of two lives is the later one follows
+    from the order in which the list, or the replica's daemon, tells them: clocks are set back.
+    """
+
+    id: str
+    # Unix milliseconds of its start; None where it is not told, and the id alone counts.
+    started_ms: int | None
+
+    def is_other_than(self, other: "Incarnation") -> bool:
+        """Tell whether two lives are known to differ.
+
+        >>> Incarnation("i", 1).is_other_than(Incarnation("i", 2))
+        True
+        >>> Incarnation("i", 1).is_other_than(Incarnation("i", None))
+        False
+        """
+        if self.id != other.id:
+            return True
+        if self.started_ms is None or other.started_ms is None:
+            return False
+        return self.started_ms != other.started_ms
+
+
 @dataclass(frozen=True, slots=True)
 class Replica:
     """One entry of the list of replicas; the list lags."""
 
-    id: str  # of this incarnation
+    id: str
     service: str
     address: Address
     zone: str
     slots: int  # requests it works on at once
     draining: bool
     loaded: tuple[LoadedModel, ...] = ()
+    started_ms: int | None = None  # Unix milliseconds of its start, if it tells that
+
+    @property
+    def incarnation(self) -> Incarnation:
+        """The life of which the entry speaks."""
+        return Incarnation(self.id, self.started_ms)
 
 
 Fact = Configuration | NamedVersion | Replica
@@ -103,6 +138,9 @@
     def covers(self, topic: Topic, key: str) -> bool:
         """Tell whether the item of a key belongs to a topic."""
 
+    def replica_id(self, key: str) -> str | None:
+        """Return the id of the replica whose entry lies under a key, None for another key."""
+
     def decode(self, item: Item) -> Ok[Fact | None] | Failure:
         """Return what an item says, None for an item that does not concern the product."""
 
--- a/libs/ports/src/headcross_ports/replicas.py
+++ b/libs/ports/src/headcross_ports/replicas.py
@@ -21,6 +21,7 @@
     memory_used: int  # tokens
     memory_total: int  # tokens
     pace: float  # above 1: slower than it should be
+    started_ms: int | None = None  # Unix milliseconds of its start, if it tells that
 
 
 @dataclass(frozen=True, slots=True)
@@ -53,12 +54,13 @@
         """Put a chunk beside it, over whatever was there."""
 
     async def start(
-        self, model: str, version: int, expected_sequence: int, *, break_off: bool
+        self, model: str, version: int, expected: ReplicaReport, *, break_off: bool
     ) -> Ok[OrderTaken | OrderRefused] | Failure:
         """Order it to load what is staged; it takes no requests meanwhile.
 
-        It loads after the requests that it runs, or at once, breaking them off. A failure means
-        that nobody knows whether the order was taken.
+        The order counts only for the life and the number of orders that `expected` tells. The
+        replica loads after the requests that it runs, or at once, breaking them off. A failure
+        means that nobody knows whether the order was taken.
         """
 
 
--- a/libs/renewal/src/headcross_renewal/loading.py
+++ b/libs/renewal/src/headcross_renewal/loading.py
@@ -131,9 +131,10 @@
         break_off = self._may_break_off(goal)
         if break_off:
             await self._drain(goal)
+        verified = self._reporter.report
         await self._verify(staging, stored)
         try:
-            await self._order(goal, break_off)
+            await self._order(goal, verified, break_off)
         finally:
             self._reporter.leaving = False
 
@@ -194,13 +195,24 @@
         # The last group loads at the latest when entries leave the old version.
         return named.seen_at + self._bound - LEAVE_SECONDS
 
-    async def _order(self, goal: LoadedModel, break_off: bool) -> None:
+    async def _order(
+        self, goal: LoadedModel, verified: ReplicaReport | None, break_off: bool
+    ) -> None:
+        """Give the order to the life of the replica beside which the chunks were verified."""
         self._leave()
         pauses = self._pauses.check()
         report = await self._reporter.refresh()
         if report is None or self.holds(goal) or report.busy_loading:
             await trio.sleep(LOADING_CHECK_SECONDS)
             return
+        if verified is None or verified.started_ms != report.started_ms:
+            # What was verified lay beside an earlier life; the next round verifies anew.
+            logger.warning("replica started again", extra={"goal": weights_name(goal)})
+            return
+        if self._is_disowned():
+            logger.warning("entry names no replica, order withheld", extra={"to": self._address})
+            await trio.sleep(RETRY_SECONDS)
+            return
         if report.loaded:
             await trio.sleep(NOTICE_SECONDS)
         if self._pauses.check() != pauses:
@@ -211,12 +223,15 @@
         else:
             await trio.sleep(RETRY_SECONDS)
 
+    def _is_disowned(self) -> bool:
+        """Tell whether the entry of the replica beside this daemon is another writer's now."""
+        disowned = self._facts.disowned.values()
+        return any(str(replica.address) == self._address for replica in disowned)
+
     async def _give_order(self, goal: LoadedModel, report: ReplicaReport, break_off: bool) -> bool:
         """Give the order; return False if it was refused."""
         self.orders += 1
-        outcome = await self._replica.start(
-            goal.model, goal.version, report.order_sequence, break_off=break_off
-        )
+        outcome = await self._replica.start(goal.model, goal.version, report, break_off=break_off)
         fields = {
             "goal": weights_name(goal),
             "sequence": report.order_sequence,
@@ -243,6 +258,7 @@
                 logger.info("version loaded", extra={"goal": weights_name(goal)})
                 return
             if report is not None and not report.loaded and not report.busy_loading:
+                # It refused after all, or another life of it has begun.
                 logger.warning("replica lost its order", extra={"goal": weights_name(goal)})
                 return
             await trio.sleep(LOADING_CHECK_SECONDS)
--- a/libs/renewal/src/headcross_renewal/reporting.py
+++ b/libs/renewal/src/headcross_renewal/reporting.py
@@ -81,6 +81,8 @@
             self.answered = True
             if before is None:
                 logger.info("replica regained", extra=self._describe(outcome.value))
+            elif before.started_ms != outcome.value.started_ms:
+                logger.warning("replica started again", extra=self._describe(outcome.value))
         changed = _essence(before) != _essence(self.report)
         if changed:
             self._changed.set()
@@ -166,6 +168,7 @@
             pace=report.pace,
             listeners=len(self._listeners),
             named=self._named(),
+            started_ms=report.started_ms,
         )
 
     @staticmethod
@@ -174,6 +177,7 @@
             "loaded": {loaded.model: loaded.version for loaded in report.loaded},
             "busy": report.busy_loading,
             "orders": report.order_sequence,
+            "started_ms": report.started_ms,
         }
 
 
@@ -189,4 +193,4 @@
 def _essence(report: ReplicaReport | None) -> object:
     if report is None:
         return None
-    return report.loaded, report.busy_loading, report.order_sequence
+    return report.loaded, report.busy_loading, report.order_sequence, report.started_ms
--- a/libs/wire/src/headcross_wire/httpclient.py
+++ b/libs/wire/src/headcross_wire/httpclient.py
@@ -225,7 +225,7 @@
     if connection is not None:
         try:
             with trio.fail_after(seconds):
-                answer = await _exchange(connection, method, target, [], body, max_bytes)
+                answer = await exchange(connection, method, target, [], body, max_bytes)
         except (LinkLostError, trio.TooSlowError, trio.Cancelled) as error:
             await connection.close()
             if isinstance(error, trio.Cancelled):
@@ -237,7 +237,7 @@
         with trio.fail_after(seconds):
             connection = await connect(address)
             try:
-                answer = await _exchange(connection, method, target, [], body, max_bytes)
+                answer = await exchange(connection, method, target, [], body, max_bytes)
             except BaseException:
                 await connection.close()
                 raise
@@ -251,7 +251,7 @@
     return Ok(answer)
 
 
-async def _exchange(
+async def exchange(
     connection: HttpConnection,
     method: str,
     target: str,
@@ -260,7 +260,10 @@
     max_bytes: int,
     on_progress: Callable[[], None] | None = None,
 ) -> WholeAnswer:
-    """Send a request and read its whole answer; raise LinkLostError if that breaks."""
+    """Send a request on a connection and read its whole answer; raise LinkLostError if it breaks.
+
+    `on_progress` is called with each piece of the body.
+    """
     await connection.send(method, target, headers, body)
     answer = await connection.receive_answer()
     data = bytearray()
@@ -298,7 +301,7 @@
                     scope.deadline = trio.current_time() + silence_seconds
 
             async with closing(await connect(address)) as connection:
-                answer = await _exchange(
+                answer = await exchange(
                     connection, method, target, headers or [], body, max_bytes, note_progress
                 )
                 return Ok(answer)
--- a/libs/wire/src/headcross_wire/peermessages.py
+++ b/libs/wire/src/headcross_wire/peermessages.py
@@ -285,6 +285,8 @@
     named: list[NamedVersionNews] = []  # versions named lately
     # `sent_ms` of the newest subscription that has come from the process that is told this.
     subscribed_ms: int = 0
+    # When the life of the replica that this speaks of began, Unix milliseconds; None: not told.
+    started_ms: int | None = None
 
 
 class RefusedNews(_Message, frozen=True, tag=49):
--- a/testing/machines.py
+++ b/testing/machines.py
@@ -70,6 +70,8 @@
     zone: str
     service: str
     scope: trio.CancelScope = field(default_factory=trio.CancelScope)
+    ended: trio.Event = field(default_factory=trio.Event)
+    writes_entry: bool = True  # whether it keeps its entry in the list as it is now
 
     @property
     def address(self) -> Address:
@@ -159,6 +161,7 @@
     async def start_replica(self, listed: ListedReplica) -> None:
         """Listen for a replica and keep its entry in the list."""
         listed.scope = trio.CancelScope()
+        listed.ended = trio.Event()
         private = self.private(listed.address)
         listeners = await trio.open_tcp_listeners(private.port, host=private.ip)
 
@@ -171,6 +174,7 @@
                     await self._keep_listed(listed)
             for listener in listeners:
                 listener.socket.close()
+            listed.ended.set()
 
         self.nursery.start_soon(run)
 
@@ -188,6 +192,7 @@
             names.COLD_MS: 0,
             "models": loaded,
             "seq": 1,
+            names.STARTED_MS: replica.started_ms,
         }
         self.store.put(f"{names.REPLICA_PREFIX}{replica.id}", entry)
 
@@ -195,6 +200,13 @@
         """End a replica without a word; its entry stays."""
         listed.scope.cancel()
 
+    async def restart_replica(self, listed: ListedReplica, clock_step_ms: int = 0) -> None:
+        """Crash a replica and start it again at once under the id that it had."""
+        self.crash_replica(listed)
+        await listed.ended.wait()
+        listed.replica.start_again(clock_step_ms)
+        await self.start_replica(listed)
+
     def unlist(self, listed: ListedReplica) -> None:
         """Remove a replica's entry."""
         self.store.remove(f"{names.REPLICA_PREFIX}{listed.replica.id}")
@@ -203,8 +215,9 @@
         before: object = None
         while True:
             listed.replica.settle()
-            state = (listed.replica.version, listed.replica.draining)
-            if state != before:
+            replica = listed.replica
+            state = (replica.version, replica.draining, replica.started_ms)
+            if state != before and listed.writes_entry:
                 before = state
                 self.list_replica(listed)
             await trio.sleep(self.listing_seconds)
--- a/testing/platformreplica.py
+++ b/testing/platformreplica.py
@@ -7,6 +7,7 @@
 
 import hashlib
 import itertools
+import time
 from collections import deque
 from dataclasses import dataclass, field
 from enum import Enum
@@ -107,6 +108,8 @@
     serves_draining: bool = False  # takes requests also while it leaves
     names_versions: bool = False  # each event ends with the version of the weights
     orders: int = 0
+    # Unix milliseconds of the start of this life.
+    started_ms: int = field(default_factory=lambda: int(time.time() * 1000))
     staged: dict[int, bytes] = field(default_factory=dict)
     loads: list[tuple[int, list[str]]] = field(default_factory=list)  # version, chunk digests
 
@@ -169,6 +172,7 @@
             "active": self.active,
             "kv_used": 0,
             "kv_total": 1000,
+            names.STARTED_MS: self.started_ms,
         }
 
     def _take_order(self, order: dict[str, object]) -> bytes:
@@ -184,6 +188,16 @@
         self.loading_version = version
         return json_bytes(202, {})
 
+    def start_again(self, clock_step_ms: int = 0) -> None:
+        """Begin another life under the same id, which knows nothing of the one before."""
+        self.started_ms = max(int(time.time() * 1000), self.started_ms + 1) + clock_step_ms
+        self.version = 0
+        self.orders = 0
+        self.active = 0
+        self.loading = False
+        self.staged = {}
+        self.faults.clear()
+
     def settle(self) -> None:
         """Finish a load whose time has come and that no request holds up."""
         if self.loading and not self.active and trio.current_time() >= self.load_due:
--- /dev/null
+++ b/tests/test_foreign_entries.py
@@ -0,0 +1,226 @@
+"""Entries of another writer name no replica; the others hold, whatever order they come in."""
+
+import base64
+import logging
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import pytest
+import trio
+from headcross_base.addresses import Address
+from headcross_base.errors import Failure, Ok
+from headcross_facts.facts import Facts
+from headcross_gateway.directory import Directory
+from headcross_platform import names, store
+from headcross_platform.documents import MAX_VALUE_BYTES, decode
+from headcross_platform.store import MetadataStore
+from headcross_ports.published import Changes, Item, Listing, Replica, Topic
+from headcross_wire.httpclient import WholeAnswer
+from hypothesis import given
+from hypothesis import strategies as st
+
+from testing.machinecaller import ask
+from testing.machinelayout import PLAIN_SERVICE
+from testing.machines import replicas_of, small_site
+
+WAIT_SECONDS = 15.0
+GOOD: dict[str, Any] = {
+    "service": "lm",
+    "addr": "10.0.0.1:80",
+    "zone": "z",
+    "version": "v1",
+    "slots": 8,
+    "state": "ready",
+    "cold_left_ms": 0,
+    "seq": 4,
+    "stage": "colocated",
+    "models": [{"name": "m", "version": 2, "adapters": []}],
+    "born": 1764720000000,
+}
+# What a good entry may lack: plain services have no weights, and earlier platforms tell no start.
+OPTIONAL = {"stage", "models", "born"}
+JSON = st.recursive(
+    st.none() | st.booleans() | st.integers(-3, 70000) | st.floats(0, 9) | st.text(max_size=5),
+    lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.text(max_size=4), inner),
+    max_leaves=5,
+)
+
+
+def entry(**changes: object) -> bytes:
+    """Return a good entry with some fields changed; `...` leaves one out."""
+    fields = {name: value for name, value in {**GOOD, **changes}.items() if value is not ...}
+    return msgspec.json.encode(fields)
+
+
+def item(key: str, revision: int, value: bytes | None) -> Item:
+    """Return an item of the list."""
+    return Item(f"{names.REPLICA_PREFIX}{key}", revision, value)
+
+
+def knowing(*items: Item) -> Facts:
+    """Return facts that hold a listing."""
+    facts = Facts(MetadataStore(Address("127.0.0.1", 1)))
+    revision = max((i.revision for i in items), default=1)
+    facts.take_listing(Topic.REPLICAS, Listing(items, revision), 0.0, "store")
+    return facts
+
+
+FOREIGN: dict[str, bytes] = {
+    "no text": b"\xff\xfe\x00",
+    "no document": b"[]",
+    "no address": entry(addr=...),
+    "no seq": entry(seq=...),
+    "no time until warm": entry(cold_left_ms=...),
+    "slots a text": entry(slots="8"),
+    "zone a number": entry(zone=3),
+    "seq a text": entry(seq="4"),
+    "start a text": entry(born="1764720000000"),
+    "start null": entry(born=None),
+    "start half a millisecond": entry(born=1764720000000.5),
+    "another state": entry(state="paused"),
+    "address a name": entry(addr="replica:80"),
+    "models a text": entry(models="m"),
+    "too large": entry(note="x" * MAX_VALUE_BYTES),
+}
+
+
+@pytest.mark.parametrize("value", FOREIGN.values(), ids=FOREIGN.keys())
+def test_an_entry_that_is_not_whole_takes_the_replica_out_and_a_good_one_brings_it_back(
+    value: bytes, caplog: pytest.LogCaptureFixture
+) -> None:
+    facts = knowing(item("i-1", 5, entry()), item("i-2", 6, entry(addr="10.0.0.2:80")))
+    directory = Directory(facts)
+    directory.update()
+    before = directory.serving("lm")[0]
+    with caplog.at_level(logging.INFO):
+        for revision in (7, 8, 9):  # written again with every heartbeat
+            facts.take_changes(Topic.REPLICAS, Changes((item("i-1", revision, value),), revision))
+    directory.update()
+    assert set(facts.replicas) == {"i-2"} and before.gone
+    assert [state.replica.id for state in directory.serving("lm")] == ["i-2"]
+    assert set(facts.disowned) == {"i-1"}
+    lines = [r for r in caplog.records if r.message == "fact rejected"]
+    assert len(lines) == 1 and facts.counts["rejected"] == 3
+    facts.take_changes(Topic.REPLICAS, Changes((item("i-1", 10, entry()),), 10))
+    directory.update()
+    assert set(facts.replicas) == {"i-1", "i-2"} and not facts.disowned
+    assert not directory.serving("lm")[0].gone
+
+
+def test_an_unknown_field_is_passed_over() -> None:
+    outcome = decode(item("i-1", 1, entry(colour="red")))
+    assert isinstance(outcome, Ok) and isinstance(outcome.value, Replica)
+
+
+@pytest.mark.parametrize("key", ["", "a/b", "i-1/"])
+def test_keys_of_another_shape_name_nothing_and_take_nothing_away(key: str) -> None:
+    facts = knowing(item("b", 1, entry()), item("i-1", 2, entry()))
+    for revision, value in ((3, entry()), (4, b"junk"), (5, None)):
+        facts.take_changes(Topic.REPLICAS, Changes((item(key, revision, value),), revision))
+        assert set(facts.replicas) == {"b", "i-1"}
+
+
+def test_one_value_that_cannot_be_read_costs_itself_alone() -> None:
+    """While it stayed, no listing of its topic could succeed."""
+    good = {"key": "servers/i-2", "revision": 2, "value": base64.b64encode(entry()).decode()}
+    bad = [
+        {"key": "servers/i-1", "revision": 7, "value": "no base64!"},
+        {"key": "servers/i-3", "revision": 7, "value": 5},
+        {"key": 9, "revision": 7, "value": ""},
+        "no item",
+    ]
+    body = msgspec.json.encode({"items": [bad[0], good, *bad[1:]], "at": 8, "more": False})
+    outcome = store._decode_range(WholeAnswer(200, [], body))
+    assert not isinstance(outcome, Failure)
+    facts = knowing(item("i-1", 1, entry()))
+    facts.take_listing(Topic.REPLICAS, Listing(outcome.value.items, 8), 0.0, "store")
+    assert set(facts.replicas) == {"i-2"} and set(facts.disowned) == {"i-1"}
+
+
+@st.composite
+def entries(draw: st.DrawFn) -> tuple[bytes | None, bool]:
+    """Draw what lies under a key, and whether it is a whole entry."""
+    kind = draw(st.sampled_from(["good", "gone", "bytes", "document", "lacking", "mutated"]))
+    match kind:
+        case "good":
+            return entry(slots=draw(st.integers(1, 9))), True
+        case "gone":
+            return None, False
+        case "bytes":
+            return b"\xff" + draw(st.binary(max_size=20)), False
+        case "document":
+            return msgspec.json.encode([draw(JSON)]), False
+        case "lacking":
+            field = draw(st.sampled_from(sorted(set(GOOD) - OPTIONAL)))
+            return entry(**{field: ...}), False
+    field = draw(st.sampled_from(sorted(GOOD)))
+    wrong = [draw(JSON)]  # no field of a good entry is a list of that
+    return entry(**{field: wrong if field != "models" else "m"}), False
+
+
+@given(
+    st.lists(st.tuples(st.sampled_from(["i-1", "i-2", "i-3"]), entries()), max_size=10),
+    st.randoms(use_true_random=False),
+)
+def test_a_replica_is_named_exactly_while_its_newest_entry_is_whole(
+    history: list[tuple[str, tuple[bytes | None, bool]]], order: Any  # noqa: ANN401
+) -> None:
+    """Through watches, listings and other processes' word, in whatever order they arrive."""
+    items = [item(key, revision, value) for revision, (key, (value, _)) in enumerate(history, 2)]
+    newest = {key: whole for key, (_, whole) in history}
+    named = {key for key, whole in newest.items() if whole}
+    last = len(items) + 1
+    watched = knowing()
+    for change in items:
+        watched.take_changes(Topic.REPLICAS, Changes((change,), change.revision))
+    at_once = knowing()
+    shuffled = list(items)
+    order.shuffle(shuffled)
+    at_once.take_changes(Topic.REPLICAS, Changes(tuple(shuffled), last))
+    # Another process tells its items as it read them, values that it could not read as well.
+    told = knowing()
+    mirrored = tuple(watched.topics[Topic.REPLICAS].items.values())
+    told.take_listing(Topic.REPLICAS, Listing(mirrored, last), 0.0, "peer")
+    late = items[: len(items) // 2]
+    told.take_listing(Topic.REPLICAS, Listing(tuple(late), 1 + len(late)), 0.0, "peer")
+    assert set(watched.replicas) == set(at_once.replicas) == set(told.replicas) == named
+
+
+@given(JSON)
+def test_no_document_raises(document: object) -> None:
+    value = msgspec.json.encode(document)
+    for key in (names.CONFIGURATION_KEY, "op/version/m", "servers/i-1", "servers/", "other"):
+        decode(Item(key, 1, value))
+
+
+async def test_a_request_under_way_goes_on_where_the_entry_becomes_another_writers(
+    tmp_path: Path,
+) -> None:
+    async with small_site(tmp_path, models=0, plain=1) as site:
+        (replica,) = replicas_of(site, PLAIN_SERVICE)
+        replica.service_seconds = 1.0
+        key = f"{names.REPLICA_PREFIX}{replica.id}"
+        good = site.store.items[key].value
+        async with trio.open_nursery() as nursery:
+            statuses: list[int] = []
+
+            async def call() -> None:
+                statuses.append((await ask(site.callers("entry0"), "/once/x")).status)
+
+            nursery.start_soon(call)
+            with trio.fail_after(WAIT_SECONDS):
+                while not replica.active:
+                    await trio.sleep(0.01)
+            site.store.put(key, b"another writer's")
+            with trio.fail_after(WAIT_SECONDS):
+                while (await site.state("entry0"))["replica_states"]:
+                    await trio.sleep(0.01)
+            arrivals = replica.arrivals
+            assert (await ask(site.callers("entry0"), "/once/y")).status == 503
+            assert replica.arrivals == arrivals and replica.active == 1
+        assert statuses == [200]
+        site.store.put(key, good)
+        with trio.fail_after(WAIT_SECONDS):
+            while (await ask(site.callers("entry0"), "/again/x")).status != 200:
+                await trio.sleep(0.05)
--- a/tests/test_gateway_subsetting.py
+++ b/tests/test_gateway_subsetting.py
@@ -178,3 +178,13 @@
     shuffled = generator.sample(daemons, count)
     told = [*every_other(daemons, first), *every_other(shuffled, first + 1)]
     assert sorted(told) == sorted(daemons)
+
+
+def test_an_entry_hears_most_daemons_once_half_of_its_subset_has_spoken() -> None:
+    assert directory_of([]).hears_most_daemons()  # there are none
+    replicas = fleet(zones=1, in_each=4)
+    directory = directory_of(replicas)
+    for replica, expected in zip(replicas, (False, True, True, True), strict=True):
+        word = ReplicaLoad(str(replica.address), 1, True, False, {}, 0, 0, 0.0, 1.0, 1)
+        directory.hear(word)
+        assert directory.hears_most_daemons() is expected
--- a/tests/test_machine_facts.py
+++ b/tests/test_machine_facts.py
@@ -287,6 +287,10 @@
         """Have no keys."""
         return False
 
+    def replica_id(self, key: str) -> str | None:
+        """Have no replicas."""
+        return None
+
     def decode(self, item: Item) -> Ok[Fact | None] | Failure:
         """Know nothing."""
         return Ok(None)
