--- a/libs/daemon/src/headcross_daemon/gatewayrole.py
+++ b/libs/daemon/src/headcross_daemon/gatewayrole.py
@@ -39,6 +39,7 @@
 from headcross_daemon.machinecommon import AdminPages, MachineProcess
 from headcross_daemon.machinesettings import MachineSettings
 from headcross_daemon.metrics import Samples, sample
+from headcross_daemon.readiness import Readiness
 
 if TYPE_CHECKING:
     from headcross_daemon.mirrorparts import MirrorParts
@@ -50,11 +51,6 @@
 PROOF_SECONDS: Final = 0.3
 PROOFS_AHEAD_SECONDS: Final = ENDING_SECONDS + 1.5
 HOUSEKEEPING_SECONDS: Final = 1.0
-# An entry that has just started calls itself ready when it has heard most daemons, and at the
-# latest so long after its facts are complete. The first subscription opens a link only and the
-# second comes 0.2 s later; a request that came before had been refused by two replicas that loaded
-# (0.9 s after a start). Daemons that started together with it may take longer.
-INFORMED_SECONDS: Final = 1.0
 # Refused callers come back after 0.4 s at the earliest, to another entry of the zone.
 OVERLOAD_SECONDS: Final = 0.2
 # Descriptors that are not connections of callers or to replicas.
@@ -115,10 +111,9 @@
             registry=self._pages.metrics.registry,
         )
         self._server = HttpServer(self._path.handle, self._limits())
-        self._stopping = False
-        # Whether loads are known, or need not be waited for any longer, once facts are complete.
-        self._informed = False
-        self._complete_since: float | None = None
+        self._readiness = Readiness(
+            lambda: self.process.facts.complete, self._directory.hears_most_daemons
+        )
         # Rounds of telling others that this entry mirrors weights.
         self._announcements = 0
         # How many entries there are, as far as this one can tell.
@@ -210,19 +205,7 @@
         await exchange.respond_json(200 if ready else 503, {"ready": ready})
 
     def _ready(self) -> bool:
-        return self.process.facts.complete and self._is_informed() and not self._stopping
-
-    def _is_informed(self) -> bool:
-        """Tell whether this entry has heard most daemons once, or waited for them long enough.
-
-        Before that it knows neither loads nor which replicas are about to load new weights.
-        """
-        if self._informed or not self.process.facts.complete:
-            return self._informed
-        since = self._complete_since
-        waited = since is not None and trio.current_time() - since >= INFORMED_SECONDS
-        self._informed = waited or self._directory.hears_most_daemons()
-        return self._informed
+        return self._readiness.is_ready(trio.current_time())
 
     def _limits(self) -> ServerLimits:
         """Return what the configuration in force lets callers do."""
@@ -244,7 +227,7 @@
 
     async def _drain(self, accepting: trio.CancelScope) -> None:
         """Say so, still serve who comes, let what runs end."""
-        self._stopping = True
+        self._readiness.stop()
         self._server.sends_callers_away = True
         logger.info("stopping", extra={"in_flight": self._path.in_flight})
         limit = self.process.settings.bounds.stop_seconds - STOP_MARGIN_SECONDS
@@ -267,8 +250,7 @@
         self._directory.entries = len(self.process.known_entries()) + 1
         self._update_directory()
         self._directory.choose_subset()
-        if self.process.facts.complete and self._complete_since is None:
-            self._complete_since = trio.current_time()
+        self._ready()  # the wait for daemons begins when facts are complete
         self._server.limits = self._limits()
         configuration = self.process.facts.configuration
         if configuration is not None:
@@ -354,7 +336,7 @@
 
         All hosts of a transfer must go by the same order of mirrors.
         """
-        message = mirror.announcement(self._stopping)
+        message = mirror.announcement(self._readiness.is_stopping)
         if message is None:
             return
         self._announcements += 1
@@ -367,7 +349,7 @@
         sent_ms = now_ms() if self._rules.any_ends_within(PROOFS_AHEAD_SECONDS) else 0
         if self._mirror is not None:
             return self._mirror.subscriptions(
-                daemons, self._entries, self._stopping, plan, sent_ms
+                daemons, self._entries, self._readiness.is_stopping, plan, sent_ms
             )
         host = self.process.settings.host
         return [Subscribe(host, plan=plan, sent_ms=sent_ms)] * len(daemons)
--- a/libs/facts/src/headcross_facts/peerfacts.py
+++ b/libs/facts/src/headcross_facts/peerfacts.py
@@ -39,7 +39,7 @@
 # Entries that are asked at a time how much they know. In the worst outage seen three of four knew
 # nothing; three rounds of four then reach the one that does.
 ENTRIES_ASKED: Final = 3
-# Another process is asked beside them when no entry has had fresh facts for so long, and the same
+# Another process is asked beside them when nobody has had fresh facts for so long, and the same
 # one for so long: one that only lists the topic lists it for this, on a narrow link.
 ENTRIES_SECONDS: Final = 0.9
 OTHER_SECONDS: Final = 3.0
@@ -59,7 +59,7 @@
 class _Search:
     """What a process does to learn of a topic from others (times monotonic)."""
 
-    # When an entry that the store serves was last heard from.
+    # When a process that the store serves was last heard from.
     fresh_at: float
     # A process other than an entry that is asked beside them, and until when.
     other: Address | None = None
