A stream that goes on near the bound on its weights needs a link that delivers, as a new one does

Cause: the checks that keep requests off such links shortly before the bound were made for new requests only. Ruled out: news of the version were late (new requests went elsewhere by then, by the rule itself). Now both kinds have to pass them; how full a replica may be still counts for new ones only. Test: fails before for a stream that goes on, passes after.

--- a/libs/gateway/src/headcross_gateway/picking.py
+++ b/libs/gateway/src/headcross_gateway/picking.py
@@ -90,20 +90,31 @@
         if service is not None and service.weights is not None and wish.model is not None:
             lowest = self._rules.lowest_allowed(wish.model)
             fitting = [s for s in fitting if _version_fits(s, wish, lowest)]
+            fitting = [s for s in fitting if self._begins_in_time(s, wish.model)]
             if wish.exact_version is None:
-                fitting = [s for s in fitting if self._starts_in_time(s, wish.model)]
+                fitting = [s for s in fitting if self._starts_soon(s, wish.model)]
         return fitting
 
-    def _starts_in_time(self, state: ReplicaState, model: str) -> bool:
-        """Tell whether a request would start soon, or its version need not be hurried."""
+    def _begins_in_time(self, state: ReplicaState, model: str) -> bool:
+        """Tell whether a request would begin before the bound on its version, as far as is known.
+
+        That holds for a stream that goes on as well: a full link kept one for 1.9 s and delivered
+        it after its withdrawal, 0.25 s past the bound.
+        """
         version = state.version_of(model)
         if version is None:
             return True
         if self._rules.is_ending(model, version) and not _link_is_trusted(state):
             return False
-        if state.waits.expected() > self._rules.seconds_to_begin(model, version):
-            return False  # it would be withdrawn
-        fullest = self._rules.fullest(model, version)
+        return state.waits.expected() <= self._rules.seconds_to_begin(model, version)
+
+    def _starts_soon(self, state: ReplicaState, model: str) -> bool:
+        """Tell whether a replica is known to be empty enough, or its version need not be hurried.
+
+        A stream that goes on is lost without a place, so it may wait where others may not.
+        """
+        version = state.version_of(model)
+        fullest = self._rules.fullest(model, version) if version is not None else None
         if fullest is None:
             return True
         known = state.told_age() < SOON_TOLD_SECONDS and not state.health.failures
--- a/tests/test_gateway_rules.py
+++ b/tests/test_gateway_rules.py
@@ -4,10 +4,17 @@
 
 import pytest
 from headcross_base.addresses import Address
+from headcross_base.clocks import monotonic
 from headcross_facts.facts import Facts, VersionNotice
+from headcross_gateway.directory import Directory
 from headcross_gateway.health import Health
-from headcross_gateway.weightsrules import WeightsRules
+from headcross_gateway.picking import Picker, Wish
+from headcross_gateway.replicastate import DELIVERED_SECONDS
+from headcross_gateway.weightsrules import ENDING_SECONDS, WeightsRules
 from headcross_platform.store import MetadataStore
+from headcross_ports.configuration import CallerLimits, Configuration, Service, WeightsLayout
+from headcross_ports.published import LoadedModel, Replica
+from headcross_wire.peermessages import ReplicaLoad
 
 
 def rules(notices: list[VersionNotice]) -> WeightsRules:
@@ -53,3 +60,39 @@
     assert health.resting_until - clock() > first - 10.0
     health.succeeded()
     assert not health.needs_trial()
+
+
+@pytest.mark.parametrize("exact", [None, 1])
+def test_near_the_bound_nothing_goes_over_a_link_that_has_not_shown_that_it_delivers(
+    exact: int | None,
+) -> None:
+    """Neither a new stream nor one that goes on.
+
+    A stream broke at its replica 1.9 s before the bound on its weights and was sent to another one
+    with the same weights, whose link was full. It was given up after 1.1 s of silence; the link
+    delivered it all the same and the replica began it 0.27 s past the bound. The moments are the
+    replica's and the entry's own; new streams were not sent over that link by then.
+    """
+    weights = rules([VersionNotice(2, monotonic() - 8.0 + ENDING_SECONDS - 0.1, False)])
+    service = Service("lm", 100, WeightsLayout(("m",), 1, 1))
+    configuration = Configuration(1, (), {"lm": service}, (), CallerLimits(1, 1, 1.0, 1.0))
+    facts = weights.facts
+    facts.configuration = configuration
+    address = Address("10.0.0.1", 80)
+    facts.replicas["i"] = Replica("i", "lm", address, "z", 8, False, (LoadedModel("m", 1),))
+    directory = Directory(facts, zone="z")
+    directory.update()
+    picker = Picker("z", directory, weights)
+    wish = Wish("lm", "m", exact, (), True)
+
+    def hear(subscribed_seconds_ago: float) -> None:
+        sent_ms = int((monotonic() - subscribed_seconds_ago) * 1000)
+        word = ReplicaLoad(
+            str(address), 1, True, False, {"m": 1}, 0, 0, 0.0, 1.0, 1, subscribed_ms=sent_ms
+        )
+        directory.hear(word)
+
+    hear(DELIVERED_SECONDS + 1.0)
+    assert picker.pick(wish, configuration) is None
+    hear(0.1)
+    assert picker.pick(wish, configuration) is not None
