A process keeps whole what an earlier one may have on order beside its replica

What callers saw: a daemon was killed while its order for a version had no answer, a chunk turned bad, and the replica took the order over 3 s later: it answered with weights that were not whole (1 chunk of 16 bad).

Cause: the later process left what lay there alone, since an order for it might be open, and so did not mend it. It went by the newest version only, without the digests of the one before. Evidence: between "started" and "orders counted" its log has no chunk read or put; the load has exactly the spoilt chunk bad.

Ruled out: that it mends too late (no such line or call); that the chunk was put bad (read back whole before the kill).

Change: until no order of an earlier process can be open, `Recovery` finds out by digests which version lies there, reads it back every 0.5 s and mends it from others or the origin; nothing else is put there meanwhile. The same holds where the same version is wanted, whose chunks were adopted once and then not looked at until the order.

Why it holds: an order can be open for the version that lies there only, and a chunk is bad for less than 3 s where its digests and bytes can be had. Before: red; after: "found beside the replica" and "staged chunks bad" 0.6 s after the start, load whole.

--- a/libs/renewal/src/headcross_renewal/fetching.py
+++ b/libs/renewal/src/headcross_renewal/fetching.py
@@ -84,6 +84,16 @@
             self._store.pin(self._place.host, self._pinned)
             await trio.sleep(NO_ROOM_SECONDS)
 
+    async def admit_beside(self, goal: LoadedModel) -> StoredArtifact | None:
+        """Return the place for a version that is not the goal; None if there is no room for it."""
+        manifest, body, digest = manifest_of(await self._book.obtain(goal))
+        self._store.pin(f"{self._place.host} beside", {digest})
+        admitted = self._store.admit(digest, manifest, body)
+        if isinstance(admitted, Failure):
+            logger.error("no memory for weights", extra={"reason": admitted.detail})
+            return None
+        return admitted.value
+
     async def fetch(self, goal: LoadedModel, stored: StoredArtifact) -> bool:
         """Fetch a version whole; return False if it cannot be had and an older one can."""
         artifact = Artifact(name=weights_name(goal), digest=stored.digest)
--- a/libs/renewal/src/headcross_renewal/indoubt.py
+++ b/libs/renewal/src/headcross_renewal/indoubt.py
@@ -7,6 +7,9 @@
 that of any number of repeated ones the replica takes one at most: once that number has changed,
 none of them can be taken any more.
 
+The same holds for what an earlier process of this daemon sent. It tells the later one nothing, so
+that goes by what lies beside the replica.
+
 Answers the load of versions that are named seconds apart while replicas answer late or not at all.
 """
 
@@ -16,9 +19,7 @@
 from headcross_ports.published import LoadedModel
 from headcross_ports.replicas import ReplicaReport
 
-# How long after it was sent something without an answer may still take effect. Eight orders
-# without an answer on one day reached their replicas 2.3 to 12.1 s late, going by which orders
-# came before and after them there; 3 s more are left.
+# How long after it was sent something without an answer may still take effect.
 LATE_SECONDS: Final = 15.0
 # An order goes only if the read-back of its chunks began so lately. Chunks turn bad at any time,
 # and one that is bad for 3 s must not be loaded; giving the order takes 1 s at most.
@@ -57,15 +58,39 @@
         self._sent_at: list[float] = []
         self._puts: dict[LoadedModel, float] = {}
         self._from_before_until = now + LATE_SECONDS
+        # Versions not loaded yet whose chunks lay beside the replica at the start.
+        self._lay_there: set[LoadedModel] = set()
+        self._kept_whole: LoadedModel | None = None
+
+    # What an earlier process sent.
+
+    @property
+    def ordered_before(self) -> LoadedModel | None:
+        """The only version that an earlier process may have on order; None if not known."""
+        return next(iter(self._lay_there)) if len(self._lay_there) == 1 else None
 
     def nothing_from_before(self) -> None:
         """Note that what lies beside the replica shows no order of an earlier process open."""
         self._from_before_until = float("-inf")
 
+    def found_from_before(self, goal: LoadedModel) -> None:
+        """Note that chunks of a version that is not loaded yet lay beside the replica.
+
+        An earlier process put nothing of another version there while it had this one on order. So
+        where chunks of two versions lie, it has none on order.
+        """
+        self._lay_there.add(goal)
+        if len(self._lay_there) > 1:
+            self.nothing_from_before()
+
     def awaits_earlier(self, now: float) -> bool:
         """Tell whether an order of an earlier process may be open, for all that is known."""
         return now < self._from_before_until
 
+    def keep_whole(self, goal: LoadedModel | None) -> None:
+        """Note that the chunks of a version are being kept whole for an earlier order, or None."""
+        self._kept_whole = goal
+
     # Orders.
 
     def sending(self, order: SentOrder, now: float) -> None:
@@ -115,6 +140,8 @@
         """Tell whether chunks of a version may be put beside the replica now."""
         if report is None or report.busy_loading:
             return False
-        if self.awaits_earlier(now):
+        if self.awaits_earlier(now) and self.ordered_before != goal:
+            return False
+        if self._kept_whole not in (None, goal):
             return False
         return self.order is None or self.order.goal == goal
--- /dev/null
+++ b/libs/renewal/src/headcross_renewal/recovery.py
@@ -0,0 +1,127 @@
+"""What an earlier process of this daemon left beside the replica, and may have on order there.
+
+A process that was killed may have had an order without an answer, which the replica takes seconds
+later with whatever lies beside it by then. Chunks may turn bad meanwhile, and one that has been
+bad for 3 s must not be loaded. So the later process finds out which version lies there, gets its
+digests and, where one is bad, its chunks from others or the origin, and keeps it whole until no
+order of an earlier process can be taken any more (see `indoubt`).
+"""
+
+import logging
+from typing import Final
+
+import trio
+from headcross_base.clocks import monotonic
+from headcross_facts.facts import Facts
+from headcross_ports.published import LoadedModel
+from headcross_ports.replicas import ReplicaControl, ReplicaReport
+from headcross_weights.chunkstore import StoredArtifact
+
+from headcross_renewal.fetching import Fetching
+from headcross_renewal.indoubt import InDoubt
+from headcross_renewal.reporting import Reporter
+from headcross_renewal.sources import weights_name
+from headcross_renewal.staging import Staging
+
+LOOK_SECONDS: Final = 0.5
+# Digests of a version that may lie beside the replica are waited for so long at a time.
+DIGESTS_SECONDS: Final = 0.7
+# Chunks that are bad beside the replica are waited for so long before it is read back again.
+FETCH_SECONDS: Final = 1.0
+
+logger = logging.getLogger(__name__)
+
+
+class Recovery:
+    """The first seconds of a process, as to what an earlier one may have on order."""
+
+    def __init__(
+        self,
+        facts: Facts,
+        replica: ReplicaControl,
+        reporter: Reporter,
+        fetching: Fetching,
+        in_doubt: InDoubt,
+    ) -> None:
+        self._facts = facts
+        self._replica = replica
+        self._reporter = reporter
+        self._fetching = fetching
+        self._in_doubt = in_doubt
+        self._first_report: ReplicaReport | None = None
+
+    async def run(self) -> None:
+        """Look and keep whole until no order of an earlier process can be open."""
+        while self._in_doubt.awaits_earlier(monotonic()):
+            await trio.sleep(LOOK_SECONDS)
+            report = self._reporter.report
+            if report is not None:
+                await self._look(report)
+
+    async def _look(self, report: ReplicaReport) -> None:
+        first = self._first_report = self._first_report or report
+        counted = (first.started_ms, first.order_sequence)
+        if report.busy_loading or counted != (report.started_ms, report.order_sequence):
+            # All that were open expect a number of orders that has passed, or another life.
+            self._in_doubt.nothing_from_before()
+            return
+        if self._in_doubt.ordered_before is None:
+            await self._identify(report)
+        goal = self._in_doubt.ordered_before
+        if goal is not None and self._in_doubt.awaits_earlier(monotonic()):
+            await self._keep_whole(goal)
+
+    async def _identify(self, report: ReplicaReport) -> None:
+        """Find out which version lies beside the replica.
+
+        Where chunks of the served version do, no other lies there whole, so none is on order.
+        """
+        for held in report.loaded:
+            if await self._adopt(held):
+                self._in_doubt.nothing_from_before()
+                return
+        for goal in self._candidates(report):
+            if await self._adopt(goal):
+                logger.info("found beside the replica", extra={"goal": weights_name(goal)})
+                self._in_doubt.found_from_before(goal)
+
+    def _candidates(self, report: ReplicaReport) -> list[LoadedModel]:
+        """Return the versions that an earlier process may have put there, newest first."""
+        held = {each.model: each.version for each in report.loaded}
+        found: list[LoadedModel] = []
+        for model, notices in self._facts.versions.items():
+            versions = {notice.version for notice in notices}
+            # The store tells the newest one only, and the one before it may have been wanted.
+            versions.add(max(versions) - 1)
+            newer = sorted(v for v in versions if v > held.get(model, 0))
+            found += [LoadedModel(model, version) for version in reversed(newer)]
+        return found
+
+    async def _adopt(self, goal: LoadedModel) -> int:
+        """Take the chunks of a version that lie beside the replica; return how many do."""
+        stored = await self._admit(goal)
+        return await self._staging(goal).adopt(stored) if stored is not None else 0
+
+    async def _admit(self, goal: LoadedModel) -> StoredArtifact | None:
+        """Return the place for a version, None without its digests or room for it."""
+        with trio.move_on_after(DIGESTS_SECONDS):
+            return await self._fetching.admit_beside(goal)
+        return None
+
+    async def _keep_whole(self, goal: LoadedModel) -> None:
+        """Read a version back, and put what is bad of it."""
+        stored = await self._admit(goal)
+        if stored is None:
+            return
+        if not stored.whole:
+            with trio.move_on_after(FETCH_SECONDS):
+                await self._fetching.fetch(goal, stored)
+        self._in_doubt.keep_whole(goal)
+        try:
+            if self._in_doubt.awaits_earlier(monotonic()):
+                await self._staging(goal).verify(stored)
+        finally:
+            self._in_doubt.keep_whole(None)
+
+    def _staging(self, goal: LoadedModel) -> Staging:
+        return Staging(goal, self._replica, self._in_doubt)
--- a/libs/renewal/src/headcross_renewal/renewer.py
+++ b/libs/renewal/src/headcross_renewal/renewer.py
@@ -13,7 +13,6 @@
 from typing import Final
 
 import trio
-from headcross_base.clocks import monotonic
 from headcross_base.errors import Failure
 from headcross_facts.facts import Facts
 from headcross_ports.published import LoadedModel
@@ -27,6 +26,7 @@
 from headcross_renewal.mirrors import has_loaded
 from headcross_renewal.orders import Orders
 from headcross_renewal.plan import PlanBook
+from headcross_renewal.recovery import Recovery
 from headcross_renewal.reporting import Reporter
 from headcross_renewal.sources import OriginSource, weights_name
 from headcross_renewal.staging import Staging
@@ -37,8 +37,6 @@
 # While digests cannot be had for so long, an older version goes first for a moment.
 DIGESTS_SECONDS: Final = 0.8
 STAGE_SECONDS: Final = 0.05
-# What lies beside the replica is looked at again this often while nothing shows whose it is.
-LOOK_SECONDS: Final = 0.5
 # Whether the link may be filled is looked at again this often.
 PACE_SECONDS: Final = 0.2
 # Digests that were settled so lately show that the origin answers. While each of 41 daemons asked
@@ -86,6 +84,7 @@
         self._set_link_use = set_link_use
         # Told whether a version is being brought here, which needs fresh news of other replicas.
         self._set_busy = set_busy
+        self._recovery = Recovery(facts, replica, reporter, fetching, orders.in_doubt)
         self._offered: set[LoadedModel] = set()
         # Set once all chunks of the version that is being fetched lie beside the replica.
         self._staged = trio.Event()
@@ -94,6 +93,7 @@
         """Renew until cancelled."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._orders.settle)
+            nursery.start_soon(self._recovery.run)
             await self._renew()
 
     async def _renew(self) -> None:
@@ -179,11 +179,12 @@
         # What lies beside the replica can only be of use to a process that does not know it yet.
         if not stored.whole and self._reporter.report is not None and not self._offered:
             adopted = await staging.adopt(stored)
+            if adopted:
+                self._orders.in_doubt.found_from_before(goal)
         self._enter("fetching", goal, adopted=adopted)
         self._staged = trio.Event()
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._keep_pace, goal)
-            nursery.start_soon(self._look_for_held)
             nursery.start_soon(self._stage_as_they_come, goal, staging, stored)
             nursery.start_soon(self._loading.drain_ahead, goal, stored)
             fetched = await self._fetching.fetch(goal, stored)
@@ -249,25 +250,11 @@
         with trio.move_on_after(OFFER_SECONDS):
             stored = await self._fetching.admit(held)
             adopted = await Staging(held, self._replica, self._orders.in_doubt).adopt(stored)
+            if adopted:
+                self._orders.in_doubt.nothing_from_before()
             self._offered.add(held)
             self._enter("offering", held, adopted=adopted, missing=len(stored.missing))
 
-    async def _look_for_held(self) -> None:
-        """Look until it is known whether chunks of the served version lie beside the replica.
-
-        Where they do, no other version does whole, so an earlier process has none on order. A
-        fleet that has just started, or was killed as a whole, would wait for that else when a
-        version is named: given up after 1 s, replicas of the demo had it 13.0 to 13.6 s after its
-        name (two runs), and 5.3 to 6.9 s with this (one run).
-        """
-        while self._orders.in_doubt.awaits_earlier(monotonic()):
-            report = self._reporter.report
-            if report is not None and report.loaded:
-                held, *_ = report.loaded
-                stored = await self._fetching.admit(held)
-                await Staging(held, self._replica, self._orders.in_doubt).adopt(stored)
-            await trio.sleep(LOOK_SECONDS)
-
     def _enter(self, step: str, goal: LoadedModel | None, **more: object) -> None:
         if step == self.step:
             return
--- a/libs/renewal/src/headcross_renewal/staging.py
+++ b/libs/renewal/src/headcross_renewal/staging.py
@@ -38,8 +38,7 @@
     async def adopt(self, stored: StoredArtifact) -> int:
         """Take those staged chunks that belong to a version; return how many did.
 
-        Where some do, or nothing lies there at all, an earlier process of this daemon has no order
-        of another version open: it would have put nothing of this one there.
+        Where a chunk is missing, an earlier process of this daemon has no order open.
         """
         held = await self._replica.staged_chunks(self._model)
         if isinstance(held, Failure):
@@ -51,8 +50,7 @@
                 break
             if data.value is not None and _is_chunk(stored, index, data.value):
                 adopted += isinstance(stored.add(index, data.value), Ok)
-                self._in_doubt.nothing_from_before()
-        if not held.value:
+        if len(held.value) < len(stored.places):
             self._in_doubt.nothing_from_before()
         return adopted
 
--- a/tests/test_beside_replica.py
+++ b/tests/test_beside_replica.py
@@ -183,7 +183,22 @@
 async def test_a_chunk_that_turned_bad_after_its_process_was_killed_is_not_loaded(
     tmp_path: Path,
 ) -> None:
-    """The later process has no copy of the version that the earlier one ordered."""
+    """A daemon was killed with its order in doubt; the replica takes it seconds later.
+
+    What happens: version 2 lies beside the replica, read back whole, and the order to load it has
+    no answer when its daemon is killed. A chunk turns bad. Version 3 is named, and the daemon
+    starts again. 3.5 s later the replica takes the order for version 2, with the bad chunk.
+
+    Why: the later process left alone what lay there, since an order for it might be open, and so
+    did not mend it either. It went by version 3 only and had no digests of version 2 to tell which
+    chunk was bad.
+
+    The evidence: between its start and the load it fetches version 3 and neither reads nor puts a
+    chunk: its lines are "started", "fetching" of version 3 and, 2.8 s after the start, "orders
+    counted" with version 2 loaded. The load has one chunk of 16 bad, the one that was spoilt. With
+    the mend the lines "found beside the replica" (version 2) and "staged chunks bad" (chunk 0)
+    stand between them, 0.6 s after the start.
+    """
     async with small_site(tmp_path, models=1, daemons=True) as site:
         await wait_offered(site)
         replica = await kill_with_order_in_doubt(site)
--- a/tests/test_in_doubt.py
+++ b/tests/test_in_doubt.py
@@ -102,3 +102,29 @@
     doubt = InDoubt(10.0)
     doubt.nothing_from_before()
     assert doubt.may_stage(NEWER, report_of(), 10.0)
+
+
+def test_a_version_that_lay_there_may_be_staged_and_no_other() -> None:
+    doubt = InDoubt(10.0)
+    doubt.found_from_before(OLDER)
+    assert doubt.ordered_before == OLDER
+    assert doubt.may_stage(OLDER, report_of(), 10.5)
+    assert not doubt.may_stage(NEWER, report_of(), 10.5)
+
+
+def test_chunks_of_two_versions_show_that_no_order_is_open() -> None:
+    doubt = InDoubt(10.0)
+    doubt.found_from_before(OLDER)
+    doubt.found_from_before(NEWER)
+    assert doubt.ordered_before is None
+    assert not doubt.awaits_earlier(10.5)
+    assert doubt.may_stage(NEWER, report_of(), 10.5)
+
+
+def test_nothing_is_put_over_a_version_that_is_being_kept_whole() -> None:
+    doubt = nothing_in_doubt()
+    doubt.keep_whole(OLDER)
+    assert not doubt.may_stage(NEWER, report_of(), 1.0)
+    assert doubt.may_stage(OLDER, report_of(), 1.0)
+    doubt.keep_whole(None)
+    assert doubt.may_stage(NEWER, report_of(), 1.0)
--- a/tests/test_renewal_histories.py
+++ b/tests/test_renewal_histories.py
@@ -29,6 +29,7 @@
 from headcross_renewal.loading import Loading
 from headcross_renewal.mirrors import MirrorBook, SwarmPorts
 from headcross_renewal.orders import Orders
+from headcross_renewal.recovery import Recovery
 from headcross_renewal.renewer import Renewer
 from headcross_renewal.reporting import Reporter
 from headcross_renewal.sources import read_weights_name
@@ -206,11 +207,9 @@
     async with trio.open_nursery() as nursery:
         trouble = history.trouble or draw_trouble(generator)
         restarts = history.restarts or generator.choice([0.0, 0.0, RESTARTS])
-        # Three cases are not played, each a test of its own in test_beside_replica, known red: a
-        # chunk turns bad while an order is in doubt and the replica answers nothing else, or no
-        # process has its bytes; a put of an earlier process lands late.
-        if restarts:
-            trouble = replace(trouble, rot=0.0)
+        # Two cases are not played, each a test of its own in test_beside_replica, known red: a chunk
+        # turns bad while an order is in doubt and the replica answers nothing else; a put of an
+        # earlier process lands late.
         if restarts or trouble.rot:
             trouble = replace(trouble, orders_only=True)
         replica = LateReplica(generator, nursery, trouble)
@@ -283,10 +282,18 @@
     return True
 
 
+async def never_done(*arguments: object) -> None:
+    pass
+
+
 # Without each of the guards, and under which trouble a mixture is loaded soon.
 MISTAKES = {
     "stages too early": (Trouble(late=0.3), None),
     "forgets an earlier process": (Trouble(late=0.2), 0.3),
+    "lets turn bad what an earlier process ordered": (
+        Trouble(late=0.3, rot=1.0, orders_only=True),
+        0.3,
+    ),
 }
 
 
@@ -298,6 +305,8 @@
             monkeypatch.setattr(InDoubt, "may_stage", always)
         case "forgets an earlier process":
             monkeypatch.setattr(indoubt, "LATE_SECONDS", 0.0)
+        case "lets turn bad what an earlier process ordered":
+            monkeypatch.setattr(Recovery, "_keep_whole", never_done)
     trouble, restarts = MISTAKES[mistake]
     assert any(
         run_history(History(seed, trouble, restarts, ends=False)).violations for seed in range(60)
