Soak: answers are judged by the load that they ran on

The soak judged loads only, so an answer made from a load that nobody could keep whole was not looked for. The stand-in notes for each run which load it ran on; a run on a load of anything but the whole version ordered is a finding.

Test: a planted run on a bad load is found, runs on whole ones and on none are not. No fault of the three cases is drawn yet: chunks do not turn bad in the soak.

--- a/bench/soak/findings.py
+++ b/bench/soak/findings.py
@@ -49,10 +49,30 @@
     """Find loads of anything but the whole version ordered, by what lay there as it was taken."""
     for replica in replicas:
         for version, digests in replica.loads:
-            if digests != [hashlib.sha256(chunk).hexdigest() for chunk in versions[version]]:
+            if not _is_whole(version, digests, versions):
                 yield Finding("mixed weights", at, replica.id, f"version {version}")
 
 
+def find_answers_of_bad_loads(
+    replicas: list[FakeReplica], versions: dict[int, list[bytes]]
+) -> Iterator[Finding]:
+    """Find requests that ran on a load of anything but the whole version ordered."""
+    for replica in replicas:
+        bad = {
+            number
+            for number, (version, digests) in enumerate(replica.loads, start=1)
+            if not _is_whole(version, digests, versions)
+        }
+        for run in replica.runs:
+            if run.load in bad:
+                detail = f"version {run.version}, load {run.load} of {replica.id}"
+                yield Finding("answer of a bad load", run.began_at, run.id, detail)
+
+
+def _is_whole(version: int, digests: list[str], versions: dict[int, list[bytes]]) -> bool:
+    return digests == [hashlib.sha256(chunk).hexdigest() for chunk in versions[version]]
+
+
 def _problem(record: Record, sent: dict[str, BadRequest], run: Run) -> str:
     if run.id.removesuffix(SMUGGLED) in sent:
         return "a bad request ran"
--- a/bench/soak/runner.py
+++ b/bench/soak/runner.py
@@ -15,7 +15,13 @@
 from bench.soak.check_violations import Violation
 from bench.soak.checks import check_all
 from bench.soak.coverage import Coverage, measure_coverage
-from bench.soak.findings import Finding, find_bad_answers, find_mixed_loads, find_unasked
+from bench.soak.findings import (
+    Finding,
+    find_answers_of_bad_loads,
+    find_bad_answers,
+    find_mixed_loads,
+    find_unasked,
+)
 from bench.soak.plan import RECOVERY_SECONDS, Plan
 from bench.soak.processes import Processes
 from bench.soak.record import Arrival, Record, ReplicaRun
@@ -100,13 +106,16 @@
         if listed.service != PROBE_SERVICE
     ]
     ended = [Finding("process", f.at, f.process, f.detail) for f in processes.findings]
-    mixed = find_mixed_loads(replicas, site.machines.origin.versions, record.ended_at)
+    versions = site.machines.origin.versions
+    mixed = find_mixed_loads(replicas, versions, record.ended_at)
+    of_bad_loads = find_answers_of_bad_loads(replicas, versions)
+    unasked = find_unasked(record, bad.sent, replicas)
     drawn = (fault.value for action in site.plan.actions for fault in action.faults)
     return SoakResult(
         site.plan,
         record,
         violations,
-        [*ended, *mixed, *find_bad_answers(bad.sent), *find_unasked(record, bad.sent, replicas)],
+        [*ended, *mixed, *of_bad_loads, *find_bad_answers(bad.sent), *unasked],
         summarize(record, violations),
         measure_coverage(record),
         site.faults,
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,5 +1,6 @@
 """A short soak with a fixed seed, and the parts of the soak that must be able to fail."""
 
+import hashlib
 import random
 import struct
 from collections.abc import AsyncIterator
@@ -19,7 +20,12 @@
 from bench.soak.bounds import BOUNDS
 from bench.soak.coverage import measure_coverage
 from bench.soak.exchange import Draft, judge
-from bench.soak.findings import find_bad_answers, find_mixed_loads, find_unasked
+from bench.soak.findings import (
+    find_answers_of_bad_loads,
+    find_bad_answers,
+    find_mixed_loads,
+    find_unasked,
+)
 from bench.soak.plan import draw_plan
 from bench.soak.proxies import LinkFault, LinkFaults, LinkKind, Proxy
 from bench.soak.record import (
@@ -302,6 +308,16 @@
     assert (found.subject, found.detail) == ("i-1", "version 2")
 
 
+def test_an_answer_of_a_bad_load_is_found() -> None:
+    versions = {1: [b"1a", b"1b"], 2: [b"2a", b"2b"]}
+    whole, bad = ([hashlib.sha256(chunk).hexdigest() for chunk in v] for v in versions.values())
+    bad[1] = whole[1]
+    replica = FakeReplica("i-1", model="m", loads=[(1, whole), (2, bad)])
+    replica.runs = [Run(f"r-{load}", "POST", "/", {}, b"", load, 1.0, load) for load in range(3)]
+    (found,) = find_answers_of_bad_loads([replica], versions)
+    assert (found.subject, found.detail) == ("r-2", "version 2, load 2 of i-1")
+
+
 def test_bad_requests_that_are_not_refused_are_found() -> None:
     sent = {
         str(status): BadRequest(str(status), BadForm.NO_ID, 0.0, status)
