--- a/tests/test_confirmed_loads.py
+++ b/tests/test_confirmed_loads.py
@@ -84,6 +84,17 @@
             await trio.sleep(0.02)
 
 
+async def wait_order_kept_back(site: Machines) -> FakeReplica:
+    """Name version 2 and wait until the replica keeps its order back; return the replica."""
+    replica = model_replica(site).replica
+    replica.orders_kept_back = 1
+    site.name_version(2)
+    with trio.fail_after(LOADED_SECONDS):
+        while not replica.kept_orders:
+            await trio.sleep(0.005)
+    return replica
+
+
 async def keep_silent(replica: FakeReplica) -> None:
     """Have a replica answer no call of its daemon, then take its kept orders."""
     silent = True
@@ -130,13 +141,8 @@
 async def test_a_bad_load_of_a_silent_replica_takes_no_requests(tmp_path: Path) -> None:
     async with small_site(tmp_path, models=1, daemons=True) as site:
         await wait_offered(site)
-        replica = model_replica(site).replica
         async with callers_coming(site):
-            replica.orders_kept_back = 1
-            site.name_version(2)
-            with trio.fail_after(LOADED_SECONDS):
-                while not replica.kept_orders:
-                    await trio.sleep(0.005)
+            replica = await wait_order_kept_back(site)
             spoil(replica, 0)
             await keep_silent(replica)
             await trio.sleep(WATCHED_SECONDS)
@@ -150,13 +156,8 @@
 async def test_a_whole_load_of_an_order_that_was_taken_late_takes_requests(tmp_path: Path) -> None:
     async with small_site(tmp_path, models=1, daemons=True) as site:
         await wait_offered(site)
-        replica = model_replica(site).replica
         async with callers_coming(site):
-            replica.orders_kept_back = 1
-            site.name_version(2)
-            with trio.fail_after(LOADED_SECONDS):
-                while not replica.kept_orders:
-                    await trio.sleep(0.005)
+            replica = await wait_order_kept_back(site)
             await keep_silent(replica)
             await wait_runs(replica, 2)
         check_loads(site)
