--- a/tests/test_beside_replica.py
+++ b/tests/test_beside_replica.py
@@ -257,9 +257,9 @@
     the mend the lines "found beside the replica" (version 2) and "staged chunks bad" (chunk 0)
     stand between them, 0.6 s after the start.
 
-    Known red where nobody can look in time: on a machine with 32 of these sites at once the process
-    logs "started" 2.6 s after the version was named, and the replica takes the order 1.2 s later,
-    0.1 s after "staged chunks bad".
+    Known red where nobody can look in time: on a machine with 32 of these sites at once the
+    process logs "started" 2.6 s after the version was named, and the replica takes the order 1.2 s
+    later, 0.1 s after "staged chunks bad".
     """
     async with small_site(tmp_path, models=1, daemons=True) as site:
         await wait_offered(site)
