Entries log what tries of one request have in common, and which replicas end

Attempts that may have run now have request_digest (method, host, path, key, body), and entries log 'replica out of reach', 'replica reached by its daemon' and 'replica not listed' with what they had there. No decision changes.

The digest is computed for lost attempts only. Tests of attempts and incarnations pass.

--- a/libs/gateway/src/headcross_gateway/admitted.py
+++ b/libs/gateway/src/headcross_gateway/admitted.py
@@ -10,6 +10,7 @@
 
 from headcross_gateway.outcomes import Whole
 from headcross_gateway.relay import StreamRelay
+from headcross_gateway.requestidentity import RequestIdentity, identity_of
 
 
 @dataclass(frozen=True, slots=True)
@@ -43,6 +44,14 @@
     retry_paid: bool = False  # a silent replica was left, and the next attempt is paid for
     # A replica's own failure, passed on if nothing better comes.
     failed_answer: Whole | None = None
+    _identity: RequestIdentity | None = None
+
+    @property
+    def identity(self) -> RequestIdentity:
+        """What it has in common with other tries of it; the first call digests its body."""
+        if self._identity is None:
+            self._identity = identity_of(self.exchange.request, self.facts.key)
+        return self._identity
 
     @property
     def priority(self) -> int:
--- a/libs/gateway/src/headcross_gateway/directory.py
+++ b/libs/gateway/src/headcross_gateway/directory.py
@@ -62,7 +62,7 @@
         listed = self._facts.replicas
         for replica_id in set(self._states) - set(listed):
             if not self._keep_lapsed(self._states[replica_id]):
-                self._states.pop(replica_id).gone = True
+                self._drop(replica_id)
         begun: list[Address] = []
         for replica in listed.values():
             state = self._states.get(replica.id)
@@ -80,6 +80,13 @@
         self._index()
         return begun
 
+    def _drop(self, replica_id: str) -> None:
+        """Give up a replica that is not listed any more."""
+        state = self._states.pop(replica_id)
+        state.gone = True
+        fields = {"draining": state.replica.draining, "in_flight": state.in_flight}
+        logger.info("replica not listed", extra={"replica": replica_id, **fields})
+
     def _keep_lapsed(self, state: ReplicaState) -> bool:
         """Tell whether a replica that is not listed any more is kept for a moment."""
         lapsed_at = self._facts.lapsed_at.get(state.replica.id)
--- a/libs/gateway/src/headcross_gateway/replicastate.py
+++ b/libs/gateway/src/headcross_gateway/replicastate.py
@@ -190,6 +190,8 @@
 
     def hear(self, load: ReplicaLoad, allowance: int) -> None:
         """Take the word of its daemon, and how many requests may be placed until the next one."""
+        if self.told is not None and self.told.load.reachable != load.reachable:
+            self._log_reachable(load)
         self.told = Told(load, monotonic(), self.in_flight, allowance=allowance)
         self.own_share = 1 / max(1, load.listeners)
         if not load.reachable or self._is_of_another_life(load):
@@ -197,6 +199,12 @@
         if self.loads.hear(load, self.told.at):
             logger.info("load judged", extra={"replica": self.replica.id, **self.loads.dump()})
 
+    def _log_reachable(self, load: ReplicaLoad) -> None:
+        """Log that its daemon reaches it no more, or again, with what this entry has there."""
+        fields = {"replica": self.replica.id, "address": load.address, "in_flight": self.in_flight}
+        message = "replica reached by its daemon" if load.reachable else "replica out of reach"
+        logger.info(message, extra=fields)
+
     def is_between_lives(self) -> bool:
         """Tell whether the list and its daemon speak of different incarnations.
 
--- a/libs/gateway/src/headcross_gateway/requestlog.py
+++ b/libs/gateway/src/headcross_gateway/requestlog.py
@@ -48,6 +48,8 @@
         fields["weights_version"] = weights.version
     if not math.isinf(weights.seconds_left):
         fields["weights_left"] = round(weights.seconds_left, 2)
+    if isinstance(outcome, MayRun) and not outcome.withdrawn:
+        fields["request_digest"] = str(request.identity)
     for name, moment in (("sent_ms", times.sent_at), ("began_ms", times.began_at)):
         if moment is not None:
             fields[name] = round((moment - request.arrived_at) * 1000, 1)
