A request that ends replicas is sent on without an end: a failing test, known red

Two entries, ten replicas back 3 s after each end; one request comes every 0.3 s at either entry for 15 s, others beside it every 0.05 s.

The stand-in replica can end under a body, by reset, close or silence, and be started again.

--- a/testing/machines.py
+++ b/testing/machines.py
@@ -44,7 +44,7 @@
     default_configuration,
 )
 from testing.platformorigin import FakePlatformOrigin
-from testing.platformreplica import FakeReplica, new_replica_id
+from testing.platformreplica import Ending, FakeReplica, new_replica_id
 from testing.platformstore import FakePlatformStore
 
 ROOT: Final = Path(__file__).resolve().parent.parent
@@ -208,6 +208,34 @@
         listed.replica.start_again(clock_step_ms)
         await self.start_replica(listed)
 
+    async def revive_replicas(self, service: str, seconds: float) -> None:
+        """Start replicas of a service again some seconds after each end, until cancelled.
+
+        Each comes back at its address with another id and the weights of the first start.
+        """
+        async with trio.open_nursery() as nursery:
+            for listed in list(self.replicas.values()):
+                if listed.service == service:
+                    nursery.start_soon(self._revive, listed, seconds)
+
+    async def _revive(self, listed: ListedReplica, seconds: float) -> None:
+        replica = listed.replica
+        version = replica.version
+        while True:
+            await replica.ended.wait()
+            if replica.ending is not Ending.SILENCE:
+                self.crash_replica(listed)
+            await trio.sleep(seconds)
+            self.crash_replica(listed)
+            await listed.ended.wait()
+            self.unlist(listed)
+            del self.replicas[replica.id]
+            replica.id = new_replica_id()
+            replica.start_again()
+            replica.version = version
+            self.replicas[replica.id] = listed
+            await self.start_replica(listed)
+
     def unlist(self, listed: ListedReplica) -> None:
         """Remove a replica's entry."""
         self.store.remove(f"{names.REPLICA_PREFIX}{listed.replica.id}")
--- a/testing/platformreplica.py
+++ b/testing/platformreplica.py
@@ -59,6 +59,14 @@
     ENDS_WITHIN_EVENT = "ends within event"  # a whole answer whose last event is not
 
 
+class Ending(Enum):
+    """How a replica ends under a request."""
+
+    RESET = "resets"  # all its connections, and takes no new ones
+    CLOSE = "closes"  # the same, in order
+    SILENCE = "falls silent"  # its connections stay open, new ones too, and nothing comes
+
+
 @dataclass
 class Run:
     """One request that a replica ran."""
@@ -148,22 +156,43 @@
     staged: dict[int, bytes] = field(default_factory=dict)
     loads: list[tuple[int, list[str]]] = field(default_factory=list)  # version, chunk digests
     tells_start: bool = True
+    # Whether a request with this body ends the replica as it begins to run it.
+    ends_under: Callable[[bytes], bool] = lambda body: False
+    ending: Ending = Ending.RESET
+    ended: trio.Event = field(default_factory=trio.Event)
     streams: set[trio.SocketStream] = field(default_factory=set)
+    _serving: set[trio.CancelScope] = field(default_factory=set)
 
     async def serve_connection(self, stream: trio.SocketStream) -> None:
         """Serve one connection until it ends."""
         self.connections += 1
         self.opened += 1
         self.streams.add(stream)
+        life, scope = self.ended, trio.CancelScope()
+        self._serving.add(scope)
         try:
-            await self._serve(stream)
+            with scope:
+                if not life.is_set():
+                    await self._serve(stream)
+            if life.is_set() and self.ending is Ending.SILENCE:
+                await trio.sleep_forever()
         except (trio.BrokenResourceError, trio.ClosedResourceError, h11.RemoteProtocolError):
             pass
         finally:
             self.connections -= 1
+            self._serving.discard(scope)
             self.streams.discard(stream)
             await trio.aclose_forcefully(stream)
 
+    async def end(self) -> None:
+        """End this life; whoever runs the replica closes what is left and starts it again."""
+        self.ended.set()
+        if self.ending is Ending.RESET:
+            for stream in list(self.streams):
+                await reset(stream)
+        for scope in self._serving:
+            scope.cancel()
+
     async def _serve(self, stream: trio.SocketStream) -> None:
         connection = h11.Connection(h11.SERVER)
         while True:
@@ -257,6 +286,7 @@
         self.staged = {}
         self.kept_orders.clear()
         self.faults.clear()
+        self.ended = trio.Event()
 
     async def lose_power(self) -> None:
         """Begin another life, which listens at once; all connections of this one are gone."""
@@ -299,6 +329,8 @@
             now = trio.current_time()
             run = Run(request_id, method, target, headers, body, self.version, now, self.load_held)
             self.runs.append(run)
+            if self.ends_under(body):
+                await self.end()
             return await self._answer(stream, headers, base, body, fault)
         except (trio.BrokenResourceError, trio.ClosedResourceError, CallerLeft):
             self.cancelled.append(request_id)
--- /dev/null
+++ b/tests/test_requests_that_end_replicas.py
@@ -0,0 +1,107 @@
+"""Requests under which replicas end, and what they cost others.
+
+Two entries as real processes and ten replicas, each of which is back three seconds after it ended.
+"""
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Final
+
+import pytest
+import trio
+
+from testing.machinecaller import Reply, ask
+from testing.machinelayout import MODEL_SERVICE, PLAIN_SERVICE
+from testing.machines import Machines, small_site
+from testing.platformreplica import Ending, Run
+
+DEADLY: Final = b"ends what runs it"
+BACK_SECONDS: Final = 3.0
+TRIED_EVERY_SECONDS: Final = 0.3
+OTHERS_EVERY_SECONDS: Final = 0.05
+PLAYED_SECONDS: Final = 15.0
+# What the users allow: so many arrivals later than this after the third end.
+CONTACT_SECONDS: Final = 3.0
+LATE_ARRIVALS: Final = 3
+SERVED_SHARE: Final = 0.9
+
+SERVICES: Final = {"/stream/x": MODEL_SERVICE, "/once/x": PLAIN_SERVICE}
+
+
+@dataclass
+class Played:
+    """What was seen of a play."""
+
+    ends: list[float] = field(default_factory=list)  # trio's clock
+    deadly_arrivals: list[float] = field(default_factory=list)
+    others: list[Reply] = field(default_factory=list)
+
+    def late_arrivals(self) -> int:
+        """Return how often the deadly request began later than the users allow."""
+        if len(self.ends) < 3:
+            return 0
+        third = sorted(self.ends)[2]
+        return sum(at > third + CONTACT_SECONDS for at in self.deadly_arrivals)
+
+    def served_share(self) -> float:
+        """Return the share of the other requests that were answered."""
+        return sum(reply.status == 200 and reply.whole for reply in self.others) / len(self.others)
+
+
+@asynccontextmanager
+async def deadly_site(directory: Path, service: str, ending: Ending) -> AsyncIterator[Machines]:
+    """Run two entries before ten replicas of a service, which the deadly body ends."""
+    models, plain = (10, 2) if service == MODEL_SERVICE else (2, 10)
+    async with small_site(directory, models=models, plain=plain, entries=2) as site:
+        for listed in site.replicas.values():
+            if listed.service == service:
+                listed.replica.ending = ending
+                listed.replica.ends_under = lambda body: body == DEADLY
+        site.nursery.start_soon(site.revive_replicas, service, BACK_SECONDS)
+        yield site
+
+
+def deadly_runs(site: Machines) -> list[Run]:
+    """Return the runs of the deadly request."""
+    listed = site.replicas.values()
+    return [run for each in listed for run in each.replica.runs if run.body == DEADLY]
+
+
+async def play(site: Machines, path: str) -> Played:
+    """Send the deadly request again and again at either entry, and others beside it."""
+    played = Played()
+
+    async def call(entry: int, body: bytes) -> None:
+        reply = await ask(site.callers(f"entry{entry}"), path, body)
+        if body != DEADLY:
+            played.others.append(reply)
+
+    async def repeat(body: bytes, seconds: float) -> None:
+        number = 0
+        while True:
+            own = body or b"innocent %d" % number
+            nursery.start_soon(call, number % 2, own)
+            number += 1
+            await trio.sleep(seconds)
+
+    async with trio.open_nursery() as nursery:
+        with trio.move_on_after(PLAYED_SECONDS):
+            async with trio.open_nursery() as callers:
+                callers.start_soon(repeat, DEADLY, TRIED_EVERY_SECONDS)
+                callers.start_soon(repeat, b"", OTHERS_EVERY_SECONDS)
+    played.deadly_arrivals = sorted(run.began_at for run in deadly_runs(site))
+    played.ends = played.deadly_arrivals
+    return played
+
+
+@pytest.mark.parametrize("path", list(SERVICES))
+@pytest.mark.parametrize("ending", list(Ending))
+async def test_a_request_that_ends_replicas_is_not_sent_on_after_the_third_end(
+    tmp_path: Path, path: str, ending: Ending
+) -> None:
+    async with deadly_site(tmp_path, SERVICES[path], ending) as site:
+        played = await play(site, path)
+    print(len(played.ends), "ended;", played.late_arrivals(), "late;", played.served_share())
+    assert played.late_arrivals() <= LATE_ARRIVALS
