A request that three replicas were lost under is not sent to a fourth

Cause: what a request did to a replica was forgotten with its attempt. The second attempt, the caller's retry and each later try counted as new, at whichever entry. Ruled out: orders and load (no order stands before the ends), and entries that each keep within the bound (one alone passed it).

Why this works: entries blame what was on a replica as its connections broke, at once, take that back when the replica turns out to live, and tell one another within milliseconds. A loss is put down to as few requests as explain all losses, and a whole answer clears a request, so those that only stood beside it are not barred. At three losses it is refused at once (429, ends-replicas) and withdrawn where it has not begun; at two it gets one replica for each try.

--- a/libs/base/src/headcross_base/errorcodes.py
+++ b/libs/base/src/headcross_base/errorcodes.py
@@ -66,6 +66,12 @@
 TEAM_LIMIT: Final = _define(
     "team-limit", 429, "The team is at its limit.", "The team sends more than its share."
 )
+ENDS_REPLICAS: Final = _define(
+    "ends-replicas",
+    429,
+    "Replicas ended while they ran this same request; it is not run for now.",
+    "The same path, key and body came before, and replicas ended under it.",
+)
 NO_ROOM: Final = _define(
     "no-room", 503, "Every replica is at work.", "The service is overloaded, or replicas are away."
 )
--- a/libs/daemon/src/headcross_daemon/gatewayrole.py
+++ b/libs/daemon/src/headcross_daemon/gatewayrole.py
@@ -11,10 +11,11 @@
 import msgspec
 import trio
 from headcross_base.addresses import Address, parse_address
-from headcross_base.clocks import now_ms
+from headcross_base.clocks import monotonic, now_ms
 from headcross_facts.following import entry_pace
 from headcross_gateway.admission import Admission
 from headcross_gateway.budget import RetryBudget
+from headcross_gateway.containment import Containment
 from headcross_gateway.directory import Directory
 from headcross_gateway.overload import Overload
 from headcross_gateway.picking import Picker
@@ -29,6 +30,7 @@
 from headcross_wire.peermessages import (
     AskPlan,
     KnownPlan,
+    LossNews,
     RefusedNews,
     ReplicaLoad,
     Subscribe,
@@ -55,6 +57,10 @@
 HOUSEKEEPING_SECONDS: Final = 1.0
 # Refused callers come back after 0.4 s at the earliest, to another entry of the zone.
 OVERLOAD_SECONDS: Final = 0.2
+# What is learned of lost replicas within so long is told together.
+TOLD_TOGETHER_SECONDS: Final = 0.02
+# Entries to which everything known of lost replicas is told again, each second.
+REPEAT_LOSSES_TO: Final = 3
 # Descriptors that are not connections of callers or to replicas.
 RESERVED_DESCRIPTORS: Final = 300
 # After a stop signal callers still come for this long: the platform asks for readiness once a
@@ -100,8 +106,16 @@
         picker = Picker(settings.zone, self._directory, rules)
         self._admission = Admission(picker, self._overload.reserved_share)
         budget = RetryBudget(settings.bounds.retry_ratio, settings.bounds.retry_slack)
+        self._containment = Containment()
         self._path = RequestPath(
-            facts, adapter.dialect, self._admission, rules, budget, self._overload, self._observe
+            facts,
+            adapter.dialect,
+            self._admission,
+            rules,
+            budget,
+            self._overload,
+            self._containment,
+            self._observe,
         )
         self._mirror = self._make_mirror(adapter)
         self._pages = AdminPages(self.dump, self._samples)
@@ -135,6 +149,7 @@
             nursery.start_soon(self._subscribe)
             nursery.start_soon(self._keep_house)
             nursery.start_soon(self._watch_overload)
+            nursery.start_soon(self._share_losses)
             nursery.start_soon(self._path.unbegun.run)
             if self._mirror is not None:
                 nursery.start_soon(self._mirror.run)
@@ -158,6 +173,7 @@
             "connections_opened": self._path.attempts.connections.opened,
             "reserved_shares": self._reserved_shares(),
             "retries": {"spent": self._path.budget.spent, "denied": self._path.budget.denied},
+            "suspects": self._containment.shared.dump(monotonic()),
             "mirror": self._mirror.dump() if self._mirror is not None else None,
             "replica_states": [
                 {
@@ -303,6 +319,9 @@
         if isinstance(incoming.message, RefusedNews):
             self._overload.refused.hear(incoming.message.fingerprints, trio.current_time())
             return
+        if isinstance(incoming.message, LossNews):
+            self._containment.hear(incoming.message)
+            return
         if not isinstance(incoming.message, ReplicaLoad):
             self.process.node.malformed += 1
             return
@@ -371,10 +390,11 @@
         return plan_of(configuration) if configuration is not None else None
 
     async def _watch_overload(self) -> None:
-        """Measure the demand and tell what was refused, again and again."""
+        """Measure the demand, look for lost replicas, tell what was refused, again and again."""
         while True:
             await trio.sleep(OVERLOAD_SECONDS)
             self._overload.measure(trio.current_time())
+            self._containment.update()
             self._tell_refused()
 
     def _tell_refused(self) -> None:
@@ -383,11 +403,29 @@
         for address in self._zone_entries() if refused else []:
             self.process.node.send(address, RefusedNews(refused))
 
+    async def _share_losses(self) -> None:
+        """Tell all other entries what is learned here of lost replicas."""
+        while True:
+            news = await self._containment.wait_untold()
+            for address in self.process.known_entries():
+                self.process.node.send(address, news)
+            await trio.sleep(TOLD_TOGETHER_SECONDS)
+
+    def _repeat_losses(self) -> None:
+        """Tell a few entries everything: some may have started, or come out of a cut."""
+        news = self._containment.shared.everything(monotonic())
+        if news is None:
+            return
+        entries = self.process.known_entries()
+        for address in random.sample(entries, min(REPEAT_LOSSES_TO, len(entries))):
+            self.process.node.send(address, news)
+
     async def _keep_house(self) -> None:
         """Once a second: take the list anew, close connections that were idle for too long."""
         while True:
             await trio.sleep(HOUSEKEEPING_SECONDS)
             self._update_directory()
+            self._repeat_losses()
             await self._path.attempts.connections.close_expired()
 
     # Metrics.
--- a/libs/gateway/src/headcross_gateway/attempts.py
+++ b/libs/gateway/src/headcross_gateway/attempts.py
@@ -17,6 +17,7 @@
 
 import trio
 from headcross_base.errorcodes import (
+    ENDS_REPLICAS,
     LINK_LOST,
     NO_RUN_IN_TIME,
     NOT_SERVING,
@@ -71,6 +72,15 @@
     sending_at: float | None = None  # the first byte was about to be written
     sent_at: float | None = None  # the whole request had been written
     began_at: float | None = None  # the first piece of the answer's body was here
+    # Set while the attempt may be withdrawn.
+    unbegun: trio.CancelScope | None = None
+    ends_replicas: bool = False  # it was withdrawn since its request ends replicas
+
+    def withdraw(self) -> None:
+        """Take the attempt back if its replica has not begun it."""
+        if self.unbegun is not None:
+            self.ends_replicas = True
+            self.unbegun.cancel()
 
 
 @dataclass(frozen=True, slots=True)
@@ -115,6 +125,7 @@
         outcome: Outcome
         try:
             with self._unbegun.waiting(facts.model, place) as waiting:
+                times.unbegun = waiting
                 placed_at = trio.current_time()
                 connection = await self.connections.take(place.replica.address, fresh=fresh)
                 # It may take 0.6 s to open, so what was decided before is looked at again.
@@ -125,6 +136,7 @@
                     begun = await self._begin(
                         connection, request, facts, hand_over, patience, times
                     )
+            times.unbegun = None
             if waiting.cancelled_caught:
                 outcome = _withdrawn(times)
             elif isinstance(begun, _Begun):
@@ -134,7 +146,8 @@
         except ConnectError as error:
             return DidNotRun(UNREACHED, str(error), arrived=False)
         except LinkLostError as error:
-            outcome = MayRun(LINK_LOST, str(error), silent=isinstance(error, SilentError))
+            silent = isinstance(error, SilentError)
+            outcome = MayRun(LINK_LOST, str(error), silent=silent, broken=not silent)
         except (EventTooLongError, EventOutOfOrderError) as error:
             outcome = MayRun(UPSTREAM_ERROR, f"broken events: {error}")
         except BaseException:
@@ -218,6 +231,11 @@
 
 def _withdrawn(times: AttemptTimes) -> DidNotRun | MayRun:
     """Return the outcome of an attempt that was taken back before its answer began."""
+    if times.ends_replicas:
+        detail = "withdrawn: replicas ended under the same request"
+        if times.sending_at is None:
+            return DidNotRun(ENDS_REPLICAS, detail, arrived=False, withdrawn=True)
+        return MayRun(ENDS_REPLICAS, detail, withdrawn=True)
     if times.sending_at is None:
         detail = "the weights ended before it was sent"
         return DidNotRun(NO_RUN_IN_TIME, detail, arrived=False, withdrawn=True)
--- /dev/null
+++ b/libs/gateway/src/headcross_gateway/containment.py
@@ -0,0 +1,89 @@
+"""What an entry does with requests under which replicas ended.
+
+A suspect gets one replica for each try, and no second copy of it runs from the same entry. One
+that is barred gets none, and what replicas have not begun of it is withdrawn. As long as nothing
+of a path and key is blamed, requests to it are not digested.
+"""
+
+from typing import Final
+
+import trio
+from headcross_base.clocks import monotonic
+from headcross_base.errorcodes import ENDS_REPLICAS
+from headcross_base.verdicts import NotRun
+from headcross_wire.peermessages import LossNews
+
+from headcross_gateway.admitted import Admitted
+from headcross_gateway.lossnews import SharedLosses
+from headcross_gateway.losswatch import LossWatch
+from headcross_gateway.replicalosses import Standing
+from headcross_gateway.requestidentity import scope_of
+
+# When a caller may come back while another copy of its request runs.
+SUSPECT_RETRY_SECONDS: Final = 1.0
+
+
+class Containment:
+    """The standing of requests at one entry, and what follows for them."""
+
+    shared: SharedLosses
+    watch: LossWatch
+
+    def __init__(self) -> None:
+        self._learned = trio.Event()
+        self.shared = SharedLosses(lambda: self._learned.set())
+        self.watch = LossWatch(self.shared)
+
+    def standing_of(self, request: Admitted) -> Standing:
+        """Return what may be done with a request."""
+        losses = self.shared.losses
+        if losses.is_empty:
+            return Standing.CLEAR
+        if not losses.concerns(scope_of(request.exchange.request, request.facts.key)):
+            return Standing.CLEAR
+        return losses.standing(request.identity, monotonic())
+
+    def is_clear(self, request: Admitted) -> bool:
+        """Tell whether a request may be sent to a second replica."""
+        return self.standing_of(request) is Standing.CLEAR
+
+    def refusal_of(self, request: Admitted) -> NotRun | None:
+        """Return why a request may not be sent to a replica now, None if it may."""
+        match self.standing_of(request):
+            case Standing.CLEAR:
+                return None
+            case Standing.SUSPECT:
+                if not self.watch.count_under_way(request.identity):
+                    return None
+                detail = "replicas ended under this request, and another copy of it runs"
+                return NotRun(ENDS_REPLICAS, detail, SUSPECT_RETRY_SECONDS)
+            case Standing.BARRED:
+                return self._barred(request)
+
+    def _barred(self, request: Admitted) -> NotRun:
+        suspicion = self.shared.losses.suspicion(request.identity)
+        assert suspicion is not None
+        seconds = max(SUSPECT_RETRY_SECONDS, suspicion.barred_until() - monotonic())
+        detail = f"{suspicion.losses} replicas ended under this request ({suspicion.identity})"
+        return NotRun(ENDS_REPLICAS, detail, round(seconds, 1))
+
+    async def wait_untold(self) -> LossNews:
+        """Wait until this entry has learned something that others do not know; return it."""
+        while True:
+            await self._learned.wait()
+            self._learned = trio.Event()
+            self.update()
+            news = self.shared.take_untold(monotonic())
+            if news is not None:
+                return news
+
+    def hear(self, news: LossNews) -> None:
+        """Take the news of another entry, and act on it at once."""
+        self.shared.hear(news, monotonic())
+        self.update()
+
+    def update(self) -> None:
+        """Look at what is known of lost replicas, and withdraw what is barred."""
+        self.watch.check()
+        if self.shared.update(monotonic()):
+            self.watch.withdraw(self.shared.barred())
--- /dev/null
+++ b/libs/gateway/src/headcross_gateway/lossnews.py
@@ -0,0 +1,181 @@
+"""What entries tell one another of lost replicas, and of the requests that were there.
+
+What an entry learns itself is told to all others at once; everything it knows is told again now
+and then to a few, so that entries that start, or were cut off, learn it too. News may come late,
+twice or never, and may be wrong: an item that cannot be right is left out.
+"""
+
+import logging
+import math
+from collections.abc import Callable
+
+from headcross_wire.peermessages import AnsweredRequest, LossNews, LostReplica
+
+from headcross_gateway.replicalosses import (
+    REMEMBERED_SECONDS,
+    Loss,
+    LossKey,
+    ReplicaLosses,
+    Standing,
+    Suspicion,
+)
+from headcross_gateway.requestidentity import RequestIdentity
+
+logger = logging.getLogger(__name__)
+
+
+class SharedLosses:
+    """The losses that one entry knows of, with what it has yet to tell the others.
+
+    All moments are on one monotonic clock, in seconds. `on_news` is called when there is something
+    to tell.
+    """
+
+    losses: ReplicaLosses
+    # Items of news that could not be right.
+    rejected: int
+
+    def __init__(self, on_news: Callable[[], None] = lambda: None) -> None:
+        self.losses = ReplicaLosses()
+        self.rejected = 0
+        self._on_news = on_news
+        self._lost: set[LossKey] = set()
+        self._alive: dict[LossKey, float] = {}
+        self._answered: dict[RequestIdentity, float] = {}
+        self._standings: dict[RequestIdentity, Standing] = {}
+
+    # What this entry learns itself.
+
+    def blame(self, key: LossKey, requests: list[RequestIdentity], at: float) -> None:
+        """Note requests that were on a replica as it was lost."""
+        if self.losses.blame(key, requests, at):
+            self._lost.add(key)
+            self._on_news()
+
+    def confirm(self, key: LossKey) -> None:
+        """Note that a replica has ended."""
+        if self.losses.confirm(key):
+            self._lost.add(key)
+            self._on_news()
+
+    def retract(self, key: LossKey, at: float) -> None:
+        """Note that a replica was alive at a moment."""
+        if self.losses.retract(key, at):
+            self._alive[key] = at
+            self._on_news()
+
+    def answered(self, identity: RequestIdentity, at: float) -> None:
+        """Note a whole answer to a request."""
+        if self.losses.answered(identity, at):
+            self._answered[identity] = at
+            self._on_news()
+
+    # News.
+
+    def take_untold(self, now: float) -> LossNews | None:
+        """Return what this entry learned itself since the last call, None if nothing."""
+        known = self.losses.losses()
+        lost = [_lost(key, known, now) for key in self._lost if key in known]
+        alive = [LostReplica(k.replica, k.started_ms, now - at) for k, at in self._alive.items()]
+        answered = [AnsweredRequest(i.to_bytes(), now - at) for i, at in self._answered.items()]
+        self._lost.clear()
+        self._alive.clear()
+        self._answered.clear()
+        return LossNews(lost, alive, answered) if lost or alive or answered else None
+
+    def everything(self, now: float) -> LossNews | None:
+        """Return all losses that are remembered, None if there are none."""
+        known = self.losses.losses()
+        lost = [_lost(key, known, now) for key, loss in known.items() if loss.requests]
+        return LossNews(lost) if lost else None
+
+    def hear(self, news: LossNews, now: float) -> None:
+        """Take the news of another entry."""
+        rejected = self.rejected
+        for lost in news.lost:
+            self._hear_lost(lost, now)
+        for alive in news.alive:
+            if self._is_plausible(alive.age):
+                self.losses.retract(LossKey(alive.replica, alive.started_ms), now - alive.age)
+        for answered in news.answered:
+            identity = self._identity(answered.request)
+            if identity is not None and self._is_plausible(answered.age):
+                self.losses.answered(identity, now - answered.age)
+        if self.rejected > rejected:
+            fields = {"items": self.rejected - rejected, "reason": "identity or age"}
+            logger.warning("news of losses rejected", extra=fields)
+
+    def _hear_lost(self, lost: LostReplica, now: float) -> None:
+        if not self._is_plausible(lost.age):
+            return
+        key = LossKey(lost.replica, lost.started_ms)
+        read = [self._identity(each) for each in lost.requests]
+        identities = [identity for identity in read if identity is not None]
+        if identities:
+            self.losses.blame(key, identities, now - lost.age)
+        if lost.certain:
+            self.losses.confirm(key)
+
+    def _identity(self, data: bytes) -> RequestIdentity | None:
+        try:
+            return RequestIdentity.from_bytes(data)
+        except ValueError:
+            self.rejected += 1
+            return None
+
+    def _is_plausible(self, age: float) -> bool:
+        if math.isfinite(age) and 0 <= age <= REMEMBERED_SECONDS:
+            return True
+        self.rejected += 1
+        return False
+
+    # What follows.
+
+    def update(self, now: float) -> bool:
+        """Forget what is too old, log changed standings; return whether any request was barred."""
+        self.losses.expire(now)
+        found = {each.identity: each for each in self.losses.suspicions()}
+        standings = {identity: self.losses.standing(identity, now) for identity in found}
+        newly_barred = False
+        for identity in standings.keys() | self._standings.keys():
+            standing = standings.get(identity, Standing.CLEAR)
+            if standing is not self._standings.get(identity, Standing.CLEAR):
+                newly_barred |= standing is Standing.BARRED
+                _log_standing(identity, standing, found.get(identity), now)
+        self._standings = standings
+        return newly_barred
+
+    def barred(self) -> list[RequestIdentity]:
+        """Return the requests that get no replica."""
+        return [i for i, standing in self._standings.items() if standing is Standing.BARRED]
+
+    def dump(self, now: float) -> list[dict[str, object]]:
+        """Return the suspects, for the state dump."""
+        return [
+            {"standing": self.losses.standing(each.identity, now).value, **_describe(each, now)}
+            for each in self.losses.suspicions()
+        ]
+
+
+def _lost(key: LossKey, known: dict[LossKey, Loss], now: float) -> LostReplica:
+    loss = known[key]
+    requests = [identity.to_bytes() for identity in loss.requests]
+    return LostReplica(key.replica, key.started_ms, now - loss.at, loss.certain, requests)
+
+
+def _describe(suspicion: Suspicion, now: float) -> dict[str, object]:
+    return {
+        "request_digest": str(suspicion.identity),
+        "losses": suspicion.losses,
+        "last_loss_age": round(now - suspicion.last_at, 3),
+        "barred_for": round(max(0.0, suspicion.barred_until() - now), 1),
+    }
+
+
+def _log_standing(
+    identity: RequestIdentity, standing: Standing, suspicion: Suspicion | None, now: float
+) -> None:
+    fields = {"standing": standing.value, "request_digest": str(identity)}
+    if suspicion is not None:
+        fields.update({name: str(value) for name, value in _describe(suspicion, now).items()})
+    logger.info("request judged", extra=fields)
--- a/libs/gateway/src/headcross_gateway/outcomes.py
+++ b/libs/gateway/src/headcross_gateway/outcomes.py
@@ -46,6 +46,7 @@
     detail: str
     silent: bool = False  # the replica gave no sign of life in time
     withdrawn: bool = False  # this entry took it back; that tells nothing of the replica
+    broken: bool = False  # the connection broke, and not at this end
 
 
 Outcome = Whole | Streamed | DidNotRun | MayRun
--- /dev/null
+++ b/libs/gateway/src/headcross_gateway/replicalosses.py
@@ -0,0 +1,229 @@
+"""Which requests replicas were lost under, and what follows for these requests.
+
+A request may end each replica that begins to run it, and its caller, or another with the same
+request, sends it again at any entry. What ran on a lost replica is known to the entries that sent
+it there; they tell one another. Two things keep the requests that only stood beside such a one
+from being taken for it:
+
+* A whole answer to a request, anywhere, shows that it ends no replica: all it was blamed for
+  before is forgotten.
+* A loss is put down to as few requests as explain all losses. One that has most of them explains
+  these, and they no longer count against the others that ran there.
+
+No decision here needs a network or a clock; `now` is on one monotonic clock, in seconds.
+"""
+
+from collections import OrderedDict
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import Final, TypeVar
+
+from headcross_gateway.requestidentity import RequestIdentity
+
+# Losses from which on a request gets one replica for each try, and from which on it gets none.
+SUSPECT_LOSSES: Final = 2
+BARRED_LOSSES: Final = 3
+# A loss is remembered for so long; one that is not known to be a replica's end for less.
+REMEMBERED_SECONDS: Final = 3600.0
+UNCERTAIN_SECONDS: Final = 6.0
+# How long a request gets no replica after its last loss; twice as long with each further one.
+BARRED_SECONDS: Final = 600.0
+MAX_LOSSES: Final = 128
+MAX_REQUESTS_PER_LOSS: Final = 64
+MAX_ANSWERED: Final = 1024
+NEVER: Final = float("-inf")
+K = TypeVar("K")
+
+
+class Standing(Enum):
+    """What is known of a request from its earlier tries."""
+
+    CLEAR = "clear"
+    SUSPECT = "suspect"  # one replica for each try, and one try at a time at each entry
+    BARRED = "barred"  # no replica
+
+
+@dataclass(frozen=True, slots=True)
+class LossKey:
+    """One life of a replica, which was lost."""
+
+    replica: str
+    started_ms: int | None
+
+
+@dataclass(slots=True)
+class Loss:
+    """What is known of one replica that was lost."""
+
+    at: float
+    certain: bool = False  # the replica has ended, rather than the connections to it alone
+    requests: set[RequestIdentity] = field(default_factory=set)
+
+    def expires_at(self) -> float:
+        """Return when it is forgotten."""
+        return self.at + (REMEMBERED_SECONDS if self.certain else UNCERTAIN_SECONDS)
+
+
+@dataclass(frozen=True, slots=True)
+class Suspicion:
+    """A request with what counts against it."""
+
+    identity: RequestIdentity
+    losses: int
+    last_at: float
+
+    def barred_until(self) -> float:
+        """Return when it may be tried again, the moment of its last loss if that is at once."""
+        if self.losses < BARRED_LOSSES:
+            return self.last_at
+        return self.last_at + BARRED_SECONDS * 2.0 ** (self.losses - BARRED_LOSSES)
+
+
+class ReplicaLosses:
+    """The losses that one entry knows of, its own and those that others told."""
+
+    def __init__(self) -> None:
+        self._losses: OrderedDict[LossKey, Loss] = OrderedDict()
+        # When whole answers to requests that had been blamed came.
+        self._answered_at: OrderedDict[RequestIdentity, float] = OrderedDict()
+        # Replicas that were found alive, and when: news of their loss may still be on its way.
+        self._alive_at: OrderedDict[LossKey, float] = OrderedDict()
+        self._suspicions: dict[RequestIdentity, Suspicion] = {}
+        self._scopes: frozenset[bytes] = frozenset()
+        # Whether the suspicions and scopes are those of the losses as they are now.
+        self._judged = True
+
+    # What is learned.
+
+    def blame(self, key: LossKey, requests: Iterable[RequestIdentity], at: float) -> bool:
+        """Note requests that were on a replica as it was lost; return whether that is new."""
+        if self._alive_at.get(key, NEVER) >= at:
+            return False
+        loss = self._losses.setdefault(key, Loss(at))
+        loss.at = min(loss.at, at)
+        new = {each for each in requests if self._may_blame(each, loss)}
+        room = MAX_REQUESTS_PER_LOSS - len(loss.requests)
+        loss.requests |= set(list(new)[:room])
+        self._drop_excess()
+        self._judged = not new and self._judged
+        return bool(new and room)
+
+    def _may_blame(self, identity: RequestIdentity, loss: Loss) -> bool:
+        if identity in loss.requests:
+            return False
+        return self._answered_at.get(identity, NEVER) < loss.at
+
+    def confirm(self, key: LossKey) -> bool:
+        """Note that a replica has ended; return whether that is new."""
+        loss = self._losses.get(key)
+        if loss is None or loss.certain:
+            return False
+        loss.certain = True
+        return True
+
+    def retract(self, key: LossKey, at: float) -> bool:
+        """Note that a replica was alive at a moment, so that only connections to it were lost."""
+        loss = self._losses.get(key)
+        if loss is None or loss.certain or loss.at > at:
+            return False
+        del self._losses[key]
+        _remember(self._alive_at, key, at, MAX_LOSSES)
+        self._judged = False
+        return True
+
+    def answered(self, identity: RequestIdentity, at: float) -> bool:
+        """Note a whole answer to a request; return whether it had been blamed."""
+        _remember(self._answered_at, identity, at, MAX_ANSWERED)
+        blamed = [loss for loss in self._losses.values() if identity in loss.requests]
+        earlier = [loss for loss in blamed if loss.at <= at]
+        for loss in earlier:
+            loss.requests.discard(identity)
+        self._judged = not earlier and self._judged
+        return bool(earlier)
+
+    def expire(self, now: float) -> None:
+        """Forget what is too old."""
+        expired = [key for key, loss in self._losses.items() if now >= loss.expires_at()]
+        for key in expired:
+            del self._losses[key]
+        self._judged = not expired and self._judged
+
+    # What follows.
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether no request is blamed for anything."""
+        return not any(loss.requests for loss in self._losses.values())
+
+    def concerns(self, scope: bytes) -> bool:
+        """Tell whether any request of this scope is blamed."""
+        self._judge()
+        return scope in self._scopes
+
+    def standing(self, identity: RequestIdentity, now: float) -> Standing:
+        """Return what may be done with a request."""
+        self._judge()
+        suspicion = self._suspicions.get(identity)
+        if suspicion is None or suspicion.losses < SUSPECT_LOSSES:
+            return Standing.CLEAR
+        if suspicion.losses < BARRED_LOSSES or now >= suspicion.barred_until():
+            return Standing.SUSPECT
+        return Standing.BARRED
+
+    def suspicion(self, identity: RequestIdentity) -> Suspicion | None:
+        """Return what counts against a request, None if nothing does."""
+        self._judge()
+        return self._suspicions.get(identity)
+
+    def suspicions(self) -> list[Suspicion]:
+        """Return the requests that have at least the losses of a suspect."""
+        self._judge()
+        found = self._suspicions.values()
+        return [each for each in found if each.losses >= SUSPECT_LOSSES]
+
+    def losses(self) -> dict[LossKey, Loss]:
+        """Return every loss that is remembered."""
+        return dict(self._losses)
+
+    def _judge(self) -> None:
+        """Put the losses down to as few requests as explain them, if they have changed."""
+        if self._judged:
+            return
+        self._judged = True
+        self._suspicions = {}
+        blamed_for: dict[RequestIdentity, set[LossKey]] = {}
+        for key, loss in self._losses.items():
+            for identity in loss.requests:
+                blamed_for.setdefault(identity, set()).add(key)
+        self._scopes = frozenset(identity.scope for identity in blamed_for)
+        while blamed_for:
+            most = max(len(keys) for keys in blamed_for.values())
+            found = [i for i, keys in blamed_for.items() if len(keys) == most]
+            explained: set[LossKey] = set()
+            for identity in found:
+                keys = blamed_for.pop(identity)
+                explained |= keys
+                last_at = max(self._losses[key].at for key in keys)
+                self._suspicions[identity] = Suspicion(identity, most, last_at)
+            if most < SUSPECT_LOSSES:
+                continue
+            blamed_for = {
+                i: keys - explained for i, keys in blamed_for.items() if keys - explained
+            }
+
+    def _drop_excess(self) -> None:
+        """Keep within bounds; losses that bar a request go last."""
+        while len(self._losses) > MAX_LOSSES:
+            self._judged = False
+            barred = {s.identity for s in self.suspicions() if s.losses >= BARRED_LOSSES}
+            free = [k for k, loss in self._losses.items() if not loss.requests & barred]
+            del self._losses[free[0] if free else next(iter(self._losses))]
+
+
+def _remember(moments: OrderedDict[K, float], key: K, at: float, most: int) -> None:
+    """Note the latest moment for a key, and forget the keys that were noted longest ago."""
+    moments[key] = max(at, moments.get(key, at))
+    moments.move_to_end(key)
+    while len(moments) > most:
+        moments.popitem(last=False)
--- a/libs/gateway/src/headcross_gateway/replicastate.py
+++ b/libs/gateway/src/headcross_gateway/replicastate.py
@@ -76,6 +76,8 @@
     gone: bool = False
     # Its entry lapsed around an outage of the store: it is used until then at most (monotonic).
     lapsed_until: float | None = None
+    # Since when its daemon has not reached it (monotonic); None while it does.
+    out_of_reach_since: float | None = None
     # Which of its versions are known to have been loaded whole.
     loads: ConfirmedLoads = field(init=False)
 
@@ -192,6 +194,7 @@
         """Take the word of its daemon, and how many requests may be placed until the next one."""
         if self.told is not None and self.told.load.reachable != load.reachable:
             self._log_reachable(load)
+            self.out_of_reach_since = None if load.reachable else monotonic()
         self.told = Told(load, monotonic(), self.in_flight, allowance=allowance)
         self.own_share = 1 / max(1, load.listeners)
         if not load.reachable or self._is_of_another_life(load):
--- a/libs/gateway/src/headcross_gateway/requestlog.py
+++ b/libs/gateway/src/headcross_gateway/requestlog.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 import trio
+from headcross_base.errorcodes import ENDS_REPLICAS
 from headcross_base.verdicts import Completed, Refusal, verdict_name
 
 from headcross_gateway.admitted import Admitted
@@ -74,6 +75,8 @@
         "reason": refusal.reason.code,
         "detail": refusal.detail,
     }
+    if request is not None and refusal.reason is ENDS_REPLICAS:
+        fields["request_digest"] = str(request.identity)
     logger.info("refused", extra={**story, **fields})
 
 
--- a/libs/gateway/src/headcross_gateway/requestpath.py
+++ b/libs/gateway/src/headcross_gateway/requestpath.py
@@ -40,6 +40,7 @@
 from headcross_gateway.answers import send_refusal
 from headcross_gateway.attempts import Attempts, AttemptTimes, Patience
 from headcross_gateway.budget import RetryBudget
+from headcross_gateway.containment import Containment
 from headcross_gateway.outcomes import DidNotRun, MayRun, Outcome, Streamed, Whole
 from headcross_gateway.overload import (
     COME_BACK_LATER_SECONDS,
@@ -95,6 +96,7 @@
         rules: WeightsRules,
         budget: RetryBudget,
         overload: Overload,
+        containment: Containment,
         observe: Observe,
     ) -> None:
         self.counts = Counter()
@@ -108,6 +110,7 @@
         self._admission = admission
         self._rules = rules
         self._overload = overload
+        self._containment = containment
         self._observe = observe
 
     async def handle(self, exchange: Exchange) -> None:
@@ -187,6 +190,9 @@
         wish = wish_of(request.facts, request.service, request.route.repetition.may_run_again)
         last: Refusal | None = None
         while True:
+            refusal = self._containment.refusal_of(request)
+            if refusal is not None:
+                return self._last_word(request, self._worse(last, refusal))
             wish = replace(
                 wish, tried=frozenset(request.tried), exact_version=request.bound_version
             )
@@ -198,6 +204,9 @@
                         request.service, returning=request.returning, for_room=has_candidates
                     )
                 return self._last_word(request, last or self._no_room(request, has_candidates))
+            if self._containment.refusal_of(request) is not None:
+                self._admission.give_back(place)
+                continue
             weights = self._weights_of(request, place)
             expected_version = _version_to_expect(request, place)
             times = AttemptTimes()
@@ -299,8 +308,10 @@
             resume_after=resume_after,
         )
         request.runs += 1
+        attempt = self._containment.watch.begin(request, place, times)
+        outcome: Outcome | None = None
         try:
-            return await self.attempts.make(
+            outcome = await self.attempts.make(
                 request.exchange.request,
                 request.facts,
                 place,
@@ -312,6 +323,8 @@
             )
         finally:
             health.on_trial = False
+            self._containment.watch.end(attempt, outcome)
+        return outcome
 
     def _patience(self, request: Admitted, place: ReplicaState) -> Patience:
         if (
@@ -321,7 +334,7 @@
             return Patience(float("inf"), float("inf"))
 
         def leave() -> bool:
-            return self._pay_to_leave(request, place)
+            return self._containment.is_clear(request) and self._pay_to_leave(request, place)
 
         if request.relay is not None:
             return Patience(STREAM_FIRST_SECONDS, STREAM_PAUSE_SECONDS, leave)
@@ -353,6 +366,8 @@
             return False
         if request.runs >= request.route.max_attempts:
             return False
+        if not self._containment.is_clear(request):
+            return False
         if request.retry_paid:
             request.retry_paid = False
             return True
--- a/libs/wire/src/headcross_wire/peermessages.py
+++ b/libs/wire/src/headcross_wire/peermessages.py
@@ -310,6 +310,31 @@
     fingerprints: list[int]
 
 
+class LostReplica(_Message, frozen=True):
+    """One life of a replica that was lost, or was thought to be."""
+
+    replica: str  # its id
+    started_ms: int | None  # when that life began, Unix milliseconds; None: not told
+    age: float  # seconds since it was lost, or was found alive
+    certain: bool = False  # the replica has ended, rather than the connections to it alone
+    requests: list[bytes] = []  # identities of requests that were there; see headcross_gateway
+
+
+class AnsweredRequest(_Message, frozen=True):
+    """A request that had been blamed for losses and was answered whole."""
+
+    request: bytes  # its identity
+    age: float  # seconds since the answer
+
+
+class LossNews(_Message, frozen=True, tag=54):
+    """Which requests replicas were lost under, as the sender knows it."""
+
+    lost: list[LostReplica] = []
+    alive: list[LostReplica] = []
+    answered: list[AnsweredRequest] = []
+
+
 class AskDigests(_Message, frozen=True, tag=44):
     """Ask a daemon for the digests of a version, now or once it knows them."""
 
@@ -345,6 +370,7 @@
     | AskPlan
     | KnownPlan
     | RefusedNews
+    | LossNews
 )
 SwarmMessage = (
     Join | Have | AskChunk | Chunk | NoChunk | AskManifest | ManifestBody | AskIntent | Intent
--- a/testing/rawhttp.py
+++ b/testing/rawhttp.py
@@ -2,6 +2,7 @@
 
 import socket
 import struct
+from contextlib import suppress
 from typing import Final
 
 import h11
@@ -54,8 +55,9 @@
 
 
 async def reset(stream: trio.SocketStream) -> bool:
-    """Reset the connection."""
-    stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    """Reset the connection, if it is still open."""
+    with suppress(OSError):
+        stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
     await trio.aclose_forcefully(stream)
     return False
 
--- /dev/null
+++ b/tests/test_loss_watch.py
@@ -0,0 +1,178 @@
+"""How an entry learns that a replica was lost, and what it had there; clocks are passed in."""
+
+from dataclasses import dataclass, field
+from typing import cast
+
+import pytest
+import trio
+from headcross_base.addresses import Address
+from headcross_base.errorcodes import LINK_LOST, UPSTREAM_ERROR
+from headcross_gateway import replicastate
+from headcross_gateway.admitted import Admitted
+from headcross_gateway.attempts import AttemptTimes
+from headcross_gateway.lossnews import SharedLosses
+from headcross_gateway.losswatch import LossWatch
+from headcross_gateway.outcomes import DidNotRun, MayRun, Outcome, Streamed
+from headcross_gateway.replicalosses import LossKey
+from headcross_gateway.replicastate import ReplicaState
+from headcross_gateway.requestidentity import RequestIdentity
+from headcross_ports.published import LoadedModel, Replica
+from headcross_wire.peermessages import ReplicaLoad
+
+BROKEN = MayRun(LINK_LOST, "reset", broken=True)
+SILENT = MayRun(LINK_LOST, "silent for too long", silent=True)
+
+
+@dataclass
+class StubRequest:
+    """The part of an admitted request that the watch looks at."""
+
+    identity: RequestIdentity = field(
+        default_factory=lambda: RequestIdentity(b"scope---", b"body----")
+    )
+
+
+class Site:
+    """One entry's watch, one replica and a clock that stands still."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        self.now = 100.0
+        monkeypatch.setattr(replicastate, "monotonic", lambda: self.now)
+        address = Address("10.0.0.1", 7004)
+        loaded = (LoadedModel("m", 1),)
+        self.place = ReplicaState(Replica("i-1", "lm", address, "z0", 8, False, loaded))
+        self.shared = SharedLosses()
+        self.watch = LossWatch(self.shared, lambda: self.now)
+
+    def attempt(self, outcome: Outcome | None) -> StubRequest:
+        """Make an attempt that ends so."""
+        request = StubRequest()
+        attempt = self.watch.begin(cast(Admitted, request), self.place, AttemptTimes())
+        self.watch.end(attempt, outcome)
+        return request
+
+    def tell(self, *, reachable: bool, holds: bool = True) -> None:
+        """Have the replica's daemon speak."""
+        versions = {"m": 1} if holds and reachable else {}
+        load = ReplicaLoad("10.0.0.1:7004", 1, reachable, False, versions, 0, 0, 0.0, 1.0, 1)
+        self.place.hear(load, 1)
+
+    def pass_time(self, seconds: float) -> None:
+        """Let time pass, and look."""
+        self.now += seconds
+        self.watch.check()
+
+    def losses(self) -> list[bool]:
+        """Return of each loss that blames a request whether it is certain."""
+        return [loss.certain for loss in self.shared.losses.losses().values() if loss.requests]
+
+
+@pytest.fixture
+def site(monkeypatch: pytest.MonkeyPatch) -> Site:
+    return Site(monkeypatch)
+
+
+def test_a_request_whose_connection_broke_is_blamed_at_once(site: Site) -> None:
+    site.attempt(BROKEN)
+    assert site.losses() == [False]
+
+
+@pytest.mark.parametrize(
+    "outcome",
+    [
+        Streamed(),
+        DidNotRun(LINK_LOST, "refused", arrived=True),
+        MayRun(UPSTREAM_ERROR, "no seal"),
+        SILENT,
+        None,
+    ],
+)
+def test_other_ends_of_an_attempt_blame_nobody_while_the_replica_lives(
+    site: Site, outcome: Outcome | None
+) -> None:
+    site.attempt(outcome)
+    site.pass_time(1.0)
+    assert not site.losses()
+
+
+def test_a_replica_that_its_daemon_reaches_after_the_reset_was_not_lost(site: Site) -> None:
+    site.attempt(BROKEN)
+    site.tell(reachable=True)
+    site.pass_time(0.1)
+    assert site.losses() == [False], "read before the reset, perhaps"
+    site.pass_time(0.6)
+    site.tell(reachable=True)
+    site.pass_time(0.1)
+    assert not site.losses()
+
+
+def test_a_replica_that_is_back_without_weights_was_lost(site: Site) -> None:
+    site.attempt(BROKEN)
+    site.pass_time(1.0)
+    site.tell(reachable=True, holds=False)
+    site.pass_time(0.1)
+    assert site.losses() == [False]
+
+
+def test_a_replica_that_answers_a_request_sent_after_the_reset_was_not_lost(site: Site) -> None:
+    site.attempt(BROKEN)
+    site.now += 0.2
+    site.attempt(Streamed())
+    assert not site.losses()
+
+
+@pytest.mark.parametrize("outcome", [BROKEN, SILENT, None])
+def test_what_a_replica_had_is_blamed_once_it_has_left_the_list_unannounced(
+    site: Site, outcome: Outcome | None
+) -> None:
+    site.attempt(outcome)
+    site.place.gone = True
+    site.pass_time(3.0)
+    assert site.losses() == [True]
+
+
+@pytest.mark.parametrize("outcome", [BROKEN, SILENT])
+def test_what_a_replica_had_is_blamed_once_its_daemon_has_not_reached_it_for_long(
+    site: Site, outcome: Outcome
+) -> None:
+    site.tell(reachable=True)
+    site.attempt(outcome)
+    for _ in range(10):
+        site.tell(reachable=False)
+        site.pass_time(0.2)
+    assert site.losses() == [True]
+
+
+def test_a_replica_that_left_as_announced_was_not_lost(site: Site) -> None:
+    site.attempt(SILENT)
+    listed = site.place.replica
+    site.place.replica = Replica("i-1", "lm", listed.address, "z0", 8, True, listed.loaded)
+    site.place.gone = True
+    site.pass_time(1.0)
+    assert not site.losses()
+
+
+def test_a_request_under_way_on_a_lost_replica_is_blamed_and_cleared_by_its_answer(
+    site: Site,
+) -> None:
+    request = StubRequest()
+    attempt = site.watch.begin(cast(Admitted, request), site.place, AttemptTimes())
+    site.place.gone = True
+    site.pass_time(0.2)
+    assert site.losses() == [True]
+    assert site.watch.count_under_way(request.identity) == 1
+    site.now += 0.2
+    site.watch.end(attempt, Streamed())
+    assert not site.losses()
+
+
+def test_what_is_not_begun_of_a_barred_request_is_withdrawn(site: Site) -> None:
+    request = StubRequest()
+    times = AttemptTimes()
+    site.watch.begin(cast(Admitted, request), site.place, times)
+    for number in range(3):
+        site.shared.blame(LossKey(f"i-{number}", None), [request.identity], site.now)
+    assert site.shared.update(site.now)
+    times.unbegun = trio.CancelScope()
+    site.watch.withdraw(site.shared.barred())
+    assert times.ends_replicas and times.unbegun.cancel_called
--- a/tests/test_requests_that_end_replicas.py
+++ b/tests/test_requests_that_end_replicas.py
@@ -3,6 +3,7 @@
 Two entries as real processes and ten replicas, each of which is back three seconds after it ended.
 """
 
+import random
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
@@ -11,10 +12,11 @@
 
 import pytest
 import trio
+from headcross_base.errorcodes import ENDS_REPLICAS
 
 from testing.machinecaller import Reply, ask
 from testing.machinelayout import MODEL_SERVICE, PLAIN_SERVICE
-from testing.machines import Machines, small_site
+from testing.machines import Machines, replicas_of, small_site
 from testing.platformreplica import Ending, Run
 
 DEADLY: Final = b"ends what runs it"
@@ -105,3 +107,42 @@
         played = await play(site, path)
     print(len(played.ends), "ended;", played.late_arrivals(), "late;", played.served_share())
     assert played.late_arrivals() <= LATE_ARRIVALS
+
+
+POPULAR_REQUESTS: Final = 6
+DIES_EVERY_SECONDS: Final = 1.5
+DYING_SECONDS: Final = 20.0
+ANSWERED_SHARE: Final = 0.99
+
+
+@pytest.mark.parametrize("ending", list(Ending))
+async def test_popular_requests_are_answered_while_replicas_end_of_themselves(
+    tmp_path: Path, ending: Ending
+) -> None:
+    async with deadly_site(tmp_path, MODEL_SERVICE, ending) as site:
+        replies: list[Reply] = []
+
+        async def call(number: int) -> None:
+            body = b"popular %d" % (number % POPULAR_REQUESTS)
+            replies.append(await ask(site.callers(f"entry{number % 2}"), "/stream/x", body))
+
+        async def end_replicas() -> None:
+            while True:
+                await trio.sleep(DIES_EVERY_SECONDS)
+                alive = [r for r in replicas_of(site, MODEL_SERVICE) if not r.ended.is_set()]
+                await random.choice(alive).end()
+
+        for replica in replicas_of(site, MODEL_SERVICE):
+            replica.event_seconds = 0.05
+        async with trio.open_nursery() as calls:
+            with trio.move_on_after(DYING_SECONDS):
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(end_replicas)
+                    for number in range(1 << 30):
+                        calls.start_soon(call, number)
+                        await trio.sleep(OTHERS_EVERY_SECONDS)
+    refused = [reply for reply in replies if ENDS_REPLICAS.code.encode() in reply.body]
+    answered = sum(reply.status == 200 and reply.whole for reply in replies)
+    print(answered, "of", len(replies), "answered")
+    assert not refused
+    assert answered >= ANSWERED_SHARE * len(replies)
