headcross explain leads from a refused request to the replicas lost under it

A request that is refused with ends-replicas did not run itself, so its own lines name no replica. explain now also prints the lost attempts of other tries with the same request_digest, and how the request was judged.

--- a/libs/cli/src/headcross_cli/explaining.py
+++ b/libs/cli/src/headcross_cli/explaining.py
@@ -23,16 +23,19 @@
     """What the logs say about one request."""
 
     lines: list[Line] = field(default_factory=list)  # oldest first
+    # Lost attempts of other tries of the same request, and how it was judged, oldest first.
+    related: list[Line] = field(default_factory=list)
     broken: int = 0  # lines that are no JSON objects
 
 
 def read_story(request: str, files: Iterable[Path]) -> Story:
-    """Return the lines about a request.
+    """Return the lines about a request, and those about other tries of it that were lost.
 
     A line that is cut short or not a JSON object is counted and passed over. Raises OSError if a
     file cannot be read.
     """
     story = Story()
+    with_digest: list[Line] = []
     for path in files:
         for raw in path.read_bytes().splitlines():
             try:
@@ -43,7 +46,12 @@
                 story.broken += bool(raw.strip())
             elif line.get("request") == request:
                 story.lines.append(line)
-    story.lines.sort(key=lambda line: str(line.get("at", "")))
+            elif "request_digest" in line:
+                with_digest.append(line)
+    digests = {line["request_digest"] for line in story.lines if "request_digest" in line}
+    story.related = [line for line in with_digest if line["request_digest"] in digests]
+    for lines in (story.lines, story.related):
+        lines.sort(key=lambda line: str(line.get("at", "")))
     return story
 
 
--- a/libs/cli/src/headcross_cli/main.py
+++ b/libs/cli/src/headcross_cli/main.py
@@ -151,6 +151,10 @@
         return _fail(f"no line about request {request!r}", exitcodes.REJECTED)
     for line in story.lines:
         print(describe_line(line))
+    if story.related:
+        print("Other tries of the same request, and how it was judged:")
+    for line in story.related:
+        print(describe_line(line))
     print(find_cause(story.lines))
     return exitcodes.OK
 
--- a/tests/test_tool.py
+++ b/tests/test_tool.py
@@ -161,6 +161,28 @@
     assert len(told) == 3
 
 
+async def test_explain_leads_from_a_barred_request_to_the_replicas_lost_under_it(
+    tmp_path: Path,
+) -> None:
+    digest = {"request_digest": "d1"}
+    lost = {"host": "e", "message": "attempt", "outcome": "may-have-run", **digest}
+    lines = [
+        {"at": "T3", "host": "e", "message": "refused", "request": "r3", "reason": "ends-replicas"}
+        | digest,
+        {"at": "T2", "request": "r2", "replica": "i-2", **lost},
+        {"at": "T1", "request": "r1", "replica": "i-1", **lost},
+        {"at": "T0", "request": "r0", "replica": "i-0", **lost, "request_digest": "d2"},
+    ]
+    log = tmp_path / "entry.log"
+    log.write_text("\n".join(json.dumps(line) for line in lines))
+    code, output, errors = await headcross("explain", "r3", str(log))
+    assert (code, errors) == (0, "")
+    told = output.splitlines()
+    assert told[1] == "Other tries of the same request, and how it was judged:"
+    assert ["replica=i-1" in told[2], "replica=i-2" in told[3]] == [True, True]
+    assert "i-0" not in output
+
+
 async def test_explain_says_so_when_no_log_knows_the_request(tmp_path: Path) -> None:
     log = tmp_path / "entry.log"
     log.write_text("")
