A request whose replicas fall silent is suspect before these are known to have ended

Now a loss says how well it is known (silent, broken, ended). Silences make a request suspect, which gets one replica a try and stays there, and never bar it; a sign of life takes them back.

--- a/libs/gateway/src/headcross_gateway/lossnews.py
+++ b/libs/gateway/src/headcross_gateway/lossnews.py
@@ -13,6 +13,7 @@
 
 from headcross_gateway.replicalosses import (
     REMEMBERED_SECONDS,
+    Evidence,
     Loss,
     LossKey,
     ReplicaLosses,
@@ -46,15 +47,11 @@
 
     # What this entry learns itself.
 
-    def blame(self, key: LossKey, requests: list[RequestIdentity], at: float) -> None:
+    def blame(
+        self, key: LossKey, requests: list[RequestIdentity], at: float, evidence: Evidence
+    ) -> None:
         """Note requests that were on a replica as it was lost."""
-        if self.losses.blame(key, requests, at):
-            self._lost.add(key)
-            self._on_news()
-
-    def confirm(self, key: LossKey) -> None:
-        """Note that a replica has ended."""
-        if self.losses.confirm(key):
+        if self.losses.blame(key, requests, at, evidence):
             self._lost.add(key)
             self._on_news()
 
@@ -102,7 +99,7 @@
             if identity is not None and self._is_plausible(answered.age):
                 self.losses.answered(identity, now - answered.age)
         if self.rejected > rejected:
-            fields = {"items": self.rejected - rejected, "reason": "identity or age"}
+            fields = {"items": self.rejected - rejected, "reason": "identity, age or evidence"}
             logger.warning("news of losses rejected", extra=fields)
 
     def _hear_lost(self, lost: LostReplica, now: float) -> None:
@@ -111,10 +108,14 @@
         key = LossKey(lost.replica, lost.started_ms)
         read = [self._identity(each) for each in lost.requests]
         identities = [identity for identity in read if identity is not None]
-        if identities:
-            self.losses.blame(key, identities, now - lost.age)
-        if lost.certain:
-            self.losses.confirm(key)
+        if identities and self._is_evidence(lost.evidence):
+            self.losses.blame(key, identities, now - lost.age, Evidence(lost.evidence))
+
+    def _is_evidence(self, value: int) -> bool:
+        if value in Evidence.__members__.values():
+            return True
+        self.rejected += 1
+        return False
 
     def _identity(self, data: bytes) -> RequestIdentity | None:
         try:
@@ -160,13 +161,14 @@
 def _lost(key: LossKey, known: dict[LossKey, Loss], now: float) -> LostReplica:
     loss = known[key]
     requests = [identity.to_bytes() for identity in loss.requests]
-    return LostReplica(key.replica, key.started_ms, now - loss.at, loss.certain, requests)
+    return LostReplica(key.replica, key.started_ms, now - loss.at, int(loss.evidence), requests)
 
 
 def _describe(suspicion: Suspicion, now: float) -> dict[str, object]:
     return {
         "request_digest": str(suspicion.identity),
         "losses": suspicion.losses,
+        "silences": suspicion.silences,
         "last_loss_age": round(now - suspicion.last_at, 3),
         "barred_for": round(max(0.0, suspicion.barred_until() - now), 1),
     }
--- a/libs/gateway/src/headcross_gateway/losswatch.py
+++ b/libs/gateway/src/headcross_gateway/losswatch.py
@@ -4,8 +4,8 @@
 connection broke is blamed at once, and no longer than it takes to learn more: its replica may turn
 out to live (its daemon reaches it, or it answers a request sent later) or to have ended (it left
 the list unannounced, another incarnation is in its place, or its daemon does not reach it). A
-replica that falls silent breaks nothing; what was sent there is blamed once it is known to have
-ended.
+replica that falls silent breaks nothing: it makes a request suspect for that while at most, until
+the replica is known to have ended.
 """
 
 from collections.abc import Callable
@@ -18,7 +18,7 @@
 from headcross_gateway.attempts import AttemptTimes
 from headcross_gateway.lossnews import SharedLosses
 from headcross_gateway.outcomes import DidNotRun, MayRun, Outcome, Streamed, Whole
-from headcross_gateway.replicalosses import UNCERTAIN_SECONDS, LossKey
+from headcross_gateway.replicalosses import UNCERTAIN_SECONDS, Evidence, LossKey
 from headcross_gateway.replicastate import ReplicaState
 from headcross_gateway.requestidentity import RequestIdentity
 
@@ -40,6 +40,12 @@
     times: AttemptTimes = field(default_factory=AttemptTimes)
     ended_at: float | None = None  # None while it is under way
     broken: bool = False  # its connection broke
+    silent: bool = False  # it was given up since its replica was silent
+
+    @property
+    def was_lost(self) -> bool:
+        """Whether its end speaks for the loss of its replica."""
+        return self.broken or self.silent
 
 
 class LossWatch:
@@ -73,8 +79,11 @@
                 self._forget(attempt)
             case MayRun(broken=True):
                 attempt.broken = True
-                self._shared.blame(attempt.key, [attempt.request.identity], attempt.ended_at)
-            case MayRun(silent=False, withdrawn=False):
+                self._blame(attempt, attempt.ended_at, Evidence.BROKEN)
+            case MayRun(silent=True):
+                attempt.silent = True
+                self._blame(attempt, attempt.ended_at, Evidence.SILENT)
+            case MayRun(withdrawn=False):
                 self._forget(attempt)
 
     def count_under_way(self, identity: RequestIdentity) -> int:
@@ -101,17 +110,15 @@
             if _has_ended(attempts[0].place, now):
                 self._note_ended(key, attempts)
                 continue
-            broken = [a.ended_at for a in attempts if a.broken and a.ended_at is not None]
-            if broken and _lives_after(attempts[0].place, max(broken) + SIGN_OF_LIFE_SECONDS):
+            if _was_not_lost(attempts):
                 self._note_alive(key, now)
             self._expire(key, now)
 
     def _note_ended(self, key: LossKey, attempts: list[OpenAttempt]) -> None:
-        """Blame what was there; what is under way there was blamed by this and never ends well."""
+        """Blame all that was there, also what is still under way."""
         lost_at = min((a.ended_at for a in attempts if a.broken and a.ended_at), default=None)
         at = lost_at if lost_at is not None else self._clock()
-        self._shared.blame(key, [a.request.identity for a in attempts], at)
-        self._shared.confirm(key)
+        self._shared.blame(key, [a.request.identity for a in attempts], at, Evidence.ENDED)
         self._open[key] = [a for a in attempts if a.ended_at is None]
         if not self._open[key]:
             del self._open[key]
@@ -123,14 +130,14 @@
             return
         now = self._clock()
         others = self._open.get(attempt.key, [])
-        if any(a.broken and a.ended_at and a.ended_at < attempt.placed_at for a in others):
+        if any(a.was_lost and a.ended_at and a.ended_at < attempt.placed_at for a in others):
             self._note_alive(attempt.key, now)
         if losses.concerns(attempt.request.identity.scope):
             self._shared.answered(attempt.request.identity, now)
 
     def _note_alive(self, key: LossKey, now: float) -> None:
         self._shared.retract(key, now)
-        self._open[key] = [a for a in self._open.get(key, []) if not a.broken]
+        self._open[key] = [a for a in self._open.get(key, []) if not a.was_lost]
         if not self._open[key]:
             del self._open[key]
 
@@ -142,6 +149,9 @@
         else:
             self._open.pop(key, None)
 
+    def _blame(self, attempt: OpenAttempt, at: float, evidence: Evidence) -> None:
+        self._shared.blame(attempt.key, [attempt.request.identity], at, evidence)
+
     def _forget(self, attempt: OpenAttempt) -> None:
         attempts = self._open.get(attempt.key, [])
         if attempt in attempts:
@@ -164,6 +174,15 @@
     )
 
 
+def _was_not_lost(attempts: list[OpenAttempt]) -> bool:
+    """Tell whether a replica left as it had announced, or lives after all attempts lost there."""
+    place = attempts[0].place
+    if place.gone and place.replica.draining:
+        return True
+    lost = [a.ended_at for a in attempts if a.was_lost and a.ended_at is not None]
+    return bool(lost) and _lives_after(place, max(lost) + SIGN_OF_LIFE_SECONDS)
+
+
 def _lives_after(place: ReplicaState, moment: float) -> bool:
     """Tell whether a replica's daemon has reached this life of it since a moment."""
     told = place.told
--- a/libs/gateway/src/headcross_gateway/replicalosses.py
+++ b/libs/gateway/src/headcross_gateway/replicalosses.py
@@ -14,9 +14,9 @@
 """
 
 from collections import OrderedDict
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from dataclasses import dataclass, field
-from enum import Enum
+from enum import Enum, IntEnum
 from typing import Final, TypeVar
 
 from headcross_gateway.requestidentity import RequestIdentity
@@ -30,7 +30,7 @@
 # How long a request gets no replica after its last loss; twice as long with each further one.
 BARRED_SECONDS: Final = 600.0
 MAX_LOSSES: Final = 128
-MAX_REQUESTS_PER_LOSS: Final = 64
+MAX_REQUESTS_PER_LOSS: Final = 32
 MAX_ANSWERED: Final = 1024
 NEVER: Final = float("-inf")
 K = TypeVar("K")
@@ -44,6 +44,14 @@
     BARRED = "barred"  # no replica
 
 
+class Evidence(IntEnum):
+    """How well it is known that a replica was lost; the greater, the better."""
+
+    SILENT = 0  # it gave no sign of life in time
+    BROKEN = 1  # connections to it broke
+    ENDED = 2  # it has ended
+
+
 @dataclass(frozen=True, slots=True)
 class LossKey:
     """One life of a replica, which was lost."""
@@ -57,12 +65,17 @@
     """What is known of one replica that was lost."""
 
     at: float
-    certain: bool = False  # the replica has ended, rather than the connections to it alone
+    evidence: Evidence
     requests: set[RequestIdentity] = field(default_factory=set)
 
+    @property
+    def is_certain(self) -> bool:
+        """Whether the replica is known to have ended."""
+        return self.evidence is Evidence.ENDED
+
     def expires_at(self) -> float:
         """Return when it is forgotten."""
-        return self.at + (REMEMBERED_SECONDS if self.certain else UNCERTAIN_SECONDS)
+        return self.at + (REMEMBERED_SECONDS if self.is_certain else UNCERTAIN_SECONDS)
 
 
 @dataclass(frozen=True, slots=True)
@@ -72,6 +85,15 @@
     identity: RequestIdentity
     losses: int
     last_at: float
+    silences: int = 0  # replicas that fell silent under it and may live
+
+    @property
+    def standing(self) -> Standing:
+        """Return what may be done with the request before any bar is over."""
+        if self.losses >= BARRED_LOSSES:
+            return Standing.BARRED
+        is_suspect = self.losses + self.silences >= SUSPECT_LOSSES
+        return Standing.SUSPECT if is_suspect else Standing.CLEAR
 
     def barred_until(self) -> float:
         """Return when it may be tried again, the moment of its last loss if that is at once."""
@@ -96,18 +118,26 @@
 
     # What is learned.
 
-    def blame(self, key: LossKey, requests: Iterable[RequestIdentity], at: float) -> bool:
+    def blame(
+        self,
+        key: LossKey,
+        requests: Iterable[RequestIdentity],
+        at: float,
+        evidence: Evidence = Evidence.BROKEN,
+    ) -> bool:
         """Note requests that were on a replica as it was lost; return whether that is new."""
         if self._alive_at.get(key, NEVER) >= at:
             return False
-        loss = self._losses.setdefault(key, Loss(at))
-        loss.at = min(loss.at, at)
+        loss = self._losses.setdefault(key, Loss(at, evidence))
+        is_stronger = evidence > loss.evidence
+        loss.at, loss.evidence = min(loss.at, at), max(loss.evidence, evidence)
         new = {each for each in requests if self._may_blame(each, loss)}
         room = MAX_REQUESTS_PER_LOSS - len(loss.requests)
         loss.requests |= set(list(new)[:room])
         self._drop_excess()
-        self._judged = not new and self._judged
-        return bool(new and room)
+        is_news = is_stronger or bool(new and room)
+        self._judged = not is_news and self._judged
+        return is_news
 
     def _may_blame(self, identity: RequestIdentity, loss: Loss) -> bool:
         if identity in loss.requests:
@@ -117,15 +147,16 @@
     def confirm(self, key: LossKey) -> bool:
         """Note that a replica has ended; return whether that is new."""
         loss = self._losses.get(key)
-        if loss is None or loss.certain:
+        if loss is None or loss.is_certain:
             return False
-        loss.certain = True
+        loss.evidence = Evidence.ENDED
+        self._judged = False
         return True
 
     def retract(self, key: LossKey, at: float) -> bool:
         """Note that a replica was alive at a moment, so that only connections to it were lost."""
         loss = self._losses.get(key)
-        if loss is None or loss.certain or loss.at > at:
+        if loss is None or loss.is_certain or loss.at > at:
             return False
         del self._losses[key]
         _remember(self._alive_at, key, at, MAX_LOSSES)
@@ -165,11 +196,11 @@
         """Return what may be done with a request."""
         self._judge()
         suspicion = self._suspicions.get(identity)
-        if suspicion is None or suspicion.losses < SUSPECT_LOSSES:
+        if suspicion is None:
             return Standing.CLEAR
-        if suspicion.losses < BARRED_LOSSES or now >= suspicion.barred_until():
+        if suspicion.standing is Standing.BARRED and now >= suspicion.barred_until():
             return Standing.SUSPECT
-        return Standing.BARRED
+        return suspicion.standing
 
     def suspicion(self, identity: RequestIdentity) -> Suspicion | None:
         """Return what counts against a request, None if nothing does."""
@@ -177,10 +208,10 @@
         return self._suspicions.get(identity)
 
     def suspicions(self) -> list[Suspicion]:
-        """Return the requests that have at least the losses of a suspect."""
+        """Return the requests that are suspect or barred."""
         self._judge()
         found = self._suspicions.values()
-        return [each for each in found if each.losses >= SUSPECT_LOSSES]
+        return [each for each in found if each.standing is not Standing.CLEAR]
 
     def losses(self) -> dict[LossKey, Loss]:
         """Return every loss that is remembered."""
@@ -191,36 +222,52 @@
         if self._judged:
             return
         self._judged = True
-        self._suspicions = {}
         blamed_for: dict[RequestIdentity, set[LossKey]] = {}
+        silent_under: dict[RequestIdentity, set[LossKey]] = {}
         for key, loss in self._losses.items():
+            by_request = silent_under if loss.evidence is Evidence.SILENT else blamed_for
             for identity in loss.requests:
-                blamed_for.setdefault(identity, set()).add(key)
-        self._scopes = frozenset(identity.scope for identity in blamed_for)
-        while blamed_for:
-            most = max(len(keys) for keys in blamed_for.values())
-            found = [i for i, keys in blamed_for.items() if len(keys) == most]
-            explained: set[LossKey] = set()
-            for identity in found:
-                keys = blamed_for.pop(identity)
-                explained |= keys
-                last_at = max(self._losses[key].at for key in keys)
-                self._suspicions[identity] = Suspicion(identity, most, last_at)
-            if most < SUSPECT_LOSSES:
-                continue
-            blamed_for = {
-                i: keys - explained for i, keys in blamed_for.items() if keys - explained
-            }
+                by_request.setdefault(identity, set()).add(key)
+        self._scopes = frozenset(i.scope for i in (*blamed_for, *silent_under))
+        explained_by = _fewest_explaining(blamed_for)
+        self._suspicions = {
+            identity: self._suspicion(
+                identity, explained_by.get(identity, ()), silent_under.get(identity, ())
+            )
+            for identity in explained_by.keys() | silent_under.keys()
+        }
+
+    def _suspicion(
+        self, identity: RequestIdentity, lost: Collection[LossKey], silent: Collection[LossKey]
+    ) -> Suspicion:
+        last_at = max(self._losses[key].at for key in (*lost, *silent))
+        return Suspicion(identity, len(lost), last_at, len(silent))
 
     def _drop_excess(self) -> None:
         """Keep within bounds; losses that bar a request go last."""
         while len(self._losses) > MAX_LOSSES:
-            self._judged = False
-            barred = {s.identity for s in self.suspicions() if s.losses >= BARRED_LOSSES}
+            # As it was judged last: judging anew for each loss of a flood would cost more than it.
+            barred = {s.identity for s in self._suspicions.values() if s.losses >= BARRED_LOSSES}
             free = [k for k, loss in self._losses.items() if not loss.requests & barred]
             del self._losses[free[0] if free else next(iter(self._losses))]
 
 
+def _fewest_explaining(
+    blamed_for: dict[RequestIdentity, set[LossKey]],
+) -> dict[RequestIdentity, frozenset[LossKey]]:
+    """Return the losses that are put down to each request; each loss to as few as possible."""
+    explained_by: dict[RequestIdentity, frozenset[LossKey]] = {}
+    left = {identity: frozenset(keys) for identity, keys in blamed_for.items()}
+    while left:
+        most = max(len(keys) for keys in left.values())
+        found = {identity: keys for identity, keys in left.items() if len(keys) == most}
+        explained_by |= found
+        explained = frozenset[LossKey]().union(*found.values()) if most >= SUSPECT_LOSSES else ()
+        rest = {i: keys.difference(explained) for i, keys in left.items() if i not in found}
+        left = {identity: keys for identity, keys in rest.items() if keys}
+    return explained_by
+
+
 def _remember(moments: OrderedDict[K, float], key: K, at: float, most: int) -> None:
     """Note the latest moment for a key, and forget the keys that were noted longest ago."""
     moments[key] = max(at, moments.get(key, at))
--- a/libs/wire/src/headcross_wire/peermessages.py
+++ b/libs/wire/src/headcross_wire/peermessages.py
@@ -316,7 +316,7 @@
     replica: str  # its id
     started_ms: int | None  # when that life began, Unix milliseconds; None: not told
     age: float  # seconds since it was lost, or was found alive
-    certain: bool = False  # the replica has ended, rather than the connections to it alone
+    evidence: int = 1  # how well it is known; see headcross_gateway
     requests: list[bytes] = []  # identities of requests that were there; see headcross_gateway
 
 
--- a/tests/test_loss_watch.py
+++ b/tests/test_loss_watch.py
@@ -13,7 +13,7 @@
 from headcross_gateway.lossnews import SharedLosses
 from headcross_gateway.losswatch import LossWatch
 from headcross_gateway.outcomes import DidNotRun, MayRun, Outcome, Streamed
-from headcross_gateway.replicalosses import LossKey
+from headcross_gateway.replicalosses import Evidence, LossKey
 from headcross_gateway.replicastate import ReplicaState
 from headcross_gateway.requestidentity import RequestIdentity
 from headcross_ports.published import LoadedModel, Replica
@@ -64,7 +64,7 @@
 
     def losses(self) -> list[bool]:
         """Return of each loss that blames a request whether it is certain."""
-        return [loss.certain for loss in self.shared.losses.losses().values() if loss.requests]
+        return [loss.is_certain for loss in self.shared.losses.losses().values() if loss.requests]
 
 
 @pytest.fixture
@@ -72,8 +72,11 @@
     return Site(monkeypatch)
 
 
-def test_a_request_whose_connection_broke_is_blamed_at_once(site: Site) -> None:
-    site.attempt(BROKEN)
+@pytest.mark.parametrize("outcome", [BROKEN, SILENT])
+def test_a_request_whose_connection_broke_or_fell_silent_is_blamed_at_once(
+    site: Site, outcome: Outcome
+) -> None:
+    site.attempt(outcome)
     assert site.losses() == [False]
 
 
@@ -83,7 +86,6 @@
         Streamed(),
         DidNotRun(LINK_LOST, "refused", arrived=True),
         MayRun(UPSTREAM_ERROR, "no seal"),
-        SILENT,
         None,
     ],
 )
@@ -95,8 +97,11 @@
     assert not site.losses()
 
 
-def test_a_replica_that_its_daemon_reaches_after_the_reset_was_not_lost(site: Site) -> None:
-    site.attempt(BROKEN)
+@pytest.mark.parametrize("outcome", [BROKEN, SILENT])
+def test_a_replica_that_its_daemon_reaches_after_that_was_not_lost(
+    site: Site, outcome: Outcome
+) -> None:
+    site.attempt(outcome)
     site.tell(reachable=True)
     site.pass_time(0.1)
     assert site.losses() == [False], "read before the reset, perhaps"
@@ -171,7 +176,8 @@
     times = AttemptTimes()
     site.watch.begin(cast(Admitted, request), site.place, times)
     for number in range(3):
-        site.shared.blame(LossKey(f"i-{number}", None), [request.identity], site.now)
+        key = LossKey(f"i-{number}", None)
+        site.shared.blame(key, [request.identity], site.now, Evidence.BROKEN)
     assert site.shared.update(site.now)
     times.unbegun = trio.CancelScope()
     site.watch.withdraw(site.shared.barred())
--- a/tests/test_replica_losses.py
+++ b/tests/test_replica_losses.py
@@ -3,6 +3,7 @@
 import random
 from collections.abc import Iterable
 
+import msgspec
 import pytest
 from headcross_gateway.lossnews import SharedLosses
 from headcross_gateway.replicalosses import (
@@ -10,6 +11,7 @@
     MAX_LOSSES,
     MAX_REQUESTS_PER_LOSS,
     UNCERTAIN_SECONDS,
+    Evidence,
     LossKey,
     ReplicaLosses,
     Standing,
@@ -56,6 +58,16 @@
     assert with_losses(*losses).standing(request(DEADLY), 4.0) is standing
 
 
+def test_silent_replicas_make_a_request_suspect_and_never_bar_it() -> None:
+    known = ReplicaLosses()
+    for number in range(5):
+        known.blame(lost(number), [request(DEADLY)], 1.0, Evidence.SILENT)
+    assert known.standing(request(DEADLY), 2.0) is Standing.SUSPECT
+    for number in range(3):
+        known.confirm(lost(number))
+    assert known.standing(request(DEADLY), 2.0) is Standing.BARRED
+
+
 def test_the_same_loss_told_by_several_entries_counts_once() -> None:
     known = ReplicaLosses()
     for at in (1.0, 1.1, 1.2):
@@ -147,6 +159,7 @@
 
 def test_a_flood_of_other_requests_evicts_no_barred_one_and_stays_within_bounds() -> None:
     known = with_losses([DEADLY], [DEADLY], [DEADLY])
+    assert known.standing(request(DEADLY), 4.0) is Standing.BARRED
     for number in range(10, 3 * MAX_LOSSES):
         known.blame(lost(number), [request(1000 * number + n) for n in range(100)], 10.0)
         known.confirm(lost(number))
@@ -167,9 +180,8 @@
     for _ in range(12):
         now += 0.1
         key = lost(generator.randrange(5))
-        teller.blame(key, [request(n) for n in generator.sample(range(4), 2)], now)
-        if generator.random() < 0.5:
-            teller.confirm(key)
+        there = [request(n) for n in generator.sample(range(4), 2)]
+        teller.blame(key, there, now, generator.choice(list(Evidence)))
         if generator.random() < 0.2:
             teller.answered(request(generator.randrange(4)), now)
         told = teller.take_untold(now)
@@ -190,10 +202,7 @@
 
 def _aged(news: LossNews, seconds: float) -> LossNews:
     """Return news as they are when they come late: their ages are as of their sending."""
-    lost_ = [
-        LostReplica(each.replica, each.started_ms, each.age + seconds, each.certain, each.requests)
-        for each in news.lost
-    ]
+    lost_ = [msgspec.structs.replace(each, age=each.age + seconds) for each in news.lost]
     answered = [AnsweredRequest(each.request, each.age + seconds) for each in news.answered]
     return LossNews(lost_, [], answered)
 
@@ -201,15 +210,16 @@
 @pytest.mark.parametrize(
     "item",
     [
-        LostReplica("i-1", None, -1.0, True, [bytes(16)]),
-        LostReplica("i-1", None, float("nan"), True, [bytes(16)]),
-        LostReplica("i-1", None, 1e9, True, [bytes(16)]),
-        LostReplica("i-1", None, 1.0, True, [b"short"]),
+        LostReplica("i-1", None, -1.0, 1, [bytes(16)]),
+        LostReplica("i-1", None, float("nan"), 1, [bytes(16)]),
+        LostReplica("i-1", None, 1e9, 1, [bytes(16)]),
+        LostReplica("i-1", None, 1.0, 1, [b"short"]),
+        LostReplica("i-1", None, 1.0, 9, [bytes(16)]),
     ],
 )
 def test_news_that_cannot_be_right_are_left_out(item: LostReplica) -> None:
     shared = SharedLosses()
-    good = LostReplica("i-2", None, 1.0, True, [request(1).to_bytes()])
+    good = LostReplica("i-2", None, 1.0, 1, [request(1).to_bytes()])
     shared.hear(LossNews([item, good]), 100.0)
     assert shared.rejected == 1
     assert set(shared.losses.losses()) == {LossKey("i-2", None)}
@@ -217,7 +227,7 @@
 
 def test_news_survive_their_encoding() -> None:
     shared = SharedLosses()
-    shared.blame(lost(1), [request(1)], 1.0)
+    shared.blame(lost(1), [request(1)], 1.0, Evidence.BROKEN)
     news = shared.take_untold(2.0)
     assert news is not None and decode(encode(news)) == news
     assert shared.take_untold(2.0) is None
--- a/tests/test_requests_that_end_replicas.py
+++ b/tests/test_requests_that_end_replicas.py
@@ -146,3 +146,14 @@
     print(answered, "of", len(replies), "answered")
     assert not refused
     assert answered >= ANSWERED_SHARE * len(replies)
+
+
+@pytest.mark.parametrize("path", list(SERVICES))
+@pytest.mark.parametrize("ending", list(Ending))
+async def test_others_are_served_while_a_request_that_ends_replicas_comes_again(
+    tmp_path: Path, path: str, ending: Ending
+) -> None:
+    async with deadly_site(tmp_path, SERVICES[path], ending) as site:
+        played = await play(site, path)
+    print(len(played.ends), "ended;", played.late_arrivals(), "late;", played.served_share())
+    assert played.served_share() >= SERVED_SHARE
