An entry that has just started knows which requests replicas were lost under

Causes, one behind the other: the losses were known to entries alone; news to an entry or daemon whose link was not open were dropped, since the first message only opens it (its log: 'suspect' where the teller's says 'barred'); an entry subscribed only 1 s after its start, when it was ready already, since it knew no daemon in its first round; and a loss that the killed entry had not yet confirmed was forgotten after 6 s.

Now daemons keep what they are told and answer an entry in its first 6 s; news are sent again where the link was not open; an entry subscribes 0.2 s after it knows no daemon; and any entry confirms a loss by what it sees of the replica. An unconfirmed one is kept for 12 s.

--- a/libs/daemon/src/headcross_daemon/gatewayrole.py
+++ b/libs/daemon/src/headcross_daemon/gatewayrole.py
@@ -59,8 +59,13 @@
 OVERLOAD_SECONDS: Final = 0.2
 # What is learned of lost replicas within so long is told together.
 TOLD_TOGETHER_SECONDS: Final = 0.02
+# How often news of lost replicas are sent to one whose link is not open, and how soon again.
+TELL_TRIES: Final = 5
+TELL_AGAIN_SECONDS: Final = 0.1
 # Entries to which everything known of lost replicas is told again, each second.
 REPEAT_LOSSES_TO: Final = 3
+# An entry asks for the losses that daemons keep for so long after its start.
+ASK_LOSSES_SECONDS: Final = 6.0
 # Descriptors that are not connections of callers or to replicas.
 RESERVED_DESCRIPTORS: Final = 300
 # After a stop signal callers still come for this long: the platform asks for readiness once a
@@ -106,7 +111,7 @@
         picker = Picker(settings.zone, self._directory, rules)
         self._admission = Admission(picker, self._overload.reserved_share)
         budget = RetryBudget(settings.bounds.retry_ratio, settings.bounds.retry_slack)
-        self._containment = Containment()
+        self._containment = Containment(self._directory.find, lambda: facts.complete)
         self._path = RequestPath(
             facts,
             adapter.dialect,
@@ -132,6 +137,8 @@
         )
         # Rounds of telling others that this entry mirrors weights.
         self._announcements = 0
+        # Until then daemons are asked for the losses that they keep (monotonic).
+        self._asks_losses_until = monotonic() + ASK_LOSSES_SECONDS
         # How many entries there are, as far as this one can tell.
         self._entries = 1
 
@@ -340,8 +347,9 @@
             taken = [send(*pair) for pair in zip(daemons, messages, strict=True)]
             if self._mirror is not None:
                 self._announce_mirror(self._mirror)
-            # The first message to a daemon only opens the link.
-            seconds = SUBSCRIBE_SECONDS if all(taken) else SUBSCRIBE_SECONDS / 5
+            # The first message to a daemon only opens the link, and at the start none is known.
+            is_known = bool(daemons) and all(taken)
+            seconds = SUBSCRIBE_SECONDS if is_known else SUBSCRIBE_SECONDS / 5
             if self._rules.any_ends_within(PROOFS_AHEAD_SECONDS):
                 seconds = PROOF_SECONDS
             await trio.sleep(seconds * random.uniform(0.8, 1.2))
@@ -382,6 +390,7 @@
             named=news_of_versions(self.process.facts),
             loaded=self._directory.loaded_lately(daemon.ip, NEWS_SECONDS),
             first_heard_age=self._directory.first_heard_age(daemon.ip),
+            wants_losses=monotonic() < self._asks_losses_until,
         )
 
     def _plan(self) -> WeightsPlan | None:
@@ -404,12 +413,22 @@
             self.process.node.send(address, RefusedNews(refused))
 
     async def _share_losses(self) -> None:
-        """Tell all other entries what is learned here of lost replicas."""
-        while True:
-            news = await self._containment.wait_untold()
-            for address in self.process.known_entries():
-                self.process.node.send(address, news)
-            await trio.sleep(TOLD_TOGETHER_SECONDS)
+        """Tell all other entries, and daemons, what is learned here of lost replicas."""
+        async with trio.open_nursery() as nursery:
+            while True:
+                news = await self._containment.wait_untold()
+                # Daemons keep it for entries that start after all others were killed.
+                to = [*self.process.known_entries(), *self._daemons()]
+                nursery.start_soon(self._tell_losses, news, to)
+                await trio.sleep(TOLD_TOGETHER_SECONDS)
+
+    async def _tell_losses(self, news: LossNews, to: list[Address]) -> None:
+        """Send news; where the first message only opens the link, send them again."""
+        for _ in range(TELL_TRIES):
+            to = [address for address in to if not self.process.node.send(address, news)]
+            if not to:
+                return
+            await trio.sleep(TELL_AGAIN_SECONDS)
 
     def _repeat_losses(self) -> None:
         """Tell a few entries everything: some may have started, or come out of a cut."""
--- a/libs/daemon/src/headcross_daemon/renewalrole.py
+++ b/libs/daemon/src/headcross_daemon/renewalrole.py
@@ -38,10 +38,12 @@
     KnownDigests,
     KnownMirrors,
     KnownPlan,
+    LossNews,
     Subscribe,
 )
 from headcross_wire.peernode import Incoming
 
+from headcross_daemon.losskeeping import LossKeeper
 from headcross_daemon.machinecommon import AdminPages, MachineProcess
 from headcross_daemon.machinesettings import MachineSettings
 from headcross_daemon.metrics import Samples, sample
@@ -116,6 +118,7 @@
             link_bytes_per_second=rate * LEAST_DOWNLINK_PART,
         )
         self._mirrors = MirrorBook()
+        self._losses = LossKeeper()
         self._book = DigestBook(
             origin, self.process.node, self._daemons, settings.ip, self._daemons_for_digests
         )
@@ -198,6 +201,7 @@
             "uploads": {"sent": self._swarm.uploads.sent, "refused": self._swarm.uploads.refused},
             "origin_bytes": sum(self._importer.received_bytes.values()),
             "mirrors": [mirror.ip for mirror in self._mirrors.known()],
+            "losses_kept": self._losses.dump(),
         }
 
     def _set_link_use(self, running: int | None) -> None:
@@ -296,8 +300,12 @@
                 self._hear_of_earlier_process(subscription)
                 if subscription.mirror is not None:
                     self._mirrors.hear(subscription.mirror)
+                if subscription.wants_losses:
+                    self._losses.answer(incoming.reply)
                 if subscription.wants_mirrors:
                     incoming.reply(KnownMirrors(self._mirrors.known()), None)
+            case LossNews() as news:
+                self._losses.hear(news)
             case AskPlan():
                 known_plan = self._plans.newest()
                 if known_plan is not None:
--- a/libs/gateway/src/headcross_gateway/containment.py
+++ b/libs/gateway/src/headcross_gateway/containment.py
@@ -5,6 +5,7 @@
 of a path and key is blamed, requests to it are not digested.
 """
 
+from collections.abc import Callable
 from typing import Final
 
 import trio
@@ -16,7 +17,8 @@
 from headcross_gateway.admitted import Admitted
 from headcross_gateway.lossnews import SharedLosses
 from headcross_gateway.losswatch import LossWatch
-from headcross_gateway.replicalosses import Standing
+from headcross_gateway.replicalosses import Evidence, LossKey, Standing
+from headcross_gateway.replicastate import ReplicaState
 from headcross_gateway.requestidentity import scope_of
 
 # When a caller may come back while another copy of its request runs.
@@ -29,7 +31,12 @@
     shared: SharedLosses
     watch: LossWatch
 
-    def __init__(self) -> None:
+    def __init__(
+        self, find_replica: Callable[[str], ReplicaState | None], list_is_known: Callable[[], bool]
+    ) -> None:
+        """`find_replica` returns the state of a listed replica by its id."""
+        self._find_replica = find_replica
+        self._list_is_known = list_is_known
         self._learned = trio.Event()
         self.shared = SharedLosses(lambda: self._learned.set())
         self.watch = LossWatch(self.shared)
@@ -85,5 +92,23 @@
     def update(self) -> None:
         """Look at what is known of lost replicas, and withdraw what is barred."""
         self.watch.check()
+        self._confirm_ends()
         if self.shared.update(monotonic()):
             self.watch.withdraw(self.shared.barred())
+
+    def _confirm_ends(self) -> None:
+        """Look whether replicas have ended that were lost, here or at another entry.
+
+        An entry that has just started has no attempts of its own to go by.
+        """
+        for key, loss in self.shared.losses.losses().items():
+            if loss.requests and not loss.is_certain and self._has_ended(key):
+                self.shared.blame(key, list(loss.requests), loss.at, Evidence.ENDED)
+
+    def _has_ended(self, key: LossKey) -> bool:
+        state = self._find_replica(key.replica)
+        if state is None:
+            return self._list_is_known()
+        if state.replica.started_ms != key.started_ms:
+            return True
+        return state.has_ended()
--- a/libs/gateway/src/headcross_gateway/directory.py
+++ b/libs/gateway/src/headcross_gateway/directory.py
@@ -105,6 +105,10 @@
         """Return the replicas of a service that are not leaving."""
         return self._by_service.get(service, [])
 
+    def find(self, replica_id: str) -> ReplicaState | None:
+        """Return the replica of an id, None if it is not listed."""
+        return self._states.get(replica_id)
+
     def states(self) -> Iterable[ReplicaState]:
         """Return every replica."""
         return self._states.values()
--- a/libs/gateway/src/headcross_gateway/losswatch.py
+++ b/libs/gateway/src/headcross_gateway/losswatch.py
@@ -25,8 +25,6 @@
 # A daemon's word counts as a sign of life only if it came so long after the loss: the replica was
 # read a moment before it was told.
 SIGN_OF_LIFE_SECONDS: Final = 0.5
-# A replica whose daemon has not reached it for so long has ended.
-OUT_OF_REACH_SECONDS: Final = 1.5
 
 
 @dataclass(eq=False, slots=True)
@@ -107,7 +105,7 @@
         """Look at what is known now of each replica where attempts are open."""
         now = self._clock()
         for key, attempts in list(self._open.items()):
-            if _has_ended(attempts[0].place, now):
+            if attempts[0].place.has_ended():
                 self._note_ended(key, attempts)
                 continue
             if _was_not_lost(attempts):
@@ -160,20 +158,6 @@
             self._open.pop(attempt.key, None)
 
 
-def _has_ended(place: ReplicaState, now: float) -> bool:
-    """Tell whether a replica is known to have ended without having announced it."""
-    if place.replica.draining:
-        return False
-    if place.gone or place.is_between_lives():
-        return True
-    since = place.out_of_reach_since
-    return (
-        since is not None
-        and place.fresh_load() is not None
-        and now - since >= OUT_OF_REACH_SECONDS
-    )
-
-
 def _was_not_lost(attempts: list[OpenAttempt]) -> bool:
     """Tell whether a replica left as it had announced, or lives after all attempts lost there."""
     place = attempts[0].place
--- a/libs/gateway/src/headcross_gateway/replicalosses.py
+++ b/libs/gateway/src/headcross_gateway/replicalosses.py
@@ -26,7 +26,7 @@
 BARRED_LOSSES: Final = 3
 # A loss is remembered for so long; one that is not known to be a replica's end for less.
 REMEMBERED_SECONDS: Final = 3600.0
-UNCERTAIN_SECONDS: Final = 6.0
+UNCERTAIN_SECONDS: Final = 12.0
 # How long a request gets no replica after its last loss; twice as long with each further one.
 BARRED_SECONDS: Final = 600.0
 MAX_LOSSES: Final = 128
--- a/libs/gateway/src/headcross_gateway/replicastate.py
+++ b/libs/gateway/src/headcross_gateway/replicastate.py
@@ -34,6 +34,8 @@
 # tell every 0.15 s to 0.45 s. A link that was too narrow held requests back for 1.4 s to 2.7 s.
 DELIVERED_SECONDS: Final = 1.2
 ANSWERED_SECONDS: Final = 1.0
+# A replica whose daemon has not reached it for so long has ended.
+OUT_OF_REACH_SECONDS: Final = 1.5
 # A replica that refused a request for want of room is not tried again for so long.
 FULL_SECONDS: Final = 0.12
 # One that holds another version than its silent daemon said is not tried again for so long: the
@@ -192,7 +194,7 @@
 
     def hear(self, load: ReplicaLoad, allowance: int) -> None:
         """Take the word of its daemon, and how many requests may be placed until the next one."""
-        if self.told is not None and self.told.load.reachable != load.reachable:
+        if self.told is None or self.told.load.reachable != load.reachable:
             self._log_reachable(load)
             self.out_of_reach_since = None if load.reachable else monotonic()
         self.told = Told(load, monotonic(), self.in_flight, allowance=allowance)
@@ -208,6 +210,17 @@
         message = "replica reached by its daemon" if load.reachable else "replica out of reach"
         logger.info(message, extra=fields)
 
+    def has_ended(self) -> bool:
+        """Tell whether it is known to have ended without having announced it."""
+        if self.replica.draining:
+            return False
+        if self.gone or self.is_between_lives():
+            return True
+        since = self.out_of_reach_since
+        if since is None or self.fresh_load() is None:
+            return False
+        return monotonic() - since >= OUT_OF_REACH_SECONDS
+
     def is_between_lives(self) -> bool:
         """Tell whether the list and its daemon speak of different incarnations.
 
--- a/libs/wire/src/headcross_wire/peermessages.py
+++ b/libs/wire/src/headcross_wire/peermessages.py
@@ -261,6 +261,7 @@
     sent_ms: int = 0
     named: list[NamedVersionNews] = []  # versions that were the newest lately
     loaded: list[LoadedVersionNews] = []  # what the receiver's replica came to hold lately
+    wants_losses: bool = False  # also tell, once, the losses that are known
     # Seconds since the sender first heard a process beside that replica; None if it never did.
     first_heard_age: float | None = None
 
--- a/tests/test_requests_that_end_replicas.py
+++ b/tests/test_requests_that_end_replicas.py
@@ -4,6 +4,7 @@
 """
 
 import random
+import signal
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
@@ -15,9 +16,10 @@
 from headcross_base.errorcodes import ENDS_REPLICAS
 
 from testing.machinecaller import Reply, ask
-from testing.machinelayout import MODEL_SERVICE, PLAIN_SERVICE
+from testing.machinelayout import MODEL_SERVICE, PLAIN_SERVICE, WAIT_SECONDS
 from testing.machines import Machines, replicas_of, small_site
 from testing.platformreplica import Ending, Run
+from tests.test_machine_weights import wait_offered
 
 DEADLY: Final = b"ends what runs it"
 BACK_SECONDS: Final = 3.0
@@ -157,3 +159,35 @@
         played = await play(site, path)
     print(len(played.ends), "ended;", played.late_arrivals(), "late;", played.served_share())
     assert played.served_share() >= SERVED_SHARE
+
+
+async def bar_deadly_request(site: Machines) -> None:
+    """Send the deadly request until it is refused."""
+    with trio.fail_after(WAIT_SECONDS):
+        while True:
+            reply = await ask(site.callers("entry0"), "/stream/x", DEADLY)
+            if ENDS_REPLICAS.code.encode() in reply.body:
+                return
+            await trio.sleep(0.1)
+
+
+async def test_entries_that_start_after_all_were_killed_know_what_is_barred(
+    tmp_path: Path,
+) -> None:
+    async with small_site(tmp_path, models=6, plain=1, entries=2, daemons=True) as site:
+        replicas = replicas_of(site, MODEL_SERVICE)
+        for replica in replicas:
+            replica.ends_under = lambda body: body == DEADLY
+        await wait_offered(site)
+        await bar_deadly_request(site)
+        before = len(deadly_runs(site))
+        for name in ("entry0", "entry1"):
+            site.signal(name, signal.SIGKILL)
+            await site.wait_exit(name)
+        for name in ("entry0", "entry1"):
+            site.start(name)
+        await site.wait_ready("entry0", "entry1")
+        for number in range(4):
+            reply = await ask(site.callers(f"entry{number % 2}"), "/stream/x", DEADLY)
+            assert ENDS_REPLICAS.code.encode() in reply.body, reply
+        assert len(deadly_runs(site)) == before
