A hundred requests of one team do not end a hundred replicas

Cause: each body is a request of its own, which may end three replicas before it is barred.

Now the requests of one team on one route are looked at together: three replicas lost under them in 30 s, and more of them lost than answered over all entries, and one at a time runs at each entry, after a pause that doubles with each further loss. Others that stood there have most of their requests answered, so they are not restrained.

Weighed: restraining the whole team would have cost its other routes; a limit of tries without the share of answers, every large team.

--- a/libs/daemon/src/headcross_daemon/gatewayrole.py
+++ b/libs/daemon/src/headcross_daemon/gatewayrole.py
@@ -111,7 +111,9 @@
         picker = Picker(settings.zone, self._directory, rules)
         self._admission = Admission(picker, self._overload.reserved_share)
         budget = RetryBudget(settings.bounds.retry_ratio, settings.bounds.retry_slack)
-        self._containment = Containment(self._directory.find, lambda: facts.complete)
+        self._containment = Containment(
+            settings.host, self._directory.find, lambda: facts.complete
+        )
         self._path = RequestPath(
             facts,
             adapter.dialect,
--- a/libs/gateway/src/headcross_gateway/admitted.py
+++ b/libs/gateway/src/headcross_gateway/admitted.py
@@ -10,7 +10,7 @@
 
 from headcross_gateway.outcomes import Whole
 from headcross_gateway.relay import StreamRelay
-from headcross_gateway.requestidentity import RequestIdentity, identity_of
+from headcross_gateway.requestidentity import RequestIdentity, group_of, identity_of
 
 
 @dataclass(frozen=True, slots=True)
@@ -45,12 +45,20 @@
     # A replica's own failure, passed on if nothing better comes.
     failed_answer: Whole | None = None
     _identity: RequestIdentity | None = None
+    _group: bytes | None = None
+
+    @property
+    def group(self) -> bytes:
+        """What it has in common with other requests of its team and route."""
+        if self._group is None:
+            self._group = group_of(self.team.name if self.team else None, self.route.name)
+        return self._group
 
     @property
     def identity(self) -> RequestIdentity:
         """What it has in common with other tries of it; the first call digests its body."""
         if self._identity is None:
-            self._identity = identity_of(self.exchange.request, self.facts.key)
+            self._identity = identity_of(self.exchange.request, self.facts.key, self.group)
         return self._identity
 
     @property
--- a/libs/gateway/src/headcross_gateway/containment.py
+++ b/libs/gateway/src/headcross_gateway/containment.py
@@ -15,6 +15,7 @@
 from headcross_wire.peermessages import LossNews
 
 from headcross_gateway.admitted import Admitted
+from headcross_gateway.grouplosses import paused_until
 from headcross_gateway.lossnews import SharedLosses
 from headcross_gateway.losswatch import LossWatch
 from headcross_gateway.replicalosses import Evidence, LossKey, Standing
@@ -32,13 +33,16 @@
     watch: LossWatch
 
     def __init__(
-        self, find_replica: Callable[[str], ReplicaState | None], list_is_known: Callable[[], bool]
+        self,
+        host: str,
+        find_replica: Callable[[str], ReplicaState | None],
+        list_is_known: Callable[[], bool],
     ) -> None:
         """`find_replica` returns the state of a listed replica by its id."""
         self._find_replica = find_replica
         self._list_is_known = list_is_known
         self._learned = trio.Event()
-        self.shared = SharedLosses(lambda: self._learned.set())
+        self.shared = SharedLosses(host, lambda: self._learned.set())
         self.watch = LossWatch(self.shared)
 
     def standing_of(self, request: Admitted) -> Standing:
@@ -52,13 +56,13 @@
 
     def is_clear(self, request: Admitted) -> bool:
         """Tell whether a request may be sent to a second replica."""
-        return self.standing_of(request) is Standing.CLEAR
+        return self.standing_of(request) is Standing.CLEAR and not self._is_restrained(request)
 
     def refusal_of(self, request: Admitted) -> NotRun | None:
         """Return why a request may not be sent to a replica now, None if it may."""
         match self.standing_of(request):
             case Standing.CLEAR:
-                return None
+                return self._refusal_of_group(request)
             case Standing.SUSPECT:
                 if not self.watch.count_under_way(request.identity):
                     return None
@@ -67,6 +71,29 @@
             case Standing.BARRED:
                 return self._barred(request)
 
+    def _is_restrained(self, request: Admitted) -> bool:
+        return self._paused_until(request) > float("-inf")
+
+    def _paused_until(self, request: Admitted) -> float:
+        """Return until when requests of the same team and route wait, -inf if they need not."""
+        shared, now = self.shared, monotonic()
+        if shared.losses.is_empty or not shared.groups.is_mostly_lost(request.group, now):
+            return float("-inf")
+        return paused_until(shared.losses.lost_under(request.group), now)
+
+    def _refusal_of_group(self, request: Admitted) -> NotRun | None:
+        """Return why a request is refused for others of its team and route, None if it is not."""
+        seconds = self._paused_until(request) - monotonic()
+        if seconds == float("-inf"):
+            return None
+        if seconds > 0:
+            detail = "replicas ended under other requests of this team and route"
+            return NotRun(ENDS_REPLICAS, detail, round(seconds, 1))
+        if self.watch.count_group_under_way(request.group):
+            detail = "replicas ended under this team and route, and another such request runs"
+            return NotRun(ENDS_REPLICAS, detail, SUSPECT_RETRY_SECONDS)
+        return None
+
     def _barred(self, request: Admitted) -> NotRun:
         suspicion = self.shared.losses.suspicion(request.identity)
         assert suspicion is not None
--- a/libs/gateway/src/headcross_gateway/lossnews.py
+++ b/libs/gateway/src/headcross_gateway/lossnews.py
@@ -9,8 +9,9 @@
 import math
 from collections.abc import Callable
 
-from headcross_wire.peermessages import AnsweredRequest, LossNews, LostReplica
+from headcross_wire.peermessages import AnsweredRequest, GroupEnds, LossNews, LostReplica
 
+from headcross_gateway.grouplosses import GroupLosses, GroupOutcomes
 from headcross_gateway.replicalosses import (
     REMEMBERED_SECONDS,
     Evidence,
@@ -33,11 +34,14 @@
     """
 
     losses: ReplicaLosses
+    groups: GroupLosses
     # Items of news that could not be right.
     rejected: int
 
-    def __init__(self, on_news: Callable[[], None] = lambda: None) -> None:
+    def __init__(self, host: str = "", on_news: Callable[[], None] = lambda: None) -> None:
         self.losses = ReplicaLosses()
+        self.groups = GroupLosses()
+        self._host = host
         self.rejected = 0
         self._on_news = on_news
         self._lost: set[LossKey] = set()
@@ -78,13 +82,20 @@
         self._lost.clear()
         self._alive.clear()
         self._answered.clear()
-        return LossNews(lost, alive, answered) if lost or alive or answered else None
+        if not (lost or alive or answered):
+            return None
+        return LossNews(lost, alive, answered, self._host, self._group_ends(now))
 
     def everything(self, now: float) -> LossNews | None:
         """Return all losses that are remembered, None if there are none."""
         known = self.losses.losses()
         lost = [_lost(key, known, now) for key, loss in known.items() if loss.requests]
-        return LossNews(lost) if lost else None
+        return LossNews(lost, host=self._host, groups=self._group_ends(now)) if lost else None
+
+    def _group_ends(self, now: float) -> list[GroupEnds]:
+        """Return how requests ended here of the groups that are blamed for anything."""
+        own = {group: self.groups.own(group, now) for group in self.losses.groups()}
+        return [GroupEnds(group, ends.lost, ends.answered) for group, ends in own.items()]
 
     def hear(self, news: LossNews, now: float) -> None:
         """Take the news of another entry."""
@@ -98,6 +109,9 @@
             identity = self._identity(answered.request)
             if identity is not None and self._is_plausible(answered.age):
                 self.losses.answered(identity, now - answered.age)
+        for ends in news.groups:
+            outcomes = GroupOutcomes(max(0, ends.lost), max(0, ends.answered))
+            self.groups.hear(ends.group, news.host, outcomes, now)
         if self.rejected > rejected:
             fields = {"items": self.rejected - rejected, "reason": "identity, age or evidence"}
             logger.warning("news of losses rejected", extra=fields)
--- a/libs/gateway/src/headcross_gateway/losswatch.py
+++ b/libs/gateway/src/headcross_gateway/losswatch.py
@@ -92,6 +92,14 @@
             for attempt in attempts
         )
 
+    def count_group_under_way(self, group: bytes) -> int:
+        """Return how many attempts with requests of a group are under way here."""
+        return sum(
+            attempt.ended_at is None and attempt.request.group == group
+            for attempts in self._open.values()
+            for attempt in attempts
+        )
+
     def withdraw(self, identities: list[RequestIdentity]) -> None:
         """Take back what replicas have not begun of some requests."""
         for attempts in self._open.values():
@@ -124,6 +132,7 @@
     def _note_answer(self, attempt: OpenAttempt) -> None:
         """Take in a whole answer, which clears its request and shows that its replica lives."""
         losses = self._shared.losses
+        self._shared.groups.note_answered(attempt.request.group, self._clock())
         if losses.is_empty:
             return
         now = self._clock()
@@ -148,6 +157,7 @@
             self._open.pop(key, None)
 
     def _blame(self, attempt: OpenAttempt, at: float, evidence: Evidence) -> None:
+        self._shared.groups.note_lost(attempt.request.group, at)
         self._shared.blame(attempt.key, [attempt.request.identity], at, evidence)
 
     def _forget(self, attempt: OpenAttempt) -> None:
--- a/libs/gateway/src/headcross_gateway/replicalosses.py
+++ b/libs/gateway/src/headcross_gateway/replicalosses.py
@@ -213,6 +213,25 @@
         found = self._suspicions.values()
         return [each for each in found if each.standing is not Standing.CLEAR]
 
+    def groups(self) -> set[bytes]:
+        """Return the groups of the requests that are blamed."""
+        return {each.group for loss in self._losses.values() for each in loss.requests}
+
+    def lost_under(self, group: bytes) -> list[float]:
+        """Return when replicas were lost that one request of a group, not barred, may have ended.
+
+        What a barred request explains is not held against others.
+        """
+        self._judge()
+        barred = {s.identity for s in self._suspicions.values() if s.losses >= BARRED_LOSSES}
+        return [
+            loss.at
+            for loss in self._losses.values()
+            if loss.evidence > Evidence.SILENT
+            and not loss.requests & barred
+            and any(each.group == group for each in loss.requests)
+        ]
+
     def losses(self) -> dict[LossKey, Loss]:
         """Return every loss that is remembered."""
         return dict(self._losses)
--- a/libs/wire/src/headcross_wire/peermessages.py
+++ b/libs/wire/src/headcross_wire/peermessages.py
@@ -328,12 +328,22 @@
     age: float  # seconds since the answer
 
 
+class GroupEnds(_Message, frozen=True):
+    """How requests of one team on one route ended at the sender lately."""
+
+    group: bytes  # see headcross_gateway
+    lost: int
+    answered: int
+
+
 class LossNews(_Message, frozen=True, tag=54):
     """Which requests replicas were lost under, as the sender knows it."""
 
     lost: list[LostReplica] = []
     alive: list[LostReplica] = []
     answered: list[AnsweredRequest] = []
+    host: str = ""  # of the sender of the next
+    groups: list[GroupEnds] = []
 
 
 class AskDigests(_Message, frozen=True, tag=44):
--- a/tests/test_loss_watch.py
+++ b/tests/test_loss_watch.py
@@ -27,8 +27,10 @@
 class StubRequest:
     """The part of an admitted request that the watch looks at."""
 
+    group = b"group---"
+
     identity: RequestIdentity = field(
-        default_factory=lambda: RequestIdentity(b"scope---", b"body----")
+        default_factory=lambda: RequestIdentity(b"group---", b"scope---", b"body----")
     )
 
 
--- a/tests/test_replica_losses.py
+++ b/tests/test_replica_losses.py
@@ -24,7 +24,7 @@
 
 def request(number: int) -> RequestIdentity:
     """Return the identity of one of many requests."""
-    return RequestIdentity(number.to_bytes(8, "big"), bytes(8))
+    return RequestIdentity(bytes(8), number.to_bytes(8, "big"), bytes(8))
 
 
 def lost(number: int) -> LossKey:
@@ -210,11 +210,11 @@
 @pytest.mark.parametrize(
     "item",
     [
-        LostReplica("i-1", None, -1.0, 1, [bytes(16)]),
-        LostReplica("i-1", None, float("nan"), 1, [bytes(16)]),
-        LostReplica("i-1", None, 1e9, 1, [bytes(16)]),
+        LostReplica("i-1", None, -1.0, 1, [bytes(24)]),
+        LostReplica("i-1", None, float("nan"), 1, [bytes(24)]),
+        LostReplica("i-1", None, 1e9, 1, [bytes(24)]),
         LostReplica("i-1", None, 1.0, 1, [b"short"]),
-        LostReplica("i-1", None, 1.0, 9, [bytes(16)]),
+        LostReplica("i-1", None, 1.0, 9, [bytes(24)]),
     ],
 )
 def test_news_that_cannot_be_right_are_left_out(item: LostReplica) -> None:
--- a/tests/test_requests_that_end_replicas.py
+++ b/tests/test_requests_that_end_replicas.py
@@ -16,7 +16,7 @@
 from headcross_base.errorcodes import ENDS_REPLICAS
 
 from testing.machinecaller import Reply, ask
-from testing.machinelayout import MODEL_SERVICE, PLAIN_SERVICE, WAIT_SECONDS
+from testing.machinelayout import KEY, MODEL_SERVICE, PLAIN_SERVICE, WAIT_SECONDS
 from testing.machines import Machines, replicas_of, small_site
 from testing.platformreplica import Ending, Run
 from tests.test_machine_weights import wait_offered
@@ -191,3 +191,47 @@
             reply = await ask(site.callers(f"entry{number % 2}"), "/stream/x", DEADLY)
             assert ENDS_REPLICAS.code.encode() in reply.body, reply
         assert len(deadly_runs(site)) == before
+
+
+OTHER_KEY: Final = "key-2"
+DEADLY_BODIES: Final = 100
+DEADLY_SECONDS: Final = 30.0
+ENDED_AT_MOST: Final = 12
+
+
+async def test_a_hundred_requests_of_one_team_do_not_end_a_hundred_replicas(
+    tmp_path: Path,
+) -> None:
+    async with deadly_site(tmp_path, MODEL_SERVICE, Ending.RESET) as site:
+        teams = [
+            {"name": "team-1", "api_keys": [KEY]},
+            {"name": "team-2", "api_keys": [OTHER_KEY]},
+        ]
+        site.change(tenants=teams)
+        for replica in replicas_of(site, MODEL_SERVICE):
+            replica.ends_under = lambda body: body.startswith(DEADLY)
+        with trio.fail_after(WAIT_SECONDS):
+            for entry in ("entry0", "entry1"):
+                while (await ask(site.callers(entry), "/stream/x", key=OTHER_KEY)).status != 200:
+                    await trio.sleep(0.05)
+        others: list[Reply] = []
+
+        async def call(number: int, key: str, body: bytes) -> None:
+            reply = await ask(site.callers(f"entry{number % 2}"), "/stream/x", body, key=key)
+            if key == OTHER_KEY:
+                others.append(reply)
+
+        async with trio.open_nursery() as calls:
+            for number in range(int(DEADLY_SECONDS / OTHERS_EVERY_SECONDS)):
+                calls.start_soon(call, number, OTHER_KEY, b"innocent %d" % number)
+                every = int(DEADLY_SECONDS / OTHERS_EVERY_SECONDS / DEADLY_BODIES)
+                if number % every == 0:
+                    deadly = number // every
+                    calls.start_soon(call, deadly, KEY, DEADLY + b" %d" % deadly)
+                await trio.sleep(OTHERS_EVERY_SECONDS)
+        listed = site.replicas.values()
+        ended = [r for each in listed for r in each.replica.runs if r.body.startswith(DEADLY)]
+        answered = sum(reply.status == 200 and reply.whole for reply in others)
+        print(len(ended), "ended;", answered, "of", len(others), "answered")
+        assert len(ended) <= ENDED_AT_MOST
+        assert answered >= ANSWERED_SHARE * len(others)
