Processes go by a clock that counts the time for which their machine was suspended

The users' pages say that a machine may be suspended: the steady clock stands still. A caller's request would then be handed to a replica with as much time as if none had passed, a refusal be remembered for longer, a withdrawal before old weights end come late (list in the design page).

Cause: trio's clock is the steady one; only ages of facts went by CLOCK_BOOTTIME.

Not shown: a process on a machine that is really suspended.

--- a/libs/base/src/headcross_base/clocks.py
+++ b/libs/base/src/headcross_base/clocks.py
@@ -6,9 +6,11 @@
 """
 
 import time
+from collections.abc import Callable
 from typing import Final
 
 import trio
+import trio.abc
 
 TICK_SECONDS: Final = 0.5
 # A gap this long means that the process did not run; a busy loop stays well under it.
@@ -28,6 +30,33 @@
     return int(monotonic() * 1000)
 
 
+class SuspensionClock(trio.abc.Clock):
+    """Trio's clock for a process whose machine may be suspended.
+
+    trio's own one stands still meanwhile: the deadline of a request, the age of a refusal or the
+    time for which a connection was idle would be as if no time had passed.
+    """
+
+    def __init__(self, now: Callable[[], float] = monotonic) -> None:
+        self._now = now
+
+    def start_clock(self) -> None:
+        """Do nothing; the clock always runs."""
+
+    def current_time(self) -> float:
+        """Return seconds, those of a suspension among them."""
+        return self._now()
+
+    def deadline_to_sleep_time(self, deadline: float) -> float:
+        """Return the seconds until a deadline.
+
+        The system's own timers stand still during a suspension, so one that is set before it fires
+        late by up to that. Other timers of the process wake it earlier, and all deadlines are
+        looked at then.
+        """
+        return deadline - self.current_time()
+
+
 class PauseWatch:
     """Counts pauses of this process."""
 
--- a/libs/daemon/src/headcross_daemon/machinemain.py
+++ b/libs/daemon/src/headcross_daemon/machinemain.py
@@ -16,6 +16,7 @@
 
 import trio
 from headcross_base.addresses import Address, parse_address
+from headcross_base.clocks import SuspensionClock
 from headcross_base.errors import Failure
 from headcross_base.linelog import LineLog, configure_line_log
 from headcross_base.version import VERSION
@@ -57,7 +58,7 @@
     adapter = make_adapter(store, settings.value.replica_address)
     code = EXIT_STOPPED
     try:
-        trio.run(_run_until_stopped, settings.value, path, adapter, log)
+        trio.run(_run_until_stopped, settings.value, path, adapter, log, clock=SuspensionClock())
     except* BindError as errors:
         logger.error("cannot listen", extra={"detail": str(errors.exceptions)})
         code = EXIT_BIND
--- a/libs/daemon/src/headcross_daemon/main.py
+++ b/libs/daemon/src/headcross_daemon/main.py
@@ -24,6 +24,7 @@
 
 import trio
 from docopt import docopt
+from headcross_base.clocks import SuspensionClock
 from headcross_base.errors import Failure
 from headcross_base.logs import configure_logging
 from headcross_base.version import VERSION
@@ -56,7 +57,7 @@
     """Run a daemon with these settings until it is told to stop; return the exit code."""
     code = EXIT_STOPPED
     try:
-        trio.run(_run_until_stopped, settings)
+        trio.run(_run_until_stopped, settings, clock=SuspensionClock())
     except* BindError as errors:
         logger.error("cannot listen", extra={"detail": str(errors.exceptions)})
         code = EXIT_BIND
