Repeats of a request are decided in a module of their own; what groups are told stays bounded

Counts of a group's answers were trimmed only when asked for, one number a second of a quiet process; they are trimmed as they are counted, and entries that tell are bounded (found by reading; test_group_losses holds both). Metrics: suspects, barred requests, news rejected.

No decision changes.

--- a/libs/daemon/src/headcross_daemon/gatewayrole.py
+++ b/libs/daemon/src/headcross_daemon/gatewayrole.py
@@ -19,6 +19,7 @@
 from headcross_gateway.directory import Directory
 from headcross_gateway.overload import Overload
 from headcross_gateway.picking import Picker
+from headcross_gateway.replicalosses import Standing
 from headcross_gateway.requestpath import RequestPath
 from headcross_gateway.subsetting import every_other
 from headcross_gateway.weightsrules import ENDING_SECONDS, WeightsRules
@@ -465,5 +466,9 @@
         samples[sample("attempts_withdrawn_total")] = self._path.unbegun.withdrawn
         samples[sample("retries_total")] = self._path.budget.spent
         samples[sample("retries_denied_total")] = self._path.budget.denied
+        standings = self._containment.shared.count_standings()
+        samples[sample("requests_suspect")] = standings[Standing.SUSPECT]
+        samples[sample("requests_barred")] = standings[Standing.BARRED]
+        samples[sample("loss_news_rejected_total")] = self._containment.shared.rejected
         samples[sample("replica_connections_total")] = self._path.attempts.connections.opened
         return samples
--- a/libs/gateway/src/headcross_gateway/grouplosses.py
+++ b/libs/gateway/src/headcross_gateway/grouplosses.py
@@ -21,6 +21,7 @@
 FIRST_PAUSE_SECONDS: Final = 2.0
 MAX_PAUSE_SECONDS: Final = 30.0
 MAX_GROUPS: Final = 1024
+MAX_ENTRIES: Final = 512
 
 
 @dataclass(frozen=True, slots=True)
@@ -37,14 +38,32 @@
 
     lost: dict[int, int] = field(default_factory=lambda: defaultdict(int))
     answered: dict[int, int] = field(default_factory=lambda: defaultdict(int))
+    _forgotten_at: int = -1  # the second in which what is too old was last forgotten
 
     def total(self, now: float) -> GroupOutcomes:
         """Return the sums over the window, and forget what is older."""
+        self._forget_old(now)
+        return GroupOutcomes(sum(self.lost.values()), sum(self.answered.values()))
+
+    def note_lost(self, now: float) -> None:
+        """Count a request that was lost."""
+        self._forget_old(now)
+        self.lost[int(now)] += 1
+
+    def note_answered(self, now: float) -> None:
+        """Count a request that was answered."""
+        self._forget_old(now)
+        self.answered[int(now)] += 1
+
+    def _forget_old(self, now: float) -> None:
+        second = int(now)
+        if second == self._forgotten_at:
+            return
+        self._forgotten_at = second
         horizon = int(now - WINDOW_SECONDS)
         for counts in (self.lost, self.answered):
-            for second in [second for second in counts if second < horizon]:
-                del counts[second]
-        return GroupOutcomes(sum(self.lost.values()), sum(self.answered.values()))
+            for old in [second for second in counts if second < horizon]:
+                del counts[old]
 
 
 @dataclass(frozen=True, slots=True)
@@ -64,11 +83,11 @@
 
     def note_answered(self, group: bytes, now: float) -> None:
         """Count a whole answer at this entry."""
-        self._of(group).answered[int(now)] += 1
+        self._of(group).note_answered(now)
 
     def note_lost(self, group: bytes, now: float) -> None:
         """Count a request of this entry that was on a replica as it was lost."""
-        self._of(group).lost[int(now)] += 1
+        self._of(group).note_lost(now)
 
     def own(self, group: bytes, now: float) -> GroupOutcomes:
         """Return how a group's requests ended at this entry."""
@@ -77,8 +96,11 @@
 
     def hear(self, group: bytes, entry: str, outcomes: GroupOutcomes, now: float) -> None:
         """Take what another entry says of a group."""
-        if group in self._told or len(self._told) < MAX_GROUPS:
-            self._told.setdefault(group, {})[entry] = _Told(outcomes, now)
+        if group not in self._told and len(self._told) >= MAX_GROUPS:
+            return
+        told = self._told.setdefault(group, {})
+        if entry in told or len(told) < MAX_ENTRIES:
+            told[entry] = _Told(outcomes, now)
 
     def is_mostly_lost(self, group: bytes, now: float) -> bool:
         """Tell whether more requests of a group were lost than answered, over all entries heard.
--- a/libs/gateway/src/headcross_gateway/lossnews.py
+++ b/libs/gateway/src/headcross_gateway/lossnews.py
@@ -7,6 +7,7 @@
 
 import logging
 import math
+from collections import Counter
 from collections.abc import Callable
 
 from headcross_wire.peermessages import AnsweredRequest, GroupEnds, LossNews, LostReplica
@@ -164,6 +165,10 @@
         """Return the requests that get no replica."""
         return [i for i, standing in self._standings.items() if standing is Standing.BARRED]
 
+    def count_standings(self) -> Counter[Standing]:
+        """Return how many requests have each standing but a clear one."""
+        return Counter(self._standings.values())
+
     def dump(self, now: float) -> list[dict[str, object]]:
         """Return the suspects, for the state dump."""
         return [
--- a/libs/gateway/src/headcross_gateway/requestpath.py
+++ b/libs/gateway/src/headcross_gateway/requestpath.py
@@ -38,7 +38,7 @@
 from headcross_gateway.admission import Admission, QueueOrder
 from headcross_gateway.admitted import Admitted, NotAdmitted
 from headcross_gateway.answers import send_refusal
-from headcross_gateway.attempts import Attempts, AttemptTimes, Patience
+from headcross_gateway.attempts import Attempts, AttemptTimes
 from headcross_gateway.budget import RetryBudget
 from headcross_gateway.containment import Containment
 from headcross_gateway.outcomes import DidNotRun, MayRun, Outcome, Streamed, Whole
@@ -58,6 +58,7 @@
     log_completed,
     log_refused,
 )
+from headcross_gateway.retries import Retries
 from headcross_gateway.unbegun import UnbegunAttempts
 from headcross_gateway.weightsrules import WeightsRules
 
@@ -66,13 +67,6 @@
 RUN_AGAIN_PRIORITY: Final = -1
 # When a caller is told to come back whom another entry will serve.
 COME_BACK_SOON_SECONDS: Final = 0.02
-# Refusals that one request is carried on after; each is an arrival that the budget pays for.
-MAX_REFUSALS: Final = 3
-MAX_UNREACHED: Final = 4
-# A repeatable request whose replica shows no sign of life goes elsewhere after this.
-REPEATABLE_PATIENCE_SECONDS: Final = 1.0
-STREAM_FIRST_SECONDS: Final = 1.6
-STREAM_PAUSE_SECONDS: Final = 1.1
 
 Observe = Callable[[str, str, float], None]  # service, verdict, seconds
 
@@ -111,6 +105,7 @@
         self._rules = rules
         self._overload = overload
         self._containment = containment
+        self._retries = Retries(admission, budget, containment)
         self._observe = observe
 
     async def handle(self, exchange: Exchange) -> None:
@@ -225,18 +220,18 @@
                 request.tried.add(place.replica.id)
             match outcome:
                 case Whole():
-                    if not self._should_repeat_failure(request, outcome):
+                    if not self._retries.should_repeat_failure(request, outcome):
                         return await self._pass_whole(request, outcome)
                     request.failed_answer = outcome
                 case Streamed():
                     return Completed(200)
                 case DidNotRun(reason=reason, detail=detail):
                     last = self._worse(last, NotRun(reason, detail, COME_BACK_SECONDS))
-                    if not self._may_go_on_after_refusal(request, outcome):
+                    if not self._retries.may_go_on_after_refusal(request, outcome):
                         return self._last_word(request, last)
                 case MayRun(reason=reason, detail=detail):
                     last = MayHaveRun(reason, detail)
-                    if not self._may_run_again(request):
+                    if not self._retries.may_run_again(request):
                         return self._last_word(request, last)
 
     def _no_room(self, request: Admitted, has_candidates: bool) -> Refusal:
@@ -316,7 +311,7 @@
                 request.facts,
                 place,
                 hand_over,
-                self._patience(request, place),
+                self._retries.patience(request, place),
                 relay,
                 fresh=not request.route.repetition.may_run_again,
                 times=times,
@@ -326,61 +321,6 @@
             self._containment.watch.end(attempt, outcome)
         return outcome
 
-    def _patience(self, request: Admitted, place: ReplicaState) -> Patience:
-        if (
-            not request.route.repetition.may_run_again
-            or request.runs >= request.route.max_attempts
-        ):
-            return Patience(float("inf"), float("inf"))
-
-        def leave() -> bool:
-            return self._containment.is_clear(request) and self._pay_to_leave(request, place)
-
-        if request.relay is not None:
-            return Patience(STREAM_FIRST_SECONDS, STREAM_PAUSE_SECONDS, leave)
-        return Patience(REPEATABLE_PATIENCE_SECONDS, REPEATABLE_PATIENCE_SECONDS, leave)
-
-    def _pay_to_leave(self, request: Admitted, place: ReplicaState) -> bool:
-        """Take the retry with which a request leaves a silent replica; False if it has to stay.
-
-        It stays where no other replica could take it, or no retry is left: a stream that was given
-        up for a pause of its replica was lost for nothing, since the replica might have gone on.
-        Where a full link silences many replicas at once, only as many leave as there are retries.
-        """
-        wish = wish_of(request.facts, request.service, may_run_again=True)
-        tried = frozenset({*request.tried, place.replica.id})
-        wish = replace(wish, tried=tried, exact_version=request.bound_version)
-        if not self._admission.has_candidates(wish, request.configuration):
-            return False
-        if not self.budget.may_spend(request.service):
-            return False
-        request.retry_paid = self.budget.spend(request.service)
-        return request.retry_paid
-
-    def _should_repeat_failure(self, request: Admitted, outcome: Whole) -> bool:
-        return outcome.failed and self._may_run_again(request)
-
-    def _may_run_again(self, request: Admitted) -> bool:
-        """Tell whether a request that may have run may be sent once more, and pay for it."""
-        if not request.route.repetition.may_run_again:
-            return False
-        if request.runs >= request.route.max_attempts:
-            return False
-        if not self._containment.is_clear(request):
-            return False
-        if request.retry_paid:
-            request.retry_paid = False
-            return True
-        return self.budget.spend(request.service)
-
-    def _may_go_on_after_refusal(self, request: Admitted, outcome: DidNotRun) -> bool:
-        request.runs -= 1
-        if not outcome.arrived:
-            request.unreached += 1
-            return request.unreached <= MAX_UNREACHED
-        request.refusals += 1
-        return request.refusals <= MAX_REFUSALS and self.budget.spend(request.service)
-
     # The end.
 
     @staticmethod
--- a/tests/test_machine_attempts.py
+++ b/tests/test_machine_attempts.py
@@ -10,7 +10,7 @@
 import pytest
 import trio
 import trio.testing
-from headcross_gateway.requestpath import STREAM_PAUSE_SECONDS
+from headcross_gateway.retries import STREAM_PAUSE_SECONDS
 from headcross_platform import names
 
 from testing.machinecaller import Reply, ask
