A request that was withdrawn from a replica is not answered as if it had not run

Callers saw (test first, red): a copy of a request that ends replicas, sent to a fourth and withdrawn there as the third one ended, was answered 429, which promises that it has not run and never will. It may have begun in that moment, and on a route that runs once its caller would send it again. Cause: one error code, with its status 429, served both the refusal before a send and the withdrawal after it. The withdrawal has its own now (withdrawn, 502).

A loss told without the moment of the life's start was also taken for ended where the list tells one; the two lives are compared as everywhere else.

--- a/libs/base/src/headcross_base/errorcodes.py
+++ b/libs/base/src/headcross_base/errorcodes.py
@@ -137,6 +137,12 @@
     "The weights it was sent to were replaced before it began.",
     "New weights came late, and requests waited long at replicas that held the old ones.",
 )
+WITHDRAWN: Final = _define(
+    "withdrawn",
+    502,
+    "Replicas ended while they ran this same request; it was withdrawn from another.",
+    "The same path, key and body came before, and replicas ended under it.",
+)
 STREAM_BROKEN: Final = _define(
     "stream-broken", 502, "The answer broke off and could not be resumed.", "See link-lost."
 )
--- a/libs/gateway/src/headcross_gateway/attempts.py
+++ b/libs/gateway/src/headcross_gateway/attempts.py
@@ -24,6 +24,7 @@
     UNREACHED,
     UPSTREAM_ERROR,
     WEIGHTS_ENDED,
+    WITHDRAWN,
 )
 from headcross_ports.requests import AnswerFacts, HandOver, RequestDialect, RequestFacts
 from headcross_wire.httpclient import Answer, ConnectError, HttpConnection, LinkLostError
@@ -235,7 +236,7 @@
         detail = "withdrawn: replicas ended under the same request"
         if times.sending_at is None:
             return DidNotRun(ENDS_REPLICAS, detail, arrived=False, withdrawn=True)
-        return MayRun(ENDS_REPLICAS, detail, withdrawn=True)
+        return MayRun(WITHDRAWN, detail, withdrawn=True)
     if times.sending_at is None:
         detail = "the weights ended before it was sent"
         return DidNotRun(NO_RUN_IN_TIME, detail, arrived=False, withdrawn=True)
--- a/libs/gateway/src/headcross_gateway/containment.py
+++ b/libs/gateway/src/headcross_gateway/containment.py
@@ -12,6 +12,7 @@
 from headcross_base.clocks import monotonic
 from headcross_base.errorcodes import ENDS_REPLICAS
 from headcross_base.verdicts import NotRun
+from headcross_ports.published import Incarnation
 from headcross_wire.peermessages import LossNews
 
 from headcross_gateway.admitted import Admitted
@@ -137,6 +138,5 @@
         state = self._find_replica(key.replica)
         if state is None:
             return self._list_is_known()
-        if state.replica.started_ms != key.started_ms:
-            return True
-        return state.has_ended()
+        lost = Incarnation(key.replica, key.started_ms)
+        return state.replica.incarnation.is_other_than(lost) or state.has_ended()
--- a/tests/test_requests_that_end_replicas.py
+++ b/tests/test_requests_that_end_replicas.py
@@ -13,7 +13,7 @@
 
 import pytest
 import trio
-from headcross_base.errorcodes import ENDS_REPLICAS
+from headcross_base.errorcodes import ENDS_REPLICAS, WITHDRAWN
 
 from testing.machinecaller import Reply, ask
 from testing.machinelayout import KEY, MODEL_SERVICE, PLAIN_SERVICE, WAIT_SECONDS
@@ -236,3 +236,24 @@
         print(len(ended), "ended;", answered, "of", len(others), "answered")
         assert len(ended) <= ENDED_AT_MOST
         assert answered >= ANSWERED_SHARE * len(others)
+
+
+async def test_a_copy_that_waits_at_its_replica_is_withdrawn_and_may_have_run(
+    tmp_path: Path,
+) -> None:
+    async with small_site(tmp_path, models=4, plain=0) as site:
+        for replica in replicas_of(site, MODEL_SERVICE):
+            replica.ends_under = lambda body: body == DEADLY
+            replica.wait_seconds = 1.0
+        replies: list[Reply] = []
+
+        async def call() -> None:
+            replies.append(await ask(site.callers("entry0"), "/strict/x", DEADLY))
+
+        async with trio.open_nursery() as nursery:
+            for _ in range(4):
+                nursery.start_soon(call)
+                await trio.sleep(0.25)
+        assert len(deadly_runs(site)) == 3
+        assert [reply.status for reply in replies] == [502] * 4, replies
+        assert WITHDRAWN.code.encode() in replies[-1].body
