News of lost replicas stay small when many connections break at once

Now an entry tells what it learned itself since the last news, at once and then every 0.1 s; four daemons are told what makes requests suspect; only requests with two losses and more are judged, when the standing of one is asked for.

--- a/libs/daemon/src/headcross_daemon/gatewayrole.py
+++ b/libs/daemon/src/headcross_daemon/gatewayrole.py
@@ -12,6 +12,7 @@
 import trio
 from headcross_base.addresses import Address, parse_address
 from headcross_base.clocks import monotonic, now_ms
+from headcross_base.hashing import rendezvous_order
 from headcross_facts.following import entry_pace
 from headcross_gateway.admission import Admission
 from headcross_gateway.budget import RetryBudget
@@ -58,8 +59,10 @@
 HOUSEKEEPING_SECONDS: Final = 1.0
 # Refused callers come back after 0.4 s at the earliest, to another entry of the zone.
 OVERLOAD_SECONDS: Final = 0.2
-# What is learned of lost replicas within so long is told together.
-TOLD_TOGETHER_SECONDS: Final = 0.02
+# What is learned of lost replicas is told at once, and what comes within so long then together.
+TOLD_TOGETHER_SECONDS: Final = 0.1
+# Daemons that are told what makes requests suspect; their links are narrow.
+LOSS_KEEPERS: Final = 4
 # How often news of lost replicas are sent to one whose link is not open, and how soon again.
 TELL_TRIES: Final = 5
 TELL_AGAIN_SECONDS: Final = 0.1
@@ -416,15 +419,24 @@
             self.process.node.send(address, RefusedNews(refused))
 
     async def _share_losses(self) -> None:
-        """Tell all other entries, and daemons, what is learned here of lost replicas."""
+        """Tell all other entries, and a few daemons, what is learned here of lost replicas."""
         async with trio.open_nursery() as nursery:
             while True:
                 news = await self._containment.wait_untold()
-                # Daemons keep it for entries that start after all others were killed.
-                to = [*self.process.known_entries(), *self._daemons()]
-                nursery.start_soon(self._tell_losses, news, to)
+                nursery.start_soon(self._tell_losses, news, self.process.known_entries())
+                kept = self._containment.shared.of_suspects(monotonic())
+                if kept is not None:
+                    nursery.start_soon(self._tell_losses, kept, self._keepers())
                 await trio.sleep(TOLD_TOGETHER_SECONDS)
 
+    def _keepers(self) -> list[Address]:
+        """Return daemons that keep losses for entries that start after all others were killed.
+
+        All entries choose the same ones among the daemons that they keep themselves informed by.
+        """
+        daemons = {str(address): address for address in self._daemons()}
+        return [daemons[name] for name in rendezvous_order("losses", daemons)[:LOSS_KEEPERS]]
+
     async def _tell_losses(self, news: LossNews, to: list[Address]) -> None:
         """Send news; where the first message only opens the link, send them again."""
         for _ in range(TELL_TRIES):
--- a/libs/gateway/src/headcross_gateway/containment.py
+++ b/libs/gateway/src/headcross_gateway/containment.py
@@ -114,9 +114,8 @@
                 return news
 
     def hear(self, news: LossNews) -> None:
-        """Take the news of another entry, and act on it at once."""
+        """Take the news of another entry; `update` acts on it."""
         self.shared.hear(news, monotonic())
-        self.update()
 
     def update(self) -> None:
         """Look at what is known of lost replicas, and withdraw what is barred."""
--- a/libs/gateway/src/headcross_gateway/lossnews.py
+++ b/libs/gateway/src/headcross_gateway/lossnews.py
@@ -8,7 +8,7 @@
 import logging
 import math
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from headcross_wire.peermessages import AnsweredRequest, GroupEnds, LossNews, LostReplica
 
@@ -45,7 +45,8 @@
         self._host = host
         self.rejected = 0
         self._on_news = on_news
-        self._lost: set[LossKey] = set()
+        # What was learned here of losses, or better known, since it was last told.
+        self._lost: dict[LossKey, set[RequestIdentity]] = {}
         self._alive: dict[LossKey, float] = {}
         self._answered: dict[RequestIdentity, float] = {}
         self._standings: dict[RequestIdentity, Standing] = {}
@@ -57,7 +58,7 @@
     ) -> None:
         """Note requests that were on a replica as it was lost."""
         if self.losses.blame(key, requests, at, evidence):
-            self._lost.add(key)
+            self._lost.setdefault(key, set()).update(requests)
             self._on_news()
 
     def retract(self, key: LossKey, at: float) -> None:
@@ -77,7 +78,11 @@
     def take_untold(self, now: float) -> LossNews | None:
         """Return what this entry learned itself since the last call, None if nothing."""
         known = self.losses.losses()
-        lost = [_lost(key, known, now) for key in self._lost if key in known]
+        lost = [
+            _lost(key, known[key], requests & known[key].requests, now)
+            for key, requests in self._lost.items()
+            if key in known
+        ]
         alive = [LostReplica(k.replica, k.started_ms, now - at) for k, at in self._alive.items()]
         answered = [AnsweredRequest(i.to_bytes(), now - at) for i, at in self._answered.items()]
         self._lost.clear()
@@ -89,10 +94,23 @@
 
     def everything(self, now: float) -> LossNews | None:
         """Return all losses that are remembered, None if there are none."""
-        known = self.losses.losses()
-        lost = [_lost(key, known, now) for key, loss in known.items() if loss.requests]
+        lost = [
+            _lost(key, loss, loss.requests, now)
+            for key, loss in self.losses.losses().items()
+            if loss.requests
+        ]
         return LossNews(lost, host=self._host, groups=self._group_ends(now)) if lost else None
 
+    def of_suspects(self, now: float) -> LossNews | None:
+        """Return the losses that make requests suspect or barred, None if there are none."""
+        suspects = {each.identity for each in self.losses.suspicions()}
+        lost = [
+            _lost(key, loss, loss.requests & suspects, now)
+            for key, loss in self.losses.losses().items()
+            if loss.requests & suspects
+        ]
+        return LossNews(lost) if lost else None
+
     def _group_ends(self, now: float) -> list[GroupEnds]:
         """Return how requests ended here of the groups that are blamed for anything."""
         own = {group: self.groups.own(group, now) for group in self.losses.groups()}
@@ -177,10 +195,11 @@
         ]
 
 
-def _lost(key: LossKey, known: dict[LossKey, Loss], now: float) -> LostReplica:
-    loss = known[key]
-    requests = [identity.to_bytes() for identity in loss.requests]
-    return LostReplica(key.replica, key.started_ms, now - loss.at, int(loss.evidence), requests)
+def _lost(
+    key: LossKey, loss: Loss, requests: Iterable[RequestIdentity], now: float
+) -> LostReplica:
+    identities = [identity.to_bytes() for identity in requests]
+    return LostReplica(key.replica, key.started_ms, now - loss.at, int(loss.evidence), identities)
 
 
 def _describe(suspicion: Suspicion, now: float) -> dict[str, object]:
--- a/libs/gateway/src/headcross_gateway/replicalosses.py
+++ b/libs/gateway/src/headcross_gateway/replicalosses.py
@@ -13,7 +13,7 @@
 No decision here needs a network or a clock; `now` is on one monotonic clock, in seconds.
 """
 
-from collections import OrderedDict
+from collections import Counter, OrderedDict
 from collections.abc import Collection, Iterable
 from dataclasses import dataclass, field
 from enum import Enum, IntEnum
@@ -114,8 +114,10 @@
         # Replicas that were found alive, and when: news of their loss may still be on its way.
         self._alive_at: OrderedDict[LossKey, float] = OrderedDict()
         self._suspicions: dict[RequestIdentity, Suspicion] = {}
-        self._scopes: frozenset[bytes] = frozenset()
-        # Whether the suspicions and scopes are those of the losses as they are now.
+        # The losses by request, and how many requests of each scope are blamed.
+        self._lost_under: dict[RequestIdentity, set[LossKey]] = {}
+        self._scopes: Counter[bytes] = Counter()
+        # Whether the suspicions are those of the losses as they are now.
         self._judged = True
 
     # What is learned.
@@ -135,7 +137,8 @@
         loss.at, loss.evidence = min(loss.at, at), max(loss.evidence, evidence)
         new = {each for each in requests if self._may_blame(each, loss)}
         room = MAX_REQUESTS_PER_LOSS - len(loss.requests)
-        loss.requests |= set(list(new)[:room])
+        for identity in list(new)[:room]:
+            self._add(key, identity)
         self._drop_excess()
         is_news = is_stronger or bool(new and room)
         self._judged = not is_news and self._judged
@@ -161,7 +164,7 @@
         loss = self._losses.get(key)
         if loss is None or loss.is_certain or loss.at > at:
             return False
-        del self._losses[key]
+        self._drop(key)
         _remember(self._alive_at, key, at, MAX_LOSSES)
         self._judged = False
         return True
@@ -169,10 +172,10 @@
     def answered(self, identity: RequestIdentity, at: float) -> bool:
         """Note a whole answer to a request; return whether it had been blamed."""
         _remember(self._answered_at, identity, at, MAX_ANSWERED)
-        blamed = [loss for loss in self._losses.values() if identity in loss.requests]
-        earlier = [loss for loss in blamed if loss.at <= at]
-        for loss in earlier:
-            loss.requests.discard(identity)
+        blamed_for = self._lost_under.get(identity, set())
+        earlier = [key for key in blamed_for if self._losses[key].at <= at]
+        for key in earlier:
+            self._remove(key, identity)
         self._judged = not earlier and self._judged
         return bool(earlier)
 
@@ -180,7 +183,7 @@
         """Forget what is too old."""
         expired = [key for key, loss in self._losses.items() if now >= loss.expires_at()]
         for key in expired:
-            del self._losses[key]
+            self._drop(key)
         self._judged = not expired and self._judged
 
     # What follows.
@@ -188,11 +191,10 @@
     @property
     def is_empty(self) -> bool:
         """Whether no request is blamed for anything."""
-        return not any(loss.requests for loss in self._losses.values())
+        return not self._lost_under
 
     def concerns(self, scope: bytes) -> bool:
         """Tell whether any request of this scope is blamed."""
-        self._judge()
         return scope in self._scopes
 
     def standing(self, identity: RequestIdentity, now: float) -> Standing:
@@ -246,11 +248,15 @@
         self._judged = True
         blamed_for: dict[RequestIdentity, set[LossKey]] = {}
         silent_under: dict[RequestIdentity, set[LossKey]] = {}
-        for key, loss in self._losses.items():
-            by_request = silent_under if loss.evidence is Evidence.SILENT else blamed_for
-            for identity in loss.requests:
-                by_request.setdefault(identity, set()).add(key)
-        self._scopes = frozenset(i.scope for i in (*blamed_for, *silent_under))
+        for identity, keys in self._lost_under.items():
+            # Nothing follows from one loss, neither for this request nor for others.
+            if len(keys) < SUSPECT_LOSSES:
+                continue
+            silent = {key for key in keys if self._losses[key].evidence is Evidence.SILENT}
+            if silent:
+                silent_under[identity] = silent
+            if keys - silent:
+                blamed_for[identity] = keys - silent
         explained_by = _fewest_explaining(blamed_for)
         self._suspicions = {
             identity: self._suspicion(
@@ -271,7 +277,30 @@
             # As it was judged last: judging anew for each loss of a flood would cost more than it.
             barred = {s.identity for s in self._suspicions.values() if s.losses >= BARRED_LOSSES}
             free = [k for k, loss in self._losses.items() if not loss.requests & barred]
-            del self._losses[free[0] if free else next(iter(self._losses))]
+            self._drop(free[0] if free else next(iter(self._losses)))
+
+    def _add(self, key: LossKey, identity: RequestIdentity) -> None:
+        self._losses[key].requests.add(identity)
+        if identity not in self._lost_under:
+            self._lost_under[identity] = set()
+            self._scopes[identity.scope] += 1
+        self._lost_under[identity].add(key)
+
+    def _remove(self, key: LossKey, identity: RequestIdentity) -> None:
+        self._losses[key].requests.discard(identity)
+        self._lost_under[identity].discard(key)
+        if self._lost_under[identity]:
+            return
+        del self._lost_under[identity]
+        self._scopes[identity.scope] -= 1
+        if not self._scopes[identity.scope]:
+            del self._scopes[identity.scope]
+
+    def _drop(self, key: LossKey) -> None:
+        """Forget a loss."""
+        for identity in list(self._losses[key].requests):
+            self._remove(key, identity)
+        del self._losses[key]
 
 
 def _fewest_explaining(
