Losses: a method that only tests called is gone

ReplicaLosses.confirm had no caller left in the product; its tests say the same with blame and the evidence that the replica has ended.

--- a/libs/gateway/src/headcross_gateway/containment.py
+++ b/libs/gateway/src/headcross_gateway/containment.py
@@ -19,7 +19,7 @@
 from headcross_gateway.grouplosses import paused_until
 from headcross_gateway.lossnews import SharedLosses
 from headcross_gateway.losswatch import LossWatch
-from headcross_gateway.replicalosses import Evidence, LossKey, Standing
+from headcross_gateway.replicalosses import NEVER, Evidence, LossKey, Standing
 from headcross_gateway.replicastate import ReplicaState
 from headcross_gateway.requestidentity import scope_of
 
@@ -74,19 +74,19 @@
                 return self._barred(request)
 
     def _is_restrained(self, request: Admitted) -> bool:
-        return self._paused_until(request) > float("-inf")
+        return self._paused_until(request) > NEVER
 
     def _paused_until(self, request: Admitted) -> float:
-        """Return until when requests of the same team and route wait, -inf if they need not."""
+        """Return until when requests of the same team and route wait, NEVER if they need not."""
         shared, now = self.shared, monotonic()
         if shared.losses.is_empty or not shared.groups.is_mostly_lost(request.group, now):
-            return float("-inf")
+            return NEVER
         return paused_until(shared.losses.lost_under(request.group), now)
 
     def _refusal_of_group(self, request: Admitted) -> NotRun | None:
         """Return why a request is refused for others of its team and route, None if it is not."""
         seconds = self._paused_until(request) - monotonic()
-        if request.tried or seconds == float("-inf"):
+        if request.tried or seconds == NEVER:
             return None
         if seconds > 0:
             detail = "replicas ended under other requests of this team and route"
--- a/libs/gateway/src/headcross_gateway/replicalosses.py
+++ b/libs/gateway/src/headcross_gateway/replicalosses.py
@@ -150,15 +150,6 @@
         good_for = KNOWN_GOOD_SECONDS if loss.evidence is Evidence.SILENT else 0.0
         return self._answered_at.get(identity, NEVER) + good_for < loss.at
 
-    def confirm(self, key: LossKey) -> bool:
-        """Note that a replica has ended; return whether that is new."""
-        loss = self._losses.get(key)
-        if loss is None or loss.is_certain:
-            return False
-        loss.evidence = Evidence.ENDED
-        self._judged = False
-        return True
-
     def retract(self, key: LossKey, at: float) -> bool:
         """Note that a replica was alive at a moment, so that only connections to it were lost."""
         loss = self._losses.get(key)
--- a/tests/test_replica_losses.py
+++ b/tests/test_replica_losses.py
@@ -33,12 +33,17 @@
     return LossKey(f"i-{number}", None)
 
 
+def confirm(known: ReplicaLosses, key: LossKey) -> None:
+    """Note that a replica, which was lost, has ended."""
+    known.blame(key, [], known.losses()[key].at, Evidence.ENDED)
+
+
 def with_losses(*losses: Iterable[int]) -> ReplicaLosses:
     """Return what is known after certain losses, one a second from 1 s on, of some requests."""
     known = ReplicaLosses()
     for number, requests in enumerate(losses):
         known.blame(lost(number), [request(each) for each in requests], number + 1.0)
-        known.confirm(lost(number))
+        confirm(known, lost(number))
     return known
 
 
@@ -65,7 +70,7 @@
         known.blame(lost(number), [request(DEADLY)], 1.0, Evidence.SILENT)
     assert known.standing(request(DEADLY), 2.0) is Standing.SUSPECT
     for number in range(3):
-        known.confirm(lost(number))
+        confirm(known, lost(number))
     assert known.standing(request(DEADLY), 2.0) is Standing.BARRED
 
 
@@ -133,7 +138,7 @@
     known = ReplicaLosses()
     for number in range(3):
         known.blame(lost(number), [request(DEADLY)], 1.0)
-    known.confirm(lost(0))
+    confirm(known, lost(0))
     known.expire(1.0 + UNCERTAIN_SECONDS)
     blamed = [key for key, loss in known.losses().items() if request(DEADLY) in loss.requests]
     assert blamed == [lost(0)]
@@ -147,7 +152,7 @@
     assert known.standing(request(DEADLY), tried_at - 1) is Standing.BARRED
     assert known.standing(request(DEADLY), tried_at) is Standing.SUSPECT
     known.blame(lost(9), [request(DEADLY)], tried_at)
-    known.confirm(lost(9))
+    confirm(known, lost(9))
     assert known.standing(request(DEADLY), tried_at + 2 * BARRED_SECONDS - 1) is Standing.BARRED
     assert known.standing(request(DEADLY), tried_at + 2 * BARRED_SECONDS) is Standing.SUSPECT
 
@@ -161,7 +166,7 @@
         at = 1.5 * number
         there = generator.sample(range(6), generator.randint(0, 4))
         known.blame(lost(number), [request(each) for each in there], at)
-        known.confirm(lost(number))
+        confirm(known, lost(number))
         for each in range(6):
             assert known.standing(request(each), at) is not Standing.BARRED
             for attempt in range(5):
@@ -173,8 +178,8 @@
     known = with_losses([DEADLY], [DEADLY], [DEADLY])
     assert known.standing(request(DEADLY), 4.0) is Standing.BARRED
     for number in range(10, 3 * MAX_LOSSES):
-        known.blame(lost(number), [request(1000 * number + n) for n in range(100)], 10.0)
-        known.confirm(lost(number))
+        there = [request(1000 * number + n) for n in range(100)]
+        known.blame(lost(number), there, 10.0, Evidence.ENDED)
     assert known.standing(request(DEADLY), 11.0) is Standing.BARRED
     assert len(known.losses()) <= MAX_LOSSES
     assert max(len(loss.requests) for loss in known.losses().values()) <= MAX_REQUESTS_PER_LOSS
