The clock that counts suspensions reads the system's one rarely

Cause: trio asks for the time thousands of times a second, and CLOCK_BOOTTIME costs more than the steady clock where the latter is read without a system call.

Now the steady clock is read, and compared with the other one every 0.01 s; a wake-up is noticed that late at most.

--- a/libs/base/src/headcross_base/clocks.py
+++ b/libs/base/src/headcross_base/clocks.py
@@ -13,6 +13,9 @@
 import trio.abc
 
 TICK_SECONDS: Final = 0.5
+# How often the steady clock is compared with the one that counts suspensions. Trio asks for the
+# time thousands of times a second, and the latter may cost a system call.
+COMPARED_SECONDS: Final = 0.01
 # A gap this long means that the process did not run; a busy loop stays well under it.
 PAUSE_SECONDS: Final = 1.5
 
@@ -37,15 +40,27 @@
     time for which a connection was idle would be as if no time had passed.
     """
 
-    def __init__(self, now: Callable[[], float] = monotonic) -> None:
-        self._now = now
+    def __init__(
+        self,
+        steady: Callable[[], float] = time.monotonic,
+        counting: Callable[[], float] = monotonic,
+    ) -> None:
+        """`steady` stands still during a suspension and is cheap to read; `counting` goes on."""
+        self._steady = steady
+        self._counting = counting
+        self._compared_at = steady()
+        self._ahead = counting() - self._compared_at
 
     def start_clock(self) -> None:
         """Do nothing; the clock always runs."""
 
     def current_time(self) -> float:
-        """Return seconds, those of a suspension among them."""
-        return self._now()
+        """Return seconds, those of a suspension among them 0.01 s after its end at the latest."""
+        steady = self._steady()
+        if steady - self._compared_at >= COMPARED_SECONDS:
+            self._compared_at = steady
+            self._ahead = max(self._ahead, self._counting() - steady)
+        return steady + self._ahead
 
     def deadline_to_sleep_time(self, deadline: float) -> float:
         """Return the seconds until a deadline.
