A pause of the process between two readings is not a suspension

Found by reading: the clock that counts suspensions read the steady clock before the other one and kept the greatest difference, so a process that was held up between the two readings was ahead by that from then on. The steady one is read last now. Test first (red by 3 s), 11 passed.

--- a/libs/base/src/headcross_base/clocks.py
+++ b/libs/base/src/headcross_base/clocks.py
@@ -48,8 +48,9 @@
         """`steady` stands still during a suspension and is cheap to read; `counting` goes on."""
         self._steady = steady
         self._counting = counting
+        counted = counting()
         self._compared_at = steady()
-        self._ahead = counting() - self._compared_at
+        self._ahead = counted - self._compared_at
 
     def start_clock(self) -> None:
         """Do nothing; the clock always runs."""
@@ -59,7 +60,10 @@
         steady = self._steady()
         if steady - self._compared_at >= COMPARED_SECONDS:
             self._compared_at = steady
-            self._ahead = max(self._ahead, self._counting() - steady)
+            # The steady one is read last: a pause of the process in between must not count.
+            counting = self._counting()
+            steady = self._steady()
+            self._ahead = max(self._ahead, counting - steady)
         return steady + self._ahead
 
     def deadline_to_sleep_time(self, deadline: float) -> float:
--- a/tests/test_suspension.py
+++ b/tests/test_suspension.py
@@ -119,6 +119,20 @@
     assert isinstance(clocks[0], SuspensionClock)
 
 
+def test_a_pause_of_the_process_between_the_two_readings_is_not_a_suspension() -> None:
+    steady = 0.0
+
+    def counting() -> float:
+        nonlocal steady
+        now = steady
+        steady += 3.0
+        return now
+
+    clock = SuspensionClock(lambda: steady, counting)
+    for _ in range(10):
+        assert clock.current_time() <= steady
+
+
 def test_the_clock_never_goes_back_and_reads_the_costly_one_rarely() -> None:
     read = 0
     steady = 0.0
