Entries log when a replica names a limit, and when it no longer does

The logs of the incident could not tell an entry that does not know of a limit from one that knows and does not keep it. An answer without a limit ends it only if its request was sent after the limit was known. No decision reads it yet.

--- a/libs/daemon/src/headcross_daemon/gatewayrole.py
+++ b/libs/daemon/src/headcross_daemon/gatewayrole.py
@@ -196,6 +196,7 @@
                     "in_flight": state.in_flight,
                     "slots": state.replica.slots,
                     "load": round(state.load(), 2),
+                    "limit": state.limit.per_second,
                     "told_age": round(min(state.told_age(), 1e9), 3),
                     "draining": state.replica.draining,
                     "between_lives": state.is_between_lives(),
@@ -479,6 +480,8 @@
         samples[sample("retries_total")] = self._path.budget.spent
         samples[sample("retries_denied_total")] = self._path.budget.denied
         standings = self._containment.shared.count_standings()
+        limits = [state.limit.per_second for state in self._directory.states()]
+        samples[sample("replicas_limited")] = sum(limit is not None for limit in limits)
         samples[sample("requests_suspect")] = standings[Standing.SUSPECT]
         samples[sample("requests_barred")] = standings[Standing.BARRED]
         samples[sample("loss_news_rejected_total")] = self._containment.shared.rejected
--- a/libs/gateway/src/headcross_gateway/attempts.py
+++ b/libs/gateway/src/headcross_gateway/attempts.py
@@ -16,6 +16,7 @@
 from typing import Final, TypeVar
 
 import trio
+from headcross_base.clocks import monotonic
 from headcross_base.errorcodes import (
     ENDS_REPLICAS,
     LINK_LOST,
@@ -135,7 +136,7 @@
                 else:
                     hand_over = _less(hand_over, trio.current_time() - placed_at)
                     begun = await self._begin(
-                        connection, request, facts, hand_over, patience, times
+                        connection, request, facts, place, hand_over, patience, times
                     )
             times.unbegun = None
             if waiting.cancelled_caught:
@@ -167,6 +168,7 @@
         connection: HttpConnection,
         request: Request,
         facts: RequestFacts,
+        place: ReplicaState,
         hand_over: HandOver,
         patience: Patience,
         times: AttemptTimes,
@@ -177,6 +179,7 @@
         sending = partial(connection.send, request.method, request.target, headers, request.body)
         await trio.lowlevel.checkpoint_if_cancelled()
         times.sending_at = trio.current_time()
+        sent_at = monotonic()
         await _in_time(until, sending)
         times.sent_at = trio.current_time()
         answer = await _in_time(until, connection.receive_answer, patience.leave)
@@ -184,6 +187,8 @@
         problem = _problem(answer, answer_facts, facts.id)
         if problem:
             return MayRun(UPSTREAM_ERROR, problem)
+        if not answer_facts.elsewhere:
+            place.note_limit(answer_facts.limit, sent_at)
         piece = await _in_time(until, connection.receive_piece, patience.leave)
         times.began_at = trio.current_time()
         return _Begun(answer, answer_facts, piece, until)
--- a/libs/gateway/src/headcross_gateway/replicastate.py
+++ b/libs/gateway/src/headcross_gateway/replicastate.py
@@ -11,11 +11,13 @@
 
 from headcross_base.clocks import monotonic
 from headcross_ports.published import Incarnation, Replica
+from headcross_ports.requests import Unreadable
 from headcross_wire.peermessages import ReplicaLoad
 
 from headcross_gateway.confirmedloads import ConfirmedLoads
 from headcross_gateway.health import Health
 from headcross_gateway.outcomes import DidNotRun, MayRun, Outcome, Streamed, Whole
+from headcross_gateway.requestlimit import RequestLimit
 from headcross_gateway.waittimes import WaitTimes
 
 # What a daemon told of its replica counts for so long.
@@ -69,6 +71,9 @@
     own_share: float = 1.0
     health: Health = field(default_factory=Health)
     waits: WaitTimes = field(default_factory=WaitTimes)
+    limit: RequestLimit = field(default_factory=RequestLimit)
+    # The last limit that could not be read: each is logged once.
+    unreadable_limit: Unreadable | None = None
     # Whether this entry keeps itself informed of it; others are for the time when all of these
     # are full.
     in_subset: bool = True
@@ -166,6 +171,19 @@
                 if silent:
                     self.health.was_silent()
 
+    def note_limit(self, limit: float | Unreadable | None, sent_at: float) -> None:
+        """Take what the head of an answer names as the limit.
+
+        `sent_at` is when its request was sent (monotonic).
+        """
+        fields: dict[str, object] = {"replica": self.replica.id, "limit": limit}
+        if isinstance(limit, Unreadable):
+            if limit != self.unreadable_limit:
+                logger.warning("limit not read", extra={**fields, "limit": limit.text[:100]})
+            self.unreadable_limit = limit
+        elif self.limit.answered(limit, sent_at, monotonic()):
+            logger.info("limit named" if limit is not None else "limit ended", extra=fields)
+
     def take_place(self) -> None:
         """Count a request of this entry as under way there."""
         self.in_flight += 1
--- a/libs/ports/src/headcross_ports/requests.py
+++ b/libs/ports/src/headcross_ports/requests.py
@@ -41,6 +41,13 @@
     resume_after: str | None
 
 
+@dataclass(frozen=True, slots=True)
+class Unreadable:
+    """Something that a replica said and that cannot be what it means."""
+
+    text: str
+
+
 @dataclass(frozen=True, slots=True)
 class AnswerFacts:
     """What the headers of a replica's answer say."""
@@ -51,6 +58,8 @@
     elsewhere: bool  # another replica, or other weights, are at this address
     encoded: bool  # the body is not the plain one
     weights_version: int | None
+    # The requests a second that it takes from all entries together; None if it names none.
+    limit: float | Unreadable | None
 
 
 class RequestDialect(Protocol):
