Failing test: entries together do not keep the limit that a replica names

Two and five entries as real processes, four replicas, 60 requests a second, stream, repeatable and run-once routes. One or all replicas name 2.0 (1.4) requests a second in their answers. The bound is the users' own: one and a half times the limit and 5 in each span of 4 s, 3 s after the first such answer.

--- a/testing/platformreplica.py
+++ b/testing/platformreplica.py
@@ -143,6 +143,7 @@
     load_held: int = 0  # number of the load that is done, from 1
     draining: bool = False
     serves_draining: bool = False  # takes requests also while it leaves
+    limit: str | None = None  # the requests a second that its answers name as their limit
     names_versions: bool = False  # each event ends with the version of the weights
     orders: int = 0
     # Awaited before each call of the daemon; where it returns true, the call gets no answer and
@@ -311,6 +312,8 @@
         request_id = headers.get(names.REQUEST_ID, "")
         self.arrived.append(ArrivedRequest(request_id, trio.current_time()))
         base = [(names.REQUEST_ID, request_id)]
+        if self.limit is not None:
+            base.append((names.LIMIT, self.limit))
         expected = headers.get(names.EXPECT_INSTANCE)
         version = headers.get(names.EXPECT_VERSION)
         if expected not in (None, self.id) or version not in (None, str(self.version)):
--- /dev/null
+++ b/tests/test_replica_limits.py
@@ -0,0 +1,151 @@
+"""Replicas that name a limit on the requests a second from all entries together.
+
+Entries as real processes before a few replicas. Each second a fixed number of requests comes, to
+every entry in turn.
+"""
+
+import math
+from collections.abc import AsyncIterator, Sequence
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Final
+
+import pytest
+import trio
+
+from testing.machinecaller import Reply, ask
+from testing.machinelayout import MODEL_SERVICE, PLAIN_SERVICE
+from testing.machines import Machines, replicas_of, small_site
+from testing.platformreplica import FakeReplica
+
+SERVICES: Final = {
+    "/stream/x": MODEL_SERVICE,
+    "/again/x": PLAIN_SERVICE,
+    "/once/x": PLAIN_SERVICE,
+}
+REPLICAS: Final = 4
+REQUEST_SECONDS: Final = 1 / 60
+BEFORE_SECONDS: Final = 1.0
+LIMITED_SECONDS: Final = 11.0
+# What the users allow, in each span of so many seconds that begins so long after the first word.
+CONTACT_SECONDS: Final = 3.0
+SPAN_SECONDS: Final = 4.0
+ALLOWED_PART: Final = 1.5
+ALLOWED_EXTRA: Final = 5
+# Of the requests that a limit allows, those that are placed where enough come.
+USED_PART: Final = 0.7
+
+
+@dataclass
+class Played:
+    """What was seen of a play."""
+
+    limited_at: float = 0.0  # trio's clock
+    until: float = 0.0  # trio's clock
+    replies: list[Reply] = field(default_factory=list)
+
+    def served(self) -> int:
+        """Return how many requests were answered whole."""
+        return sum(reply.status == 200 and reply.whole for reply in self.replies)
+
+    def most_in_span(self, replica: FakeReplica) -> int:
+        """Return the most requests that a replica got in one span that counts."""
+        first = self.limited_at + CONTACT_SECONDS
+        moments = [r.at for r in replica.arrived if first <= r.at < self.until]
+        return max(
+            (sum(start <= at < start + SPAN_SECONDS for at in moments) for start in moments),
+            default=0,
+        )
+
+    def pace(self, replica: FakeReplica) -> float:
+        """Return the requests a second that a replica got from the moment that counts on."""
+        first = self.limited_at + CONTACT_SECONDS
+        arrived = sum(first <= r.at < self.until for r in replica.arrived)
+        return arrived / (self.until - first)
+
+
+def allowed(limit: float) -> int:
+    """Return how many requests a replica may get in one span."""
+    return math.floor(ALLOWED_PART * SPAN_SECONDS * limit + ALLOWED_EXTRA)
+
+
+@asynccontextmanager
+async def limited_site(
+    directory: Path, service: str, entries: int = 2, daemons: bool = False
+) -> AsyncIterator[Machines]:
+    """Run entries before four replicas of a service."""
+    models, plain = (REPLICAS, 1) if service == MODEL_SERVICE else (1, REPLICAS)
+    async with small_site(
+        directory, models=models, plain=plain, entries=entries, daemons=daemons
+    ) as site:
+        yield site
+
+
+async def play(site: Machines, path: str, limited: Sequence[FakeReplica], limit: str) -> Played:
+    """Send requests while some replicas name a limit."""
+    played = Played()
+    stop = trio.Event()
+
+    async def call(number: int) -> None:
+        name = f"entry{number % entries}"
+        played.replies.append(await ask(site.callers(name), path))
+
+    async def keep_asking() -> None:
+        async with trio.open_nursery() as calls:
+            number = 0
+            while not stop.is_set():
+                calls.start_soon(call, number)
+                number += 1
+                await trio.sleep(REQUEST_SECONDS)
+
+    entries = sum(machine.role == "entry" for machine in site.machines.values())
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(keep_asking)
+        await trio.sleep(BEFORE_SECONDS)
+        for replica in limited:
+            replica.limit = limit
+        played.limited_at = trio.current_time()
+        await trio.sleep(LIMITED_SECONDS)
+        played.until = trio.current_time()
+        stop.set()
+    return played
+
+
+@pytest.mark.parametrize("path", list(SERVICES))
+async def test_entries_together_keep_the_limit_that_one_replica_names(
+    tmp_path: Path, path: str
+) -> None:
+    async with limited_site(tmp_path, SERVICES[path]) as site:
+        limited, *_ = replicas_of(site, SERVICES[path])
+        played = await play(site, path, [limited], "2.0")
+    print(played.most_in_span(limited), played.pace(limited), played.served())
+    assert played.most_in_span(limited) <= allowed(2.0)
+    assert played.pace(limited) >= USED_PART * 2.0
+    assert played.served() == len(played.replies)
+
+
+@pytest.mark.parametrize("path", list(SERVICES))
+async def test_entries_together_keep_the_limits_that_all_replicas_name(
+    tmp_path: Path, path: str
+) -> None:
+    async with limited_site(tmp_path, SERVICES[path]) as site:
+        limited = replicas_of(site, SERVICES[path])
+        played = await play(site, path, limited, "2.0")
+    print([(played.most_in_span(r), played.pace(r)) for r in limited], played.served())
+    for replica in limited:
+        assert played.most_in_span(replica) <= allowed(2.0)
+        assert played.pace(replica) >= USED_PART * 2.0
+
+
+@pytest.mark.parametrize("limit", ["1.4", "20"])
+async def test_five_entries_together_keep_the_limit_that_replicas_name(
+    tmp_path: Path, limit: str
+) -> None:
+    async with limited_site(tmp_path, MODEL_SERVICE, entries=5, daemons=True) as site:
+        limited = replicas_of(site, MODEL_SERVICE)[:2]
+        played = await play(site, "/stream/x", limited, limit)
+    print([(played.most_in_span(r), played.pace(r)) for r in limited], played.served())
+    for replica in limited:
+        assert played.most_in_span(replica) <= allowed(float(limit))
+    assert played.served() == len(played.replies)
