Entries together keep the limit that a replica names

What callers saw: replicas that asked for less got their full share, and answered late. Ruled out: late news and limits kept by each entry alone, since the pace never fell.

Each entry now paces its requests to its part of the limit, one over the entries that the replica's daemon tells its load to, or over the entries known. A place is saved only as far as all entries may do so at once; with more entries than that it lapses after 1 s, and each begins at a moment of its own. A limit below 0.25 is taken for that, so that a request finds out when it is over. Why it works: with E entries and c saved seconds at most E + (4 + c) N requests come in 4 s, and c is chosen such that this is within 6 N + 5.

Rule without a network: 1, 2, 5 and 12 entries, limits of 0, 0.2, 1.4, 2 and 20, demand at all times, at one moment, and random.

--- a/libs/gateway/src/headcross_gateway/directory.py
+++ b/libs/gateway/src/headcross_gateway/directory.py
@@ -75,6 +75,8 @@
                 self._states[replica.id] = ReplicaState(replica, own_share=1 / self.entries)
             else:
                 state.replica = replica
+                if state.told is None:
+                    state.own_share = 1 / self.entries
                 state.loads.note_held(replica.loaded, monotonic())
                 state.lapsed_until = None
         self._index()
--- a/libs/gateway/src/headcross_gateway/replicastate.py
+++ b/libs/gateway/src/headcross_gateway/replicastate.py
@@ -66,8 +66,8 @@
     in_flight: int = 0  # requests of this entry
     told: Told | None = None
     full_until: float = 0.0
-    # This entry's part of the replica's places, 0 to 1: an equal one among the entries that its
-    # daemon tells its load to, and before its first word among the entries known.
+    # This entry's part of the replica's places and of its limit, 0 to 1: an equal one among the
+    # entries that its daemon tells its load to, and before its first word among those known.
     own_share: float = 1.0
     health: Health = field(default_factory=Health)
     waits: WaitTimes = field(default_factory=WaitTimes)
@@ -125,7 +125,7 @@
         All places are filled. One with 16 ends a request every 70 ms or so: a request that comes a
         moment too soon waits less there than it would for another try.
         """
-        if monotonic() < self.full_until:
+        if monotonic() < self.full_until or self.seconds_to_next():
             return False
         if reserved and self.load() > (1 - reserved) * self.replica.slots:
             return False
@@ -139,6 +139,10 @@
         free = self.replica.slots - self.load()
         return free > 0 and self.told.own_placed < self.told.allowance
 
+    def seconds_to_next(self) -> float:
+        """Return after how many seconds its limit allows a request of this entry, 0 if now."""
+        return self.limit.seconds_to_next(self.own_share, monotonic())
+
     def is_usable(self, now: float) -> bool:
         """Tell whether it may be worth keeping informed of: it serves and answers."""
         listed = self.replica
@@ -181,12 +185,13 @@
             if limit != self.unreadable_limit:
                 logger.warning("limit not read", extra={**fields, "limit": limit.text[:100]})
             self.unreadable_limit = limit
-        elif self.limit.answered(limit, sent_at, monotonic()):
+        elif self.limit.answered(limit, sent_at, self.own_share, monotonic()):
             logger.info("limit named" if limit is not None else "limit ended", extra=fields)
 
     def take_place(self) -> None:
         """Count a request of this entry as under way there."""
         self.in_flight += 1
+        self.limit.count(self.own_share, monotonic())
         if self.told is not None:
             self.told.own_placed += 1
 
--- a/libs/gateway/src/headcross_gateway/requestlimit.py
+++ b/libs/gateway/src/headcross_gateway/requestlimit.py
@@ -1,21 +1,43 @@
-"""The limit that a replica names on the requests a second from all entries together."""
+"""The limit that a replica names on the requests a second from all entries together.
 
+No entry knows what the others send. Each paces its own requests to its part of the limit, so that
+all together stay within what the limit allows in any few seconds, whoever of them has requests. A
+place that an entry did not use may be saved only as far as all entries may do so at once; where
+there are too many entries for that, it lapses.
+
+Moments are in seconds on any one clock that does not go back.
+"""
+
+import math
+import random
 from dataclasses import dataclass
+from typing import Final
+
+# What a limit allows in any span of so many seconds: so many times its requests, and some more
+# (source: the platform's pages, LIMIT).
+SPAN_SECONDS: Final = 4.0
+SPAN_PART: Final = 1.5
+SPAN_EXTRA: Final = 5
+# An unused place is saved for so long at most.
+MOST_SAVED_SECONDS: Final = 1.5
+# Where no place may be saved it can be used for so long.
+PLACE_SECONDS: Final = 1.0
+# A lower limit is taken for this one: one request now and then finds out whether it still holds.
+LEAST_LIMIT: Final = 0.25
 
 
 @dataclass(slots=True)
 class RequestLimit:
-    """What one entry knows of the limit of one replica.
-
-    Moments are in seconds on any one clock that does not go back.
-    """
+    """What one entry knows of the limit of one replica, and what it has sent there."""
 
     per_second: float | None = None  # None while the replica names none
-    named_at: float = float("-inf")  # when it was last named
+    named_at: float = -math.inf  # when it was last named
+    _next_at: float = -math.inf  # from when on the next request may be sent
 
-    def answered(self, limit: float | None, sent_at: float, now: float) -> bool:
+    def answered(self, limit: float | None, sent_at: float, share: float, now: float) -> bool:
         """Take what an answer names as the limit; return whether that changes anything.
 
+        `share` is this entry's part of the limit, 0 to 1.
         An answer without a limit ends it only if its request was sent after the limit was known:
         another answer may have been given before the limit and come after it.
         """
@@ -23,6 +45,50 @@
         if limit is not None:
             self.per_second = limit
             self.named_at = now
+            if before is None:
+                self._begin(share, now)
         elif sent_at > self.named_at:
             self.per_second = None
         return self.per_second != before
+
+    def seconds_to_next(self, share: float, now: float) -> float:
+        """Return after how many seconds a request may be sent, 0 if it may be now."""
+        if self.per_second is None:
+            return 0.0
+        return max(0.0, self._next_place(share, now) - now)
+
+    def count(self, share: float, now: float) -> None:
+        """Count a request that is sent."""
+        if self.per_second is None:
+            return
+        used = self._next_place(share, now)
+        saved = self._saved_seconds(share)
+        if saved >= 0:
+            used = max(used, now - saved)
+        self._next_at = used + 1 / self._rate(share)
+
+    def _begin(self, share: float, now: float) -> None:
+        """Begin to pace requests, at a moment that differs from entry to entry."""
+        self._next_at = now + random.uniform(0.0, 1 / self._rate(share))
+
+    def _next_place(self, share: float, now: float) -> float:
+        """Return from when on the next place may be used."""
+        period = 1 / self._rate(share)
+        # Of a smaller share or limit, which held before, no longer wait is left over.
+        next_at = min(self._next_at, now + period)
+        if self._saved_seconds(share) < 0 and now - next_at > PLACE_SECONDS:
+            next_at += math.ceil((now - PLACE_SECONDS - next_at) / period) * period
+        return next_at
+
+    def _rate(self, share: float) -> float:
+        return max(LEAST_LIMIT, self.per_second or 0.0) * share
+
+    def _saved_seconds(self, share: float) -> float:
+        """Return for how long unused places are saved, below 0 if none may be.
+
+        With E entries, a limit of N and c saved seconds, E + (SPAN + c) N requests come in a span
+        at most.
+        """
+        limit = max(LEAST_LIMIT, self.per_second or 0.0)
+        spare = SPAN_EXTRA - 1 / share
+        return min(MOST_SAVED_SECONDS, SPAN_SECONDS * (SPAN_PART - 1) + spare / limit)
--- /dev/null
+++ b/tests/test_request_limit.py
@@ -0,0 +1,123 @@
+"""How entries pace their requests to the limit of a replica, without a network or a clock."""
+
+import math
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Final
+
+import pytest
+from headcross_gateway.requestlimit import LEAST_LIMIT, RequestLimit
+from hypothesis import given
+from hypothesis import strategies as st
+
+SPAN_SECONDS: Final = 4.0
+STEP_SECONDS: Final = 0.05
+PLAYED_SECONDS: Final = 40.0
+USED_PART: Final = 0.7
+
+Demand = Callable[[int, float], bool]  # whether an entry has a request at a moment
+
+
+@dataclass
+class Fleet:
+    """Entries that were all told of one limit at the same moment."""
+
+    entries: int
+    limit: float
+    moments: list[float] = field(default_factory=list)  # at which a request was sent
+    states: list[RequestLimit] = field(default_factory=list)
+
+    def __post_init__(self) -> None:
+        self.states = [RequestLimit() for _ in range(self.entries)]
+        for state in self.states:
+            state.answered(self.limit, 0.0, 1 / self.entries, 0.0)
+
+    def play(self, demand: Demand) -> None:
+        """Let each entry send what it has as soon as it may."""
+        for step in range(int(PLAYED_SECONDS / STEP_SECONDS)):
+            now = step * STEP_SECONDS
+            for number, state in enumerate(self.states):
+                if demand(number, now) and not state.seconds_to_next(1 / self.entries, now):
+                    state.count(1 / self.entries, now)
+                    self.moments.append(now)
+
+    def most_in_span(self) -> int:
+        """Return the most requests in one span."""
+        return max(
+            (sum(a <= at < a + SPAN_SECONDS for at in self.moments) for a in self.moments),
+            default=0,
+        )
+
+
+def allowed(limit: float) -> int:
+    return math.floor(1.5 * SPAN_SECONDS * limit + 5)
+
+
+LIMITS: Final = (0.0, 0.2, 1.4, 2.0, 20.0)
+ENTRIES: Final = (1, 2, 5, 12)
+
+
+@pytest.mark.parametrize("limit", LIMITS)
+@pytest.mark.parametrize("entries", ENTRIES)
+def test_entries_with_requests_at_all_times_use_a_limit_and_keep_it(
+    entries: int, limit: float
+) -> None:
+    fleet = Fleet(entries, limit)
+    fleet.play(lambda number, now: True)
+    assert fleet.most_in_span() <= allowed(limit)
+    assert len(fleet.moments) >= USED_PART * limit * PLAYED_SECONDS
+
+
+@pytest.mark.parametrize("limit", LIMITS)
+@pytest.mark.parametrize("entries", ENTRIES)
+def test_entries_that_all_have_requests_again_at_one_moment_keep_a_limit(
+    entries: int, limit: float
+) -> None:
+    fleet = Fleet(entries, limit)
+    fleet.play(lambda number, now: now % 13 > 9)
+    assert fleet.most_in_span() <= allowed(limit)
+
+
+@given(
+    entries=st.integers(2, 12),
+    limit=st.sampled_from([0.2, 0.5, 1.4, 1.7, 3.0, 8.0, 20.0]),
+    quiet=st.lists(st.tuples(st.floats(0, 40), st.floats(0, 40)), min_size=12, max_size=12),
+    seed=st.integers(0, 1 << 30),
+)
+def test_entries_with_requests_now_and_then_keep_a_limit(
+    entries: int, limit: float, quiet: list[tuple[float, float]], seed: int
+) -> None:
+    random.seed(seed)
+    fleet = Fleet(entries, limit)
+    fleet.play(lambda number, now: not quiet[number][0] <= now < quiet[number][1])
+    assert fleet.most_in_span() <= allowed(limit)
+
+
+def test_a_limit_of_nothing_lets_a_request_find_out_now_and_then() -> None:
+    state = RequestLimit()
+    state.answered(0.0, 0.0, 1.0, 0.0)
+    assert 0 < state.seconds_to_next(1.0, 0.0) <= 1 / LEAST_LIMIT
+    assert not state.seconds_to_next(1.0, 1 / LEAST_LIMIT)
+
+
+def test_an_answer_without_a_limit_ends_it() -> None:
+    state = RequestLimit()
+    assert state.answered(2.0, 0.0, 0.5, 1.0)
+    assert state.answered(None, 1.5, 0.5, 1.6)
+    assert state.per_second is None
+    assert not state.seconds_to_next(0.5, 1.6)
+
+
+def test_an_answer_to_a_request_from_before_the_limit_does_not_end_it() -> None:
+    state = RequestLimit()
+    state.answered(2.0, 0.0, 0.5, 1.0)
+    assert not state.answered(None, 0.9, 0.5, 1.2)
+    assert state.per_second == 2.0
+
+
+def test_a_higher_limit_holds_at_once() -> None:
+    state = RequestLimit()
+    state.answered(0.2, 0.0, 0.2, 0.0)
+    state.answered(20.0, 0.0, 0.2, 1.0)
+    assert state.seconds_to_next(0.2, 1.0) <= 1 / (20.0 * 0.2)
