Requests that have ended do not use up what may be placed at a replica

What callers saw: 223 of 685 refused (no-room) while two replicas of four were idle, since the other two had named a limit. Cause: an entry places only its part of six requests between two words of a replica's daemon, and requests that had ended within that span still counted; of an idle replica the daemon tells each 0.45 s only. No more of them can be there than are under way at this entry, and that bound counts now. Where requests last longer than the span nothing changes.

The test without a network fails before (1 failed).

--- a/libs/gateway/src/headcross_gateway/replicastate.py
+++ b/libs/gateway/src/headcross_gateway/replicastate.py
@@ -137,7 +137,9 @@
             return self.in_flight < max(1.0, self.replica.slots * self.own_share)
         assert self.told is not None
         free = self.replica.slots - self.load()
-        return free > 0 and self.told.own_placed < self.told.allowance
+        # No more of those placed since the last word can still be there than are under way.
+        placed = min(self.told.own_placed, self.in_flight)
+        return free > 0 and placed < self.told.allowance
 
     def seconds_to_next(self) -> float:
         """Return after how many seconds its limit allows a request of this entry, 0 if now."""
--- a/tests/test_gateway_places.py
+++ b/tests/test_gateway_places.py
@@ -301,3 +301,13 @@
     assert all(0 < seconds <= COME_BACK_LATER_SECONDS for each in waits for seconds in each)
     # They do not come back all at once.
     assert all(len(set(each)) > 1 for each in waits)
+
+
+def test_requests_that_ended_do_not_use_up_what_may_be_placed_until_the_next_word() -> None:
+    state = model_place("idle", 1, 0)
+    assert state.told is not None
+    for _ in range(3):
+        assert state.has_room()
+        state.take_place()
+        assert not state.has_room()
+        state.in_flight -= 1
