Entries tell one another which limits replicas name

What callers saw: an entry that no answer had told of a limit, or that had just started, went on sending at its full share, and so did each until its own answers told it; when a limit was over each entry had to find out by itself, at worst one request in 20 s. Cause: what an entry learns from an answer stayed there. Now it tells all entries it knows within 0.2 s, and three of them each second everything that holds; the newer word of the same life of a replica counts, and what cannot be right is left out with a log line.

--- a/libs/daemon/src/headcross_daemon/gatewayrole.py
+++ b/libs/daemon/src/headcross_daemon/gatewayrole.py
@@ -21,6 +21,7 @@
 from headcross_gateway.overload import Overload
 from headcross_gateway.picking import Picker
 from headcross_gateway.replicalosses import Standing
+from headcross_gateway.replicanews import all_news, hear_news, untold_news
 from headcross_gateway.requestpath import RequestPath
 from headcross_gateway.subsetting import every_other
 from headcross_gateway.weightsrules import ENDING_SECONDS, WeightsRules
@@ -35,6 +36,7 @@
     LossNews,
     RefusedNews,
     ReplicaLoad,
+    ReplicaNews,
     Subscribe,
     WeightsPlan,
 )
@@ -63,11 +65,11 @@
 TOLD_TOGETHER_SECONDS: Final = 0.1
 # Daemons that are told what makes requests suspect; their links are narrow.
 LOSS_KEEPERS: Final = 4
-# How often news of lost replicas are sent to one whose link is not open, and how soon again.
+# How often news are sent to one whose link is not open, and how soon again.
 TELL_TRIES: Final = 5
 TELL_AGAIN_SECONDS: Final = 0.1
-# Entries to which everything known of lost replicas is told again, each second.
-REPEAT_LOSSES_TO: Final = 3
+# Entries to which everything known of replicas is told again, each second.
+REPEAT_NEWS_TO: Final = 3
 # An entry asks for the losses that daemons keep for so long after its start.
 ASK_LOSSES_SECONDS: Final = 6.0
 # Descriptors that are not connections of callers or to replicas.
@@ -161,7 +163,7 @@
             nursery.start_soon(self.process.on_change, self._take_facts)
             nursery.start_soon(self._subscribe)
             nursery.start_soon(self._keep_house)
-            nursery.start_soon(self._watch_overload)
+            nursery.start_soon(self._watch_overload, nursery)
             nursery.start_soon(self._share_losses)
             nursery.start_soon(self._path.unbegun.run)
             if self._mirror is not None:
@@ -336,6 +338,10 @@
         if isinstance(incoming.message, LossNews):
             self._containment.hear(incoming.message)
             return
+        if isinstance(incoming.message, ReplicaNews):
+            for changed in hear_news(incoming.message, self._directory.find, monotonic()):
+                self._admission.notify(changed.replica.service)
+            return
         if not isinstance(incoming.message, ReplicaLoad):
             self.process.node.malformed += 1
             return
@@ -405,13 +411,16 @@
         configuration = self.process.facts.configuration
         return plan_of(configuration) if configuration is not None else None
 
-    async def _watch_overload(self) -> None:
-        """Measure the demand, look for lost replicas, tell what was refused, again and again."""
+    async def _watch_overload(self, nursery: trio.Nursery) -> None:
+        """Measure the demand, look for lost replicas, tell what is new, again and again."""
         while True:
             await trio.sleep(OVERLOAD_SECONDS)
             self._overload.measure(trio.current_time())
             self._containment.update()
             self._tell_refused()
+            replica_news = untold_news(self._directory.states(), monotonic())
+            if replica_news is not None:
+                nursery.start_soon(self._tell, replica_news, self.process.known_entries())
 
     def _tell_refused(self) -> None:
         """Tell the other entries of the zone what was refused here since the last time."""
@@ -424,10 +433,10 @@
         async with trio.open_nursery() as nursery:
             while True:
                 news = await self._containment.wait_untold()
-                nursery.start_soon(self._tell_losses, news, self.process.known_entries())
+                nursery.start_soon(self._tell, news, self.process.known_entries())
                 kept = self._containment.shared.of_suspects(monotonic())
                 if kept is not None:
-                    nursery.start_soon(self._tell_losses, kept, self._keepers())
+                    nursery.start_soon(self._tell, kept, self._keepers())
                 await trio.sleep(TOLD_TOGETHER_SECONDS)
 
     def _keepers(self) -> list[Address]:
@@ -438,7 +447,7 @@
         daemons = {str(address): address for address in self._daemons()}
         return [daemons[name] for name in rendezvous_order("losses", daemons)[:LOSS_KEEPERS]]
 
-    async def _tell_losses(self, news: LossNews, to: list[Address]) -> None:
+    async def _tell(self, news: LossNews | ReplicaNews, to: list[Address]) -> None:
         """Send news; where the first message only opens the link, send them again."""
         for _ in range(TELL_TRIES):
             to = [address for address in to if not self.process.node.send(address, news)]
@@ -446,21 +455,23 @@
                 return
             await trio.sleep(TELL_AGAIN_SECONDS)
 
-    def _repeat_losses(self) -> None:
+    def _repeat_news(self) -> None:
         """Tell a few entries everything: some may have started, or come out of a cut."""
-        news = self._containment.shared.everything(monotonic())
-        if news is None:
-            return
+        now = monotonic()
+        lost = self._containment.shared.everything(now)
+        asked = all_news(self._directory.states(), now)
         entries = self.process.known_entries()
-        for address in random.sample(entries, min(REPEAT_LOSSES_TO, len(entries))):
-            self.process.node.send(address, news)
+        for address in random.sample(entries, min(REPEAT_NEWS_TO, len(entries))):
+            for news in (lost, asked):
+                if news is not None:
+                    self.process.node.send(address, news)
 
     async def _keep_house(self) -> None:
         """Once a second: take the list anew, close connections that were idle for too long."""
         while True:
             await trio.sleep(HOUSEKEEPING_SECONDS)
             self._update_directory()
-            self._repeat_losses()
+            self._repeat_news()
             await self._path.attempts.connections.close_expired()
 
     # Metrics.
--- /dev/null
+++ b/libs/gateway/src/headcross_gateway/replicanews.py
@@ -0,0 +1,84 @@
+"""What entries tell one another of what replicas ask of them.
+
+An entry learns from the answers to its own requests what a replica asks of all entries. It tells
+the others at once, and now and then a few of them everything it knows, so that entries that start,
+or were cut off, learn it too. News may come late, twice or never: the newer word of a replica
+counts. Items that cannot be right are left out.
+"""
+
+import logging
+import math
+from collections.abc import Callable, Iterable
+from typing import Final
+
+from headcross_ports.published import Incarnation
+from headcross_wire.peermessages import ReplicaNews, ReplicaWord
+
+from headcross_gateway.replicastate import ReplicaState
+
+# Items of one message; more than a fleet of the size designed for has at a time.
+MAX_ITEMS: Final = 1024
+# A word that is older says nothing of the replica now.
+MAX_AGE_SECONDS: Final = 3600.0
+
+logger = logging.getLogger(__name__)
+
+
+def untold_news(states: Iterable[ReplicaState], now: float) -> ReplicaNews | None:
+    """Return what was learned since the last call, None if nothing was."""
+    untold = [state for state in states if state.limit.untold]
+    for state in untold:
+        state.limit.untold = False
+    return _news(untold, now)
+
+
+def all_news(states: Iterable[ReplicaState], now: float) -> ReplicaNews | None:
+    """Return everything that replicas ask, None if none asks anything."""
+    return _news([state for state in states if state.limit.per_second is not None], now)
+
+
+def hear_news(
+    news: ReplicaNews, find: Callable[[str], ReplicaState | None], now: float
+) -> list[ReplicaState]:
+    """Take the news of another entry; return the replicas of which they change anything.
+
+    `find` returns a listed replica by its id.
+    """
+    changed: list[ReplicaState] = []
+    rejected = 0
+    for word in news.words[:MAX_ITEMS]:
+        if not _is_plausible(word):
+            rejected += 1
+            continue
+        state = find(word.replica)
+        if state is None or _is_of_another_life(word, state):
+            continue
+        if state.hear_limit(word.limit, now - word.age):
+            changed.append(state)
+    if rejected:
+        logger.warning("news of replicas rejected", extra={"items": rejected, "reason": "range"})
+    return changed
+
+
+def _news(states: list[ReplicaState], now: float) -> ReplicaNews | None:
+    words = [
+        ReplicaWord(
+            state.replica.id,
+            state.replica.started_ms,
+            max(0.0, now - state.limit.said_at),
+            state.limit.per_second,
+        )
+        for state in states[:MAX_ITEMS]
+    ]
+    return ReplicaNews(words) if words else None
+
+
+def _is_plausible(word: ReplicaWord) -> bool:
+    if not 0 <= word.age <= MAX_AGE_SECONDS:
+        return False
+    return word.limit is None or (math.isfinite(word.limit) and word.limit >= 0)
+
+
+def _is_of_another_life(word: ReplicaWord, state: ReplicaState) -> bool:
+    told = Incarnation(word.replica, word.started_ms)
+    return told.is_other_than(state.replica.incarnation)
--- a/libs/gateway/src/headcross_gateway/replicastate.py
+++ b/libs/gateway/src/headcross_gateway/replicastate.py
@@ -182,13 +182,26 @@
 
         `sent_at` is when its request was sent (monotonic).
         """
-        fields: dict[str, object] = {"replica": self.replica.id, "limit": limit}
         if isinstance(limit, Unreadable):
             if limit != self.unreadable_limit:
-                logger.warning("limit not read", extra={**fields, "limit": limit.text[:100]})
+                fields = {"replica": self.replica.id, "limit": limit.text[:100]}
+                logger.warning("limit not read", extra=fields)
             self.unreadable_limit = limit
         elif self.limit.answered(limit, sent_at, self.own_share, monotonic()):
-            logger.info("limit named" if limit is not None else "limit ended", extra=fields)
+            self._log_limit("answer")
+
+    def hear_limit(self, limit: float | None, said_at: float) -> bool:
+        """Take the word of another entry on the limit; return whether that changes anything."""
+        changed = self.limit.hear(limit, said_at, self.own_share, monotonic())
+        if changed:
+            self._log_limit("entry")
+        return changed
+
+    def _log_limit(self, source: str) -> None:
+        limit = self.limit.per_second
+        age = round(monotonic() - self.limit.said_at, 3)
+        fields = {"replica": self.replica.id, "limit": limit, "source": source, "age": age}
+        logger.info("limit named" if limit is not None else "limit ended", extra=fields)
 
     def take_place(self) -> None:
         """Count a request of this entry as under way there."""
--- a/libs/gateway/src/headcross_gateway/requestlimit.py
+++ b/libs/gateway/src/headcross_gateway/requestlimit.py
@@ -31,25 +31,32 @@
     """What one entry knows of the limit of one replica, and what it has sent there."""
 
     per_second: float | None = None  # None while the replica names none
-    named_at: float = -math.inf  # when it was last named
+    said_at: float = -math.inf  # when the replica last named it, or was seen to name it no more
+    untold: bool = False  # other entries have yet to be told
     _next_at: float = -math.inf  # from when on the next request may be sent
 
     def answered(self, limit: float | None, sent_at: float, share: float, now: float) -> bool:
         """Take what an answer names as the limit; return whether that changes anything.
 
-        `share` is this entry's part of the limit, 0 to 1.
         An answer without a limit ends it only if its request was sent after the limit was known:
-        another answer may have been given before the limit and come after it.
+        another answer may have been given before the limit and come after it. `share` is this
+        entry's part of the limit, 0 to 1.
         """
-        before = self.per_second
-        if limit is not None:
-            self.per_second = limit
-            self.named_at = now
-            if before is None:
-                self._begin(share, now)
-        elif sent_at > self.named_at:
-            self.per_second = None
-        return self.per_second != before
+        if limit is None and (self.per_second is None or sent_at <= self.said_at):
+            return False
+        changed = self.hear(limit, now, share, now)
+        self.untold |= changed
+        return changed
+
+    def hear(self, limit: float | None, said_at: float, share: float, now: float) -> bool:
+        """Take what a replica said at a moment; return whether that changes anything."""
+        if said_at <= self.said_at:
+            return False
+        before, self.per_second = self.per_second, limit
+        self.said_at = said_at
+        if before is None and limit is not None:
+            self._begin(share, now)
+        return limit != before
 
     def seconds_to_next(self, share: float, now: float) -> float:
         """Return after how many seconds a request may be sent, 0 if it may be now."""
--- a/libs/wire/src/headcross_wire/peermessages.py
+++ b/libs/wire/src/headcross_wire/peermessages.py
@@ -346,6 +346,21 @@
     groups: list[GroupEnds] = []
 
 
+class ReplicaWord(_Message, frozen=True):
+    """What one life of a replica asks of all entries."""
+
+    replica: str  # its id
+    started_ms: int | None  # when that life began, Unix milliseconds; None: not told
+    age: float  # seconds since it said so
+    limit: float | None  # requests a second from all entries together; None: it names none
+
+
+class ReplicaNews(_Message, frozen=True, tag=55):
+    """What replicas ask, as their answers told the sender."""
+
+    words: list[ReplicaWord] = []
+
+
 class AskDigests(_Message, frozen=True, tag=44):
     """Ask a daemon for the digests of a version, now or once it knows them."""
 
@@ -382,6 +397,7 @@
     | KnownPlan
     | RefusedNews
     | LossNews
+    | ReplicaNews
 )
 SwarmMessage = (
     Join | Have | AskChunk | Chunk | NoChunk | AskManifest | ManifestBody | AskIntent | Intent
--- a/tests/test_replica_limits.py
+++ b/tests/test_replica_limits.py
@@ -5,6 +5,7 @@
 """
 
 import math
+import signal
 from collections.abc import AsyncIterator, Sequence
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
@@ -15,7 +16,7 @@
 import trio
 
 from testing.machinecaller import Reply, ask
-from testing.machinelayout import MODEL_SERVICE, PLAIN_SERVICE
+from testing.machinelayout import MODEL_SERVICE, PLAIN_SERVICE, WAIT_SECONDS
 from testing.machines import Machines, replicas_of, small_site
 from testing.platformreplica import FakeReplica
 
@@ -35,6 +36,8 @@
 ALLOWED_EXTRA: Final = 5
 # Of the requests that a limit allows, those that are placed where enough come.
 USED_PART: Final = 0.7
+# After so long every entry in touch has heard what one was told.
+NEWS_SECONDS: Final = 5.0
 
 
 @dataclass
@@ -149,3 +152,61 @@
     for replica in limited:
         assert played.most_in_span(replica) <= allowed(float(limit))
     assert played.served() == len(played.replies)
+
+
+async def limits_known(site: Machines, entry: str) -> list[float]:
+    """Return the limits of the model's replicas that an entry goes by."""
+    states = (await site.state(entry)).get("replica_states", [])
+    return [state["limit"] for state in states if state["limit"] is not None]
+
+
+async def wait_limits(site: Machines, entry: str, expected: list[float]) -> None:
+    """Wait until an entry goes by these limits and no others."""
+    with trio.fail_after(NEWS_SECONDS):
+        while await limits_known(site, entry) != expected:
+            await trio.sleep(0.05)
+
+
+async def ask_until_limits(site: Machines, entry: str, expected: list[float]) -> None:
+    """Send requests to an entry until it goes by these limits and no others."""
+    with trio.fail_after(WAIT_SECONDS):
+        while await limits_known(site, entry) != expected:
+            await ask(site.callers(entry), "/stream/x")
+            await trio.sleep(0.02)
+
+
+async def test_an_entry_learns_from_another_that_a_replica_names_a_limit_and_its_end(
+    tmp_path: Path,
+) -> None:
+    async with limited_site(tmp_path, MODEL_SERVICE) as site:
+        limited, *_ = replicas_of(site, MODEL_SERVICE)
+        limited.limit = "2.5"
+        await ask_until_limits(site, "entry0", [2.5])
+        await wait_limits(site, "entry1", [2.5])
+        limited.limit = None
+        await ask_until_limits(site, "entry1", [])
+        await wait_limits(site, "entry0", [])
+
+
+async def test_an_entry_that_starts_learns_that_a_replica_names_a_limit(tmp_path: Path) -> None:
+    async with limited_site(tmp_path, MODEL_SERVICE) as site:
+        limited, *_ = replicas_of(site, MODEL_SERVICE)
+        limited.limit = "2.5"
+        await ask_until_limits(site, "entry0", [2.5])
+        site.signal("entry1", signal.SIGKILL)
+        await site.wait_exit("entry1")
+        site.start("entry1")
+        await site.wait_ready("entry1")
+        await wait_limits(site, "entry1", [2.5])
+
+
+async def test_a_replica_that_starts_again_has_no_limit_of_before(tmp_path: Path) -> None:
+    async with limited_site(tmp_path, MODEL_SERVICE) as site:
+        limited, *_ = replicas_of(site, MODEL_SERVICE)
+        limited.limit = "2.5"
+        await ask_until_limits(site, "entry0", [2.5])
+        limited.limit = None
+        listed = site.replicas[limited.id]
+        await site.restart_replica(listed)
+        await wait_limits(site, "entry0", [])
+        await wait_limits(site, "entry1", [])
