Requests that no limit allows in time are refused at once

What callers saw: where all replicas had named limits, a request waited for a tenth of its aim for a place that none of them could give, and was told a time to come back that did not know of the limits. Cause: the queue knew full replicas only. A silent replica is left only where another one opens within the wait.

--- a/libs/gateway/src/headcross_gateway/admission.py
+++ b/libs/gateway/src/headcross_gateway/admission.py
@@ -9,6 +9,7 @@
 
 import bisect
 import itertools
+import math
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Final
@@ -66,6 +67,13 @@
         """Tell whether any replica could serve a request, if it had room."""
         return bool(self._picker.candidates(wish, configuration))
 
+    def seconds_to_opening(self, wish: Wish, configuration: Configuration) -> float:
+        """Return after how many seconds a replica may take a request, if it has room then.
+
+        Infinite if none may.
+        """
+        return self._picker.seconds_to_opening(wish, configuration)
+
     async def take_place(
         self,
         wish: Wish,
@@ -77,8 +85,9 @@
     ) -> ReplicaState | None:
         """Return a replica with a place reserved on it, None if there is none by `until`.
 
-        `until` is on trio's clock; `returning` tells that the caller was refused before. The place
-        must be given back with `give_back`.
+        It is None at once where no replica may take the request until then. `until` is on trio's
+        clock; `returning` tells that the caller was refused before. The place must be given back
+        with `give_back`.
         """
         queue = self._queues.setdefault(wish.service, [])
         if not queue:
@@ -86,15 +95,17 @@
             if place is not None:
                 place.take_place()
                 return place
-        if len(queue) >= MAX_WAITING or until <= trio.current_time():
+        seconds_left = until - trio.current_time()
+        if len(queue) >= MAX_WAITING or seconds_left <= 0:
+            return None
+        if seconds_left < self.seconds_to_opening(wish, configuration) < math.inf:
             return None
         number = next(self._numbers)
         waiter = _Waiter(order, number, wish, configuration, returning=returning)
         bisect.insort(queue, waiter)
         self.notify(wish.service)
         try:
-            with trio.move_on_at(until):
-                await waiter.came.wait()
+            await self._wait(waiter, until)
         except trio.Cancelled:
             if waiter.place is not None:
                 self.give_back(waiter.place)
@@ -104,6 +115,16 @@
             self._drop_left(wish.service)
         return waiter.place
 
+    async def _wait(self, waiter: _Waiter, until: float) -> None:
+        """Wait for a place until a moment; look anew when a limit allows the next one."""
+        while waiter.place is None and trio.current_time() < until:
+            seconds = self.seconds_to_opening(waiter.wish, waiter.configuration)
+            opening = trio.current_time() + seconds if seconds > 0 else until
+            with trio.move_on_at(min(until, opening)):
+                await waiter.came.wait()
+            if waiter.place is None:
+                self.notify(waiter.wish.service)
+
     def give_back(self, place: ReplicaState) -> None:
         """Free a place."""
         place.in_flight -= 1
--- a/libs/gateway/src/headcross_gateway/overload.py
+++ b/libs/gateway/src/headcross_gateway/overload.py
@@ -150,12 +150,13 @@
         spare = seconds_left - ANSWER_TIMES_LEFT * self._answers.mean(service)
         return max(wait, min(self.settings.returning_wait_seconds, spare))
 
-    def come_back_seconds(self, service: str) -> float:
+    def come_back_seconds(self, service: str, opening_seconds: float = 0.0) -> float:
         """Return when a caller without a place should come back, in seconds.
 
         The more callers found no place lately, the longer that will last: one that comes back into
-        the same overload is refused for good.
+        the same overload is refused for good. No replica takes anything for `opening_seconds`.
         """
         longer = COME_BACK_LATER_SECONDS - COME_BACK_SECONDS
         seconds = COME_BACK_SECONDS + longer * self._all.refused_share(service)
-        return seconds * random.uniform(1 - COME_BACK_SPREAD, 1)
+        least = opening_seconds / (1 - COME_BACK_SPREAD)
+        return max(seconds, least) * random.uniform(1 - COME_BACK_SPREAD, 1)
--- a/libs/gateway/src/headcross_gateway/picking.py
+++ b/libs/gateway/src/headcross_gateway/picking.py
@@ -5,6 +5,7 @@
 entries choose at once, so a little chance keeps them from choosing alike.
 """
 
+import math
 import random
 from collections.abc import Collection, Iterable
 from dataclasses import dataclass
@@ -81,6 +82,14 @@
         reachable = [state for state in fitting if state.told_reachable()] or fitting
         return [state for state in reachable if self._is_healthy(state, wish)] or reachable
 
+    def seconds_to_opening(self, wish: Wish, configuration: Configuration) -> float:
+        """Return after how many seconds a replica's limit allows a request, infinite if none may.
+
+        It is 0 where no limit keeps it away: a place may come free at any moment.
+        """
+        candidates = self.candidates(wish, configuration)
+        return min((state.seconds_to_next() for state in candidates), default=math.inf)
+
     def _fitting(
         self, states: Iterable[ReplicaState], wish: Wish, configuration: Configuration
     ) -> list[ReplicaState]:
--- a/libs/gateway/src/headcross_gateway/requestpath.py
+++ b/libs/gateway/src/headcross_gateway/requestpath.py
@@ -5,6 +5,7 @@
 request may have run. What an entry gives up on is answered at once.
 """
 
+import math
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import replace
@@ -58,12 +59,11 @@
     log_completed,
     log_refused,
 )
-from headcross_gateway.retries import Retries
+from headcross_gateway.retries import RUN_AGAIN_WAIT_SECONDS, Retries
 from headcross_gateway.unbegun import UnbegunAttempts
 from headcross_gateway.weightsrules import WeightsRules
 
-# A request that may have run waits so long for its second place, and goes first.
-RUN_AGAIN_WAIT_SECONDS: Final = 1.0
+# A request that may have run goes first to its second place.
 RUN_AGAIN_PRIORITY: Final = -1
 # When a caller is told to come back whom another entry will serve.
 COME_BACK_SOON_SECONDS: Final = 0.02
@@ -198,7 +198,7 @@
                     self._overload.note_refused(
                         request.service, returning=request.returning, for_room=has_candidates
                     )
-                return self._last_word(request, last or self._no_room(request, has_candidates))
+                return self._last_word(request, last or self._no_room(request, wish))
             if self._containment.refusal_of(request) is not None:
                 self._admission.give_back(place)
                 continue
@@ -234,12 +234,16 @@
                     if not self._retries.may_run_again(request):
                         return self._last_word(request, last)
 
-    def _no_room(self, request: Admitted, has_candidates: bool) -> Refusal:
+    def _no_room(self, request: Admitted, wish: Wish) -> Refusal:
         """Return what a request is told that finds no place."""
-        if has_candidates:
-            seconds = self._overload.come_back_seconds(request.service)
-            return NotRun(NO_ROOM, self._why_no_room(request), seconds)
-        return NotRun(NO_REPLICA, "no replica may serve this now", COME_BACK_LATER_SECONDS)
+        opening = self._admission.seconds_to_opening(wish, request.configuration)
+        if opening == math.inf:
+            return NotRun(NO_REPLICA, "no replica may serve this now", COME_BACK_LATER_SECONDS)
+        seconds = self._overload.come_back_seconds(request.service, opening)
+        if opening > 0:
+            detail = f"all replicas name limits, the next place is {opening:.2f} s away"
+            return NotRun(NO_ROOM, detail, seconds)
+        return NotRun(NO_ROOM, self._why_no_room(request), seconds)
 
     def _why_no_room(self, request: Admitted) -> str:
         kept = self._overload.reserved_share(request.service)
--- a/libs/gateway/src/headcross_gateway/retries.py
+++ b/libs/gateway/src/headcross_gateway/retries.py
@@ -21,6 +21,8 @@
 MAX_UNREACHED: Final = 4
 # A repeatable request whose replica shows no sign of life goes elsewhere after this.
 REPEATABLE_PATIENCE_SECONDS: Final = 1.0
+# A request that may have run waits so long for its second place, and goes first.
+RUN_AGAIN_WAIT_SECONDS: Final = 1.0
 STREAM_FIRST_SECONDS: Final = 1.6
 STREAM_PAUSE_SECONDS: Final = 1.1
 
@@ -60,7 +62,8 @@
         wish = wish_of(request.facts, request.service, may_run_again=True)
         tried = frozenset({*request.tried, place.replica.id})
         wish = replace(wish, tried=tried, exact_version=request.bound_version)
-        if not self._admission.has_candidates(wish, request.configuration):
+        opening = self._admission.seconds_to_opening(wish, request.configuration)
+        if opening > RUN_AGAIN_WAIT_SECONDS:
             return False
         if not self._budget.may_spend(request.service):
             return False
--- /dev/null
+++ b/tests/test_gateway_limited.py
@@ -0,0 +1,84 @@
+"""Requests that find all replicas at the limits that these name."""
+
+from typing import Final
+
+import pytest
+import trio
+import trio.testing
+from headcross_base.addresses import Address
+from headcross_base.clocks import monotonic
+from headcross_gateway.admission import Admission, QueueOrder
+from headcross_gateway.directory import Directory
+from headcross_gateway.overload import Overload
+from headcross_gateway.picking import Picker, Wish
+from headcross_gateway.weightsrules import WeightsRules
+from headcross_ports.configuration import CallerLimits, Configuration, Service
+from headcross_ports.published import Replica
+
+from tests.test_gateway_rules import rules
+
+WISH: Final = Wish("api", None, None, (), True)
+CONFIGURATION: Final = Configuration(
+    1, (), {"api": Service("api", 1)}, (), CallerLimits(1, 1, 1.0, 1.0)
+)
+ORDER: Final = QueueOrder(1, False, 100.0)
+
+
+def site(count: int) -> tuple[Admission, Directory]:
+    """Return the admission of an entry before some replicas of a service."""
+    facts = rules([]).facts
+    for number in range(count):
+        address = Address("127.0.0.1", 1 + number)
+        facts.replicas[f"r{number}"] = Replica(f"r{number}", "api", address, "z", 8, False)
+    directory = Directory(facts)
+    directory.update()
+    return Admission(Picker("z", directory, WeightsRules(facts, 8.0))), directory
+
+
+def use_up(directory: Directory, limit: float) -> None:
+    """Have every replica name a limit, and send what it allows now."""
+    for state in directory.states():
+        state.note_limit(limit, 0.0)
+        for _ in range(100):
+            state.limit.count(state.own_share, monotonic())
+
+
+async def test_a_request_is_refused_at_once_where_no_limit_allows_it_in_time(
+    mock_clock: trio.testing.MockClock,
+) -> None:
+    mock_clock.autojump_threshold = 0
+    admission, directory = site(2)
+    use_up(directory, 0.5)
+    before = trio.current_time()
+    assert await admission.take_place(WISH, CONFIGURATION, ORDER, before + 1.0) is None
+    assert trio.current_time() == before
+    assert admission.seconds_to_opening(WISH, CONFIGURATION) > 1.0
+
+
+async def test_a_request_goes_to_the_one_replica_without_a_limit() -> None:
+    admission, directory = site(3)
+    use_up(directory, 0.5)
+    free = next(iter(directory.states()))
+    free.note_limit(None, monotonic() + 1)
+    for _ in range(free.replica.slots):
+        place = await admission.take_place(WISH, CONFIGURATION, ORDER, trio.current_time())
+        assert place is free
+
+
+async def test_a_request_that_waits_is_placed_when_a_limit_allows_it() -> None:
+    admission, directory = site(1)
+    state = next(iter(directory.states()))
+    state.note_limit(50.0, 0.0)
+    for _ in range(2):
+        until = trio.current_time() + 5.0
+        assert await admission.take_place(WISH, CONFIGURATION, ORDER, until) is state
+
+
+@pytest.mark.parametrize("opening", [0.0, 3.0, 30.0])
+def test_callers_are_told_to_come_back_when_a_limit_allows_it_and_not_all_at_once(
+    opening: float,
+) -> None:
+    overload = Overload()
+    told = {overload.come_back_seconds("api", opening) for _ in range(100)}
+    assert len(told) > 50
+    assert min(told) >= opening
