Entries log when a replica says in its answers that it leaves

The logs of the incident could not tell an entry that does not read the word from one that loses it again. No decision reads it yet.

--- a/libs/daemon/src/headcross_daemon/gatewayrole.py
+++ b/libs/daemon/src/headcross_daemon/gatewayrole.py
@@ -201,6 +201,7 @@
                     "limit": state.limit.per_second,
                     "told_age": round(min(state.told_age(), 1e9), 3),
                     "draining": state.replica.draining,
+                    "leaving": state.leaving,
                     "between_lives": state.is_between_lives(),
                     "loads": state.loads.dump(),
                     "resting": state.health.resting(),
--- a/libs/gateway/src/headcross_gateway/attempts.py
+++ b/libs/gateway/src/headcross_gateway/attempts.py
@@ -189,6 +189,7 @@
             return MayRun(UPSTREAM_ERROR, problem)
         if not answer_facts.elsewhere:
             place.note_limit(answer_facts.limit, sent_at)
+            place.note_leaving(answer_facts.leaving)
         piece = await _in_time(until, connection.receive_piece, patience.leave)
         times.began_at = trio.current_time()
         return _Begun(answer, answer_facts, piece, until)
--- a/libs/gateway/src/headcross_gateway/replicastate.py
+++ b/libs/gateway/src/headcross_gateway/replicastate.py
@@ -74,6 +74,8 @@
     limit: RequestLimit = field(default_factory=RequestLimit)
     # The last limit that could not be read: each is logged once.
     unreadable_limit: Unreadable | None = None
+    # It said that it leaves. That holds for the rest of this incarnation.
+    leaving: bool = False
     # Whether this entry keeps itself informed of it; others are for the time when all of these
     # are full.
     in_subset: bool = True
@@ -197,6 +199,19 @@
             self._log_limit("entry")
         return changed
 
+    def note_leaving(self, leaving: bool | Unreadable) -> None:
+        """Take what the head of an answer says of its leaving."""
+        if isinstance(leaving, Unreadable):
+            fields = {"replica": self.replica.id, "said": leaving.text[:100]}
+            logger.warning("leaving not read", extra=fields)
+        elif leaving:
+            self._leave("answer")
+
+    def _leave(self, source: str) -> None:
+        if not self.leaving:
+            self.leaving = True
+            logger.info("replica leaves", extra={"replica": self.replica.id, "source": source})
+
     def _log_limit(self, source: str) -> None:
         limit = self.limit.per_second
         age = round(monotonic() - self.limit.said_at, 3)
--- a/libs/ports/src/headcross_ports/requests.py
+++ b/libs/ports/src/headcross_ports/requests.py
@@ -60,6 +60,7 @@
     weights_version: int | None
     # The requests a second that it takes from all entries together; None if it names none.
     limit: float | Unreadable | None
+    leaving: bool | Unreadable  # the replica says that it leaves
 
 
 class RequestDialect(Protocol):
