A replica that says in its answers that it leaves gets no new requests

What callers saw: their requests went on to a replica that had said that it leaves, while the store was away and the list had it as ready; what is still there as it ends is cut. Ruled out: requests placed before (sent 6 and 7 ms after they came), and a word lost again (there was no pause at any entry).

The first answer that says so, or the daemon's report, is final for that incarnation: the entry sends nothing more there, tells the other entries and the daemon beside it, and the daemon tells all who listen; an entry that starts learns it from either. The daemon orders no weights there, which would break off what runs. Such a replica's end is announced, so no request is blamed for it. Another incarnation begins anew.

--- a/libs/daemon/src/headcross_daemon/gatewayrole.py
+++ b/libs/daemon/src/headcross_daemon/gatewayrole.py
@@ -421,7 +421,8 @@
             self._tell_refused()
             replica_news = untold_news(self._directory.states(), monotonic())
             if replica_news is not None:
-                nursery.start_soon(self._tell, replica_news, self.process.known_entries())
+                told = [*self.process.known_entries(), *self._daemons_beside(replica_news)]
+                nursery.start_soon(self._tell, replica_news, told)
 
     def _tell_refused(self) -> None:
         """Tell the other entries of the zone what was refused here since the last time."""
@@ -456,6 +457,13 @@
                 return
             await trio.sleep(TELL_AGAIN_SECONDS)
 
+    def _daemons_beside(self, news: ReplicaNews) -> list[Address]:
+        """Return the daemons beside the replicas of some news that say that they leave."""
+        port = self.process.settings.peers.control_port
+        leaving = {word.replica for word in news.words if word.leaving}
+        replicas = self._directory.replicas_with_daemons()
+        return [Address(r.address.ip, port) for r in replicas if r.id in leaving]
+
     def _repeat_news(self) -> None:
         """Tell a few entries everything: some may have started, or come out of a cut."""
         now = monotonic()
--- a/libs/daemon/src/headcross_daemon/renewalrole.py
+++ b/libs/daemon/src/headcross_daemon/renewalrole.py
@@ -39,6 +39,7 @@
     KnownMirrors,
     KnownPlan,
     LossNews,
+    ReplicaNews,
     Subscribe,
 )
 from headcross_wire.peernode import Incoming
@@ -306,6 +307,8 @@
                     incoming.reply(KnownMirrors(self._mirrors.known()), None)
             case LossNews() as news:
                 self._losses.hear(news)
+            case ReplicaNews() as asked:
+                self._hear_of_replicas(asked)
             case AskPlan():
                 known_plan = self._plans.newest()
                 if known_plan is not None:
@@ -319,6 +322,15 @@
             case _:
                 self.process.node.malformed += 1
 
+    def _hear_of_replicas(self, news: ReplicaNews) -> None:
+        """Take an entry's word that the replica beside this process leaves."""
+        assert self.process.settings.replica is not None
+        address = parse_address(self.process.settings.replica.address)
+        for word in news.words:
+            listed = self.process.facts.replicas.get(word.replica)
+            if word.leaving and listed is not None and listed.address == address:
+                self._reporter.hear_leaving(word.started_ms)
+
     def _hear_of_earlier_process(self, subscription: Subscribe) -> None:
         """Take an entry's word for what was here before this process began."""
         now = monotonic()
--- a/libs/gateway/src/headcross_gateway/directory.py
+++ b/libs/gateway/src/headcross_gateway/directory.py
@@ -86,7 +86,7 @@
         """Give up a replica that is not listed any more."""
         state = self._states.pop(replica_id)
         state.gone = True
-        fields = {"draining": state.replica.draining, "in_flight": state.in_flight}
+        fields = {"draining": state.is_leaving(), "in_flight": state.in_flight}
         logger.info("replica not listed", extra={"replica": replica_id, **fields})
 
     def _keep_lapsed(self, state: ReplicaState) -> bool:
--- a/libs/gateway/src/headcross_gateway/losswatch.py
+++ b/libs/gateway/src/headcross_gateway/losswatch.py
@@ -172,7 +172,7 @@
 def _was_not_lost(attempts: list[OpenAttempt]) -> bool:
     """Tell whether a replica left as it had announced, or lives after all attempts lost there."""
     place = attempts[0].place
-    if place.gone and place.replica.draining:
+    if place.gone and place.is_leaving():
         return True
     lost = [a.ended_at for a in attempts if a.was_lost and a.ended_at is not None]
     return bool(lost) and _lives_after(place, max(lost) + SIGN_OF_LIFE_SECONDS)
--- a/libs/gateway/src/headcross_gateway/replicanews.py
+++ b/libs/gateway/src/headcross_gateway/replicanews.py
@@ -26,15 +26,15 @@
 
 def untold_news(states: Iterable[ReplicaState], now: float) -> ReplicaNews | None:
     """Return what was learned since the last call, None if nothing was."""
-    untold = [state for state in states if state.limit.untold]
+    untold = [state for state in states if state.has_untold()]
     for state in untold:
-        state.limit.untold = False
+        state.note_told()
     return _news(untold, now)
 
 
 def all_news(states: Iterable[ReplicaState], now: float) -> ReplicaNews | None:
     """Return everything that replicas ask, None if none asks anything."""
-    return _news([state for state in states if state.limit.per_second is not None], now)
+    return _news([s for s in states if s.leaving or s.limit.per_second is not None], now)
 
 
 def hear_news(
@@ -53,7 +53,8 @@
         state = find(word.replica)
         if state is None or _is_of_another_life(word, state):
             continue
-        if state.hear_limit(word.limit, now - word.age):
+        has_new_limit = state.hear_limit(word.limit, now - word.age)
+        if (word.leaving and state.hear_leaving()) or has_new_limit:
             changed.append(state)
     if rejected:
         logger.warning("news of replicas rejected", extra={"items": rejected, "reason": "range"})
@@ -65,8 +66,9 @@
         ReplicaWord(
             state.replica.id,
             state.replica.started_ms,
-            max(0.0, now - state.limit.said_at),
+            min(MAX_AGE_SECONDS, max(0.0, now - state.limit.said_at)),
             state.limit.per_second,
+            state.leaving,
         )
         for state in states[:MAX_ITEMS]
     ]
--- a/libs/gateway/src/headcross_gateway/replicastate.py
+++ b/libs/gateway/src/headcross_gateway/replicastate.py
@@ -76,6 +76,7 @@
     unreadable_limit: Unreadable | None = None
     # It said that it leaves. That holds for the rest of this incarnation.
     leaving: bool = False
+    leaving_untold: bool = False  # other processes have yet to be told
     # Whether this entry keeps itself informed of it; others are for the time when all of these
     # are full.
     in_subset: bool = True
@@ -150,7 +151,7 @@
     def is_usable(self, now: float) -> bool:
         """Tell whether it may be worth keeping informed of: it serves and answers."""
         listed = self.replica
-        return bool(listed.loaded) and not listed.draining and now >= self.left_out_until
+        return bool(listed.loaded) and not self.is_leaving() and now >= self.left_out_until
 
     def learn(self, outcome: Outcome, *, bound: bool) -> None:
         """Note what an attempt tells of the replica.
@@ -205,12 +206,26 @@
             fields = {"replica": self.replica.id, "said": leaving.text[:100]}
             logger.warning("leaving not read", extra=fields)
         elif leaving:
-            self._leave("answer")
+            self.leaving_untold |= self._leave("answer")
 
-    def _leave(self, source: str) -> None:
-        if not self.leaving:
-            self.leaving = True
-            logger.info("replica leaves", extra={"replica": self.replica.id, "source": source})
+    def hear_leaving(self) -> bool:
+        """Take the word of another entry that it leaves; return whether that is new."""
+        return self._leave("entry")
+
+    def _leave(self, source: str) -> bool:
+        if self.leaving:
+            return False
+        self.leaving = True
+        logger.info("replica leaves", extra={"replica": self.replica.id, "source": source})
+        return True
+
+    def has_untold(self) -> bool:
+        """Tell whether its answers told this entry something that others do not know."""
+        return self.limit.untold or self.leaving_untold
+
+    def note_told(self) -> None:
+        """Note that others were told everything."""
+        self.limit.untold = self.leaving_untold = False
 
     def _log_limit(self, source: str) -> None:
         limit = self.limit.per_second
@@ -235,6 +250,10 @@
         load = self.fresh_load()
         return load is not None and load.leaving
 
+    def is_leaving(self) -> bool:
+        """Tell whether it has announced, in the list or in an answer, that it leaves."""
+        return self.replica.draining or self.leaving
+
     def is_gone(self) -> bool:
         """Tell whether nothing may be sent there any more."""
         if self.gone or self.lapsed_until is None:
@@ -254,6 +273,8 @@
         self.own_share = 1 / max(1, load.listeners)
         if not load.reachable or self._is_of_another_life(load):
             return
+        if load.ends:
+            self._leave("daemon")
         if self.loads.hear(load, self.told.at):
             logger.info("load judged", extra={"replica": self.replica.id, **self.loads.dump()})
 
@@ -265,7 +286,7 @@
 
     def has_ended(self) -> bool:
         """Tell whether it is known to have ended without having announced it."""
-        if self.replica.draining:
+        if self.is_leaving():
             return False
         if self.gone or self.is_between_lives():
             return True
@@ -289,7 +310,7 @@
 
     def takes_nothing(self) -> bool:
         """Tell whether it must be sent nothing new: it leaves, is gone, loads, or begins anew."""
-        if self.replica.draining or self.is_gone() or self.told_leaving():
+        if self.is_leaving() or self.is_gone() or self.told_leaving():
             return True
         return self.is_between_lives()
 
--- a/libs/ports/src/headcross_ports/replicas.py
+++ b/libs/ports/src/headcross_ports/replicas.py
@@ -22,6 +22,7 @@
     memory_total: int  # tokens
     pace: float  # above 1: slower than it should be
     started_ms: int | None = None  # Unix milliseconds of its start, if it tells that
+    leaving: bool = False  # it says that it leaves
 
 
 @dataclass(frozen=True, slots=True)
--- a/libs/renewal/src/headcross_renewal/renewer.py
+++ b/libs/renewal/src/headcross_renewal/renewer.py
@@ -102,6 +102,12 @@
     async def _renew(self) -> None:
         while True:
             goal = self._choice.choose()
+            if self._reporter.ends:
+                # An order would break off what runs there to its end.
+                self._enter("replica leaves", goal)
+                self._set_busy(False)
+                await self._wait_news()
+                continue
             if goal is None or self._reporter.holds(goal):
                 if goal is not None:
                     await self._offer(goal)
@@ -143,7 +149,7 @@
             await self._wait_news()
             if self.step not in STEPS_BEFORE_ORDER:
                 continue
-            if self._reporter.holds(goal):
+            if self._reporter.holds(goal) or self._reporter.ends:
                 scope.cancel()
                 return
             newest = self._facts.newest_version(goal.model)
--- a/libs/renewal/src/headcross_renewal/reporting.py
+++ b/libs/renewal/src/headcross_renewal/reporting.py
@@ -47,6 +47,8 @@
     answered: bool
     # Set by the renewer before it gives an order, so that requests go elsewhere in time.
     leaving: bool
+    # Whether the replica said that it leaves. That holds for the rest of its life.
+    ends: bool
     # Whether the load that the replica holds is known to be whole.
     confirmation: Confirmation
 
@@ -59,12 +61,14 @@
         self.report = None
         self.answered = False
         self.leaving = False
+        self.ends = False
         self.confirmation = Confirmation()
         self._address = address
         self._replica = replica
         self._named = named
         self._listeners: dict[str, _Listener] = {}
         self._sequence = 0
+        self._life: int | None = None  # when it began, as `started_ms` of the reports
         self._told_at = float("-inf")
         self._changed = trio.Event()
         # Reports are read one after the other: none undoes what a later one has told.
@@ -90,6 +94,7 @@
                 logger.warning("replica lost", extra={"reason": outcome.detail})
         else:
             self.report = outcome.value
+            self._note_life(outcome.value)
             self.answered = True
             if before is None:
                 logger.info("replica regained", extra=self._describe(outcome.value))
@@ -109,6 +114,25 @@
             self._tell_in_turn()
         return self.report
 
+    def hear_leaving(self, started_ms: int | None) -> None:
+        """Take the word of an entry that a life of the replica leaves."""
+        if self.report is not None and self.report.started_ms == started_ms:
+            self._end("entry")
+
+    def _note_life(self, report: ReplicaReport) -> None:
+        """Note whether the replica leaves, or another life of it has begun."""
+        if report.started_ms != self._life:
+            self._life = report.started_ms
+            self.ends = False
+        if report.leaving:
+            self._end("report")
+
+    def _end(self, source: str) -> None:
+        if not self.ends:
+            self.ends = True
+            logger.info("replica leaves", extra={"source": source})
+            self.tell()
+
     def holds(self, goal: LoadedModel) -> bool:
         """Tell whether the replica serves a version, or a newer one."""
         return self.report is not None and any(
@@ -194,7 +218,7 @@
             address=str(self._address),
             sequence=self._sequence,
             reachable=True,
-            leaving=self.leaving or report.busy_loading,
+            leaving=self.leaving or self.ends or report.busy_loading,
             versions={loaded.model: loaded.version for loaded in report.loaded},
             active=report.active,
             queued=report.queued,
@@ -205,6 +229,7 @@
             started_ms=report.started_ms,
             confirmed=self.confirmation.confirmed(report),
             suspect=self.confirmation.suspect(report),
+            ends=self.ends,
         )
 
     @staticmethod
--- a/libs/wire/src/headcross_wire/peermessages.py
+++ b/libs/wire/src/headcross_wire/peermessages.py
@@ -303,6 +303,7 @@
     # Versions by model that are known to have been whole as they were loaded, or are not.
     confirmed: dict[str, int] = {}
     suspect: dict[str, int] = {}
+    ends: bool = False  # the replica said that it leaves, which holds for the rest of its life
 
 
 class RefusedNews(_Message, frozen=True, tag=49):
@@ -351,8 +352,9 @@
 
     replica: str  # its id
     started_ms: int | None  # when that life began, Unix milliseconds; None: not told
-    age: float  # seconds since it said so
+    age: float  # seconds since it spoke of its limit
     limit: float | None  # requests a second from all entries together; None: it names none
+    leaving: bool = False  # it takes nothing new for the rest of that life
 
 
 class ReplicaNews(_Message, frozen=True, tag=55):
--- a/testing/platformreplica.py
+++ b/testing/platformreplica.py
@@ -145,6 +145,7 @@
     serves_draining: bool = False  # takes requests also while it leaves
     limit: str | None = None  # the requests a second that its answers name as their limit
     says_leaving: bool = False  # in its answers to requests
+    reports_leaving: bool = False  # in its answers to the daemon beside it
     names_versions: bool = False  # each event ends with the version of the weights
     orders: int = 0
     # Awaited before each call of the daemon; where it returns true, the call gets no answer and
@@ -230,7 +231,8 @@
 
     def _answer_call(self, call: DaemonCall) -> bytes | None:
         if call.path == names.REPORT_PATH:
-            return json_bytes(200, self._report())
+            leaving = [(names.LEAVING, "1")] if self.reports_leaving else []
+            return json_bytes(200, self._report(), leaving)
         if call.puts_chunk and call.method == "PUT":
             self.staged[call.number] = call.body
             return json_bytes(200, {})
--- a/tests/test_replica_leaving.py
+++ b/tests/test_replica_leaving.py
@@ -14,6 +14,7 @@
 from testing.machinelayout import MODEL_SERVICE, PLAIN_SERVICE, WAIT_SECONDS
 from testing.machines import Machines, replicas_of, small_site
 from testing.platformreplica import FakeReplica
+from tests.test_machine_weights import wait_offered
 
 SERVICES: Final = {
     "/stream/x": MODEL_SERVICE,
@@ -107,3 +108,37 @@
         leaving.says_leaving = False
         await site.restart_replica(site.replicas[leaving.id])
         await ask_until_told(site, "/again/x", leaving, "entry0")
+
+
+@pytest.mark.parametrize("in_reports", [False, True])
+async def test_no_weights_are_ordered_at_a_replica_that_leaves(
+    tmp_path: Path, in_reports: bool
+) -> None:
+    async with small_site(tmp_path, models=4, plain=0, entries=2, daemons=True) as site:
+        leaving, *others = replicas_of(site, MODEL_SERVICE)
+        await wait_offered(site)
+        if in_reports:
+            leaving.reports_leaving = True
+        else:
+            leaving.says_leaving = True
+            await ask_until_told(site, "/stream/x", leaving, "entry0")
+        with trio.fail_after(WAIT_SECONDS):
+            while not [li for li in site.log("daemon0") if li["message"] == "replica leaves"]:
+                await trio.sleep(0.05)
+            site.name_version(2)
+            while any(replica.version != 2 for replica in others):
+                await trio.sleep(0.05)
+        await trio.sleep(LEAVING_SECONDS)
+        assert not leaving.orders
+
+
+async def test_a_replica_that_tells_its_daemon_that_it_leaves_gets_no_new_requests(
+    tmp_path: Path,
+) -> None:
+    async with small_site(tmp_path, models=4, plain=0, entries=2, daemons=True) as site:
+        leaving, *_ = replicas_of(site, MODEL_SERVICE)
+        leaving.reports_leaving = True
+        told = trio.current_time()
+        replies = await keep_asking(site, "/stream/x", ["entry0", "entry1"], LEAVING_SECONDS)
+    assert not [r for r in leaving.arrived if r.at > told + DRAIN_SECONDS]
+    assert all(reply.status == 200 for reply in replies)
