--- a/libs/daemon/src/headcross_daemon/gatewayrole.py
+++ b/libs/daemon/src/headcross_daemon/gatewayrole.py
@@ -205,6 +205,7 @@
                     "between_lives": state.is_between_lives(),
                     "loads": state.loads.dump(),
                     "resting": state.health.resting(),
+                    "rest_asked": round(max(0.0, state.rest_until - monotonic()), 3),
                     "in_subset": state.in_subset,
                     "failures": state.health.failures,
                 }
--- a/libs/gateway/src/headcross_gateway/attempts.py
+++ b/libs/gateway/src/headcross_gateway/attempts.py
@@ -190,6 +190,7 @@
         if not answer_facts.elsewhere:
             place.note_limit(answer_facts.limit, sent_at)
             place.note_leaving(answer_facts.leaving)
+            place.note_rest(answer_facts.rest_seconds)
         piece = await _in_time(until, connection.receive_piece, patience.leave)
         times.began_at = trio.current_time()
         return _Begun(answer, answer_facts, piece, until)
--- a/libs/gateway/src/headcross_gateway/replicastate.py
+++ b/libs/gateway/src/headcross_gateway/replicastate.py
@@ -77,6 +77,8 @@
     # It said that it leaves. That holds for the rest of this incarnation.
     leaving: bool = False
     leaving_untold: bool = False  # other processes have yet to be told
+    # Until then it asked this entry for rest (monotonic).
+    rest_until: float = 0.0
     # Whether this entry keeps itself informed of it; others are for the time when all of these
     # are full.
     in_subset: bool = True
@@ -208,6 +210,17 @@
         elif leaving:
             self.leaving_untold |= self._leave("answer")
 
+    def note_rest(self, seconds: float | Unreadable | None) -> None:
+        """Take for how long the head of an answer asks for rest."""
+        if seconds is None:
+            return
+        fields: dict[str, object] = {"replica": self.replica.id}
+        if isinstance(seconds, Unreadable):
+            logger.warning("rest not read", extra={**fields, "said": seconds.text[:100]})
+            return
+        self.rest_until = max(self.rest_until, monotonic() + seconds)
+        logger.info("replica asks for rest", extra={**fields, "seconds": seconds})
+
     def hear_leaving(self) -> bool:
         """Take the word of another entry that it leaves; return whether that is new."""
         return self._leave("entry")
--- a/libs/ports/src/headcross_ports/requests.py
+++ b/libs/ports/src/headcross_ports/requests.py
@@ -61,6 +61,9 @@
     # The requests a second that it takes from all entries together; None if it names none.
     limit: float | Unreadable | None
     leaving: bool | Unreadable  # the replica says that it leaves
+    # For how long the replica, which turned the request away, wants nothing more from this
+    # process; None if it asks for no rest.
+    rest_seconds: float | Unreadable | None
 
 
 class RequestDialect(Protocol):
