Failing test: a replica that asked an entry for rest gets more requests

Two entries as real processes, four replicas, 60 requests a second, stream, repeatable and run-once routes; one or all replicas answer 503 with Retry-After: 3. Seen on the code as it is: 13 requests of one entry and more in a rest where one rests, 19 to 22 where all do, 2 allowed.

--- a/testing/platformreplica.py
+++ b/testing/platformreplica.py
@@ -87,6 +87,7 @@
 
     id: str
     at: float  # trio's clock
+    asked_rest: bool = False  # it was turned away, and its sender asked for rest
 
 
 @dataclass(frozen=True)
@@ -145,6 +146,8 @@
     serves_draining: bool = False  # takes requests also while it leaves
     limit: str | None = None  # the requests a second that its answers name as their limit
     says_leaving: bool = False  # in its answers to requests
+    # It turns every request away and asks for so many seconds of rest.
+    rest: str | None = None
     reports_leaving: bool = False  # in its answers to the daemon beside it
     names_versions: bool = False  # each event ends with the version of the weights
     orders: int = 0
@@ -313,7 +316,8 @@
         """Answer a request; return whether the connection may carry another."""
         self.arrivals += 1
         request_id = headers.get(names.REQUEST_ID, "")
-        self.arrived.append(ArrivedRequest(request_id, trio.current_time()))
+        asks_rest = self.rest is not None
+        self.arrived.append(ArrivedRequest(request_id, trio.current_time(), asks_rest))
         base = [(names.REQUEST_ID, request_id)]
         if self.limit is not None:
             base.append((names.LIMIT, self.limit))
@@ -324,6 +328,10 @@
         if expected not in (None, self.id) or version not in (None, str(self.version)):
             await stream.send_all(json_bytes(421, {}, base))
             return True
+        if self.rest is not None:
+            asked = [*base, (names.NOT_EXECUTED, "1"), (names.RETRY_AFTER, self.rest)]
+            await stream.send_all(json_bytes(503, {}, asked))
+            return True
         fault = self.faults.popleft() if self.faults else None
         refuses = self.loading or (self.draining and not self.serves_draining)
         if fault is Fault.SHED or refuses or self.active >= self.slots:
