A replica that asked an entry for rest gets nothing from it until the rest is over

Ruled out: requests that slipped through (they came all through the rest, from each entry) and failures of the replicas (they ran nothing).

The rest that a 503 asks for now holds to its end for every request of that entry: new, waiting, repeated, moving on, and one whose connection was just opened. Where all replicas rest, callers are refused at once with the time to come back. After a rest one request at a time finds out whether the replica serves again, so that not all come back at once.

--- a/libs/gateway/src/headcross_gateway/admission.py
+++ b/libs/gateway/src/headcross_gateway/admission.py
@@ -127,7 +127,7 @@
 
     def give_back(self, place: ReplicaState) -> None:
         """Free a place."""
-        place.in_flight -= 1
+        place.give_place_back()
         self.notify(place.replica.service)
 
     def notify(self, service: str) -> None:
--- a/libs/gateway/src/headcross_gateway/attempts.py
+++ b/libs/gateway/src/headcross_gateway/attempts.py
@@ -131,7 +131,7 @@
                 placed_at = trio.current_time()
                 connection = await self.connections.take(place.replica.address, fresh=fresh)
                 # It may take 0.6 s to open, so what was decided before is looked at again.
-                if place.takes_nothing():
+                if place.takes_nothing() or place.asks_rest():
                     begun: _Begun | Outcome = _LEFT_MEANWHILE
                 else:
                     hand_over = _less(hand_over, trio.current_time() - placed_at)
--- a/libs/gateway/src/headcross_gateway/picking.py
+++ b/libs/gateway/src/headcross_gateway/picking.py
@@ -83,9 +83,9 @@
         return [state for state in reachable if self._is_healthy(state, wish)] or reachable
 
     def seconds_to_opening(self, wish: Wish, configuration: Configuration) -> float:
-        """Return after how many seconds a replica's limit allows a request, infinite if none may.
+        """Return after how many seconds a replica wants a request, infinite if none may serve it.
 
-        It is 0 where no limit keeps it away: a place may come free at any moment.
+        It is 0 where only a lack of room keeps it away: a place may come free at any moment.
         """
         candidates = self.candidates(wish, configuration)
         return min((state.seconds_to_next() for state in candidates), default=math.inf)
--- a/libs/gateway/src/headcross_gateway/replicastate.py
+++ b/libs/gateway/src/headcross_gateway/replicastate.py
@@ -77,8 +77,11 @@
     # It said that it leaves. That holds for the rest of this incarnation.
     leaving: bool = False
     leaving_untold: bool = False  # other processes have yet to be told
-    # Until then it asked this entry for rest (monotonic).
+    # Until then it asked this entry for rest (monotonic). After that one request at a time tries
+    # whether it takes any, until one is not turned away so.
     rest_until: float = 0.0
+    rested: bool = False
+    tried_after_rest: bool = False  # such a request is under way
     # Whether this entry keeps itself informed of it; others are for the time when all of these
     # are full.
     in_subset: bool = True
@@ -130,7 +133,9 @@
         All places are filled. One with 16 ends a request every 70 ms or so: a request that comes a
         moment too soon waits less there than it would for another try.
         """
-        if monotonic() < self.full_until or self.seconds_to_next():
+        if monotonic() < self.full_until or self.seconds_to_next() > 0:
+            return False
+        if self.rested and self.tried_after_rest:
             return False
         if reserved and self.load() > (1 - reserved) * self.replica.slots:
             return False
@@ -147,8 +152,9 @@
         return free > 0 and placed < self.told.allowance
 
     def seconds_to_next(self) -> float:
-        """Return after how many seconds its limit allows a request of this entry, 0 if now."""
-        return self.limit.seconds_to_next(self.own_share, monotonic())
+        """Return after how many seconds it wants a request of this entry, 0 if now."""
+        now = monotonic()
+        return max(self.limit.seconds_to_next(self.own_share, now), self.rest_until - now)
 
     def is_usable(self, now: float) -> bool:
         """Tell whether it may be worth keeping informed of: it serves and answers."""
@@ -213,14 +219,20 @@
     def note_rest(self, seconds: float | Unreadable | None) -> None:
         """Take for how long the head of an answer asks for rest."""
         if seconds is None:
+            self.rested = self.rested and self.asks_rest()
             return
         fields: dict[str, object] = {"replica": self.replica.id}
         if isinstance(seconds, Unreadable):
             logger.warning("rest not read", extra={**fields, "said": seconds.text[:100]})
             return
         self.rest_until = max(self.rest_until, monotonic() + seconds)
+        self.rested = True
         logger.info("replica asks for rest", extra={**fields, "seconds": seconds})
 
+    def asks_rest(self) -> bool:
+        """Tell whether it wants no requests of this entry now."""
+        return monotonic() < self.rest_until
+
     def hear_leaving(self) -> bool:
         """Take the word of another entry that it leaves; return whether that is new."""
         return self._leave("entry")
@@ -250,9 +262,15 @@
         """Count a request of this entry as under way there."""
         self.in_flight += 1
         self.limit.count(self.own_share, monotonic())
+        self.tried_after_rest = self.rested
         if self.told is not None:
             self.told.own_placed += 1
 
+    def give_place_back(self) -> None:
+        """Count a request of this entry as ended there."""
+        self.in_flight -= 1
+        self.tried_after_rest = False
+
     def told_reachable(self) -> bool:
         """Tell whether its daemon, if it says anything, says that it answers."""
         load = self.fresh_load()
--- a/libs/gateway/src/headcross_gateway/requestpath.py
+++ b/libs/gateway/src/headcross_gateway/requestpath.py
@@ -241,7 +241,7 @@
             return NotRun(NO_REPLICA, "no replica may serve this now", COME_BACK_LATER_SECONDS)
         seconds = self._overload.come_back_seconds(request.service, opening)
         if opening > 0:
-            detail = f"all replicas name limits, the next place is {opening:.2f} s away"
+            detail = f"no replica wants a request for another {opening:.2f} s"
             return NotRun(NO_ROOM, detail, seconds)
         return NotRun(NO_ROOM, self._why_no_room(request), seconds)
 
--- a/tests/test_gateway_limited.py
+++ b/tests/test_gateway_limited.py
@@ -82,3 +82,36 @@
     told = {overload.come_back_seconds("api", opening) for _ in range(100)}
     assert len(told) > 50
     assert min(told) >= opening
+
+
+async def test_a_replica_at_rest_takes_nothing_and_then_one_request_until_it_serves() -> None:
+    admission, directory = site(1)
+    state = next(iter(directory.states()))
+    state.note_rest(0.2)
+    now = trio.current_time()
+    assert await admission.take_place(WISH, CONFIGURATION, ORDER, now) is None
+    assert await admission.take_place(WISH, CONFIGURATION, ORDER, now + 5.0) is state
+    now = trio.current_time()
+    assert await admission.take_place(WISH, CONFIGURATION, ORDER, now) is None
+    state.note_rest(None)
+    assert await admission.take_place(WISH, CONFIGURATION, ORDER, now) is state
+
+
+async def test_a_caller_that_leaves_while_it_tries_a_replica_after_its_rest_shuts_nobody_out() -> (
+    None
+):
+    admission, directory = site(1)
+    state = next(iter(directory.states()))
+    state.note_rest(0.0)
+    place = await admission.take_place(WISH, CONFIGURATION, ORDER, trio.current_time())
+    assert place is state
+    admission.give_back(place)
+    assert await admission.take_place(WISH, CONFIGURATION, ORDER, trio.current_time()) is state
+
+
+async def test_a_shorter_rest_does_not_end_a_longer_one() -> None:
+    _, directory = site(1)
+    state = next(iter(directory.states()))
+    state.note_rest(30.0)
+    state.note_rest(1.0)
+    assert state.seconds_to_next() > 20.0
