Tests: limits while an entry is killed or frozen again and again, and after their end

Three entries, of which one is killed and started, or stopped for 2 s, again and again while all replicas name 2 requests a second: none gets more than 17 in 4 s.

--- a/tests/test_replica_limits.py
+++ b/tests/test_replica_limits.py
@@ -4,9 +4,10 @@
 every entry in turn.
 """
 
+import itertools
 import math
 import signal
-from collections.abc import AsyncIterator, Sequence
+from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -38,6 +39,12 @@
 USED_PART: Final = 0.7
 # After so long every entry in touch has heard what one was told.
 NEWS_SECONDS: Final = 5.0
+# A replica without a limit has its full share again after so long.
+FULL_SHARE_SECONDS: Final = 4.0
+FROZEN_SECONDS: Final = 2.0
+RUNNING_SECONDS: Final = 1.5
+
+Trouble = Callable[[Machines, str], Awaitable[None]]
 
 
 @dataclass
@@ -85,26 +92,25 @@
         yield site
 
 
+async def keep_asking(site: Machines, path: str, replies: list[Reply], stop: trio.Event) -> None:
+    """Send requests to every entry in turn until `stop` is set, and wait for all answers."""
+    entries = sum(machine.role == "entry" for machine in site.machines.values())
+
+    async def call(entry: str) -> None:
+        replies.append(await ask(site.callers(entry), path))
+
+    async with trio.open_nursery() as calls:
+        for number in itertools.takewhile(lambda _: not stop.is_set(), itertools.count()):
+            calls.start_soon(call, f"entry{number % entries}")
+            await trio.sleep(REQUEST_SECONDS)
+
+
 async def play(site: Machines, path: str, limited: Sequence[FakeReplica], limit: str) -> Played:
     """Send requests while some replicas name a limit."""
     played = Played()
     stop = trio.Event()
-
-    async def call(number: int) -> None:
-        name = f"entry{number % entries}"
-        played.replies.append(await ask(site.callers(name), path))
-
-    async def keep_asking() -> None:
-        async with trio.open_nursery() as calls:
-            number = 0
-            while not stop.is_set():
-                calls.start_soon(call, number)
-                number += 1
-                await trio.sleep(REQUEST_SECONDS)
-
-    entries = sum(machine.role == "entry" for machine in site.machines.values())
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(keep_asking)
+        nursery.start_soon(keep_asking, site, path, played.replies, stop)
         await trio.sleep(BEFORE_SECONDS)
         for replica in limited:
             replica.limit = limit
@@ -154,6 +160,65 @@
     assert played.served() == len(played.replies)
 
 
+async def kill_again_and_again(site: Machines, entry: str) -> None:
+    """Kill an entry and start it again until cancelled."""
+    while True:
+        site.signal(entry, signal.SIGKILL)
+        await site.wait_exit(entry)
+        site.start(entry)
+        await site.wait_ready(entry)
+        await trio.sleep(RUNNING_SECONDS)
+
+
+async def freeze_again_and_again(site: Machines, entry: str) -> None:
+    """Stop an entry for a while again and again until cancelled."""
+    while True:
+        site.signal(entry, signal.SIGSTOP)
+        await trio.sleep(FROZEN_SECONDS)
+        site.signal(entry, signal.SIGCONT)
+        await trio.sleep(RUNNING_SECONDS)
+
+
+@pytest.mark.parametrize("trouble", [kill_again_and_again, freeze_again_and_again])
+async def test_entries_keep_a_limit_while_one_of_them_is_in_trouble(
+    tmp_path: Path, trouble: Trouble
+) -> None:
+    async with limited_site(tmp_path, MODEL_SERVICE, entries=3, daemons=True) as site:
+        limited = replicas_of(site, MODEL_SERVICE)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(trouble, site, "entry2")
+            played = await play(site, "/stream/x", limited, "2.0")
+            nursery.cancel_scope.cancel()
+        site.signal("entry2", signal.SIGCONT)
+    print([(played.most_in_span(r), played.pace(r)) for r in limited], played.served())
+    for replica in limited:
+        assert played.most_in_span(replica) <= allowed(2.0)
+
+
+@pytest.mark.parametrize("path", list(SERVICES))
+async def test_a_replica_that_names_no_limit_any_more_has_its_share_again(
+    tmp_path: Path, path: str
+) -> None:
+    async with limited_site(tmp_path, SERVICES[path]) as site:
+        limited, *others = replicas_of(site, SERVICES[path])
+        limited.limit = "0.2"
+        stop = trio.Event()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(keep_asking, site, path, [], stop)
+            await trio.sleep(CONTACT_SECONDS)
+            limited.limit = None
+            await trio.sleep(FULL_SHARE_SECONDS)
+            before = [replica.arrivals for replica in (limited, *others)]
+            await trio.sleep(SPAN_SECONDS)
+            own, *theirs = (
+                replica.arrivals - count
+                for replica, count in zip((limited, *others), before, strict=True)
+            )
+            stop.set()
+    print(own, theirs)
+    assert own >= 0.5 * sum(theirs) / len(theirs)
+
+
 async def limits_known(site: Machines, entry: str) -> list[float]:
     """Return the limits of the model's replicas that an entry goes by."""
     states = (await site.state(entry)).get("replica_states", [])
