--- a/libs/daemon/src/headcross_daemon/gatewayrole.py
+++ b/libs/daemon/src/headcross_daemon/gatewayrole.py
@@ -198,14 +198,14 @@
                     "in_flight": state.in_flight,
                     "slots": state.replica.slots,
                     "load": round(state.load(), 2),
-                    "limit": state.limit.per_second,
+                    "limit": state.backpressure.limit.per_second,
                     "told_age": round(min(state.told_age(), 1e9), 3),
                     "draining": state.replica.draining,
-                    "leaving": state.leaving,
+                    "leaving": state.backpressure.leaving,
                     "between_lives": state.is_between_lives(),
                     "loads": state.loads.dump(),
                     "resting": state.health.resting(),
-                    "rest_asked": round(max(0.0, state.rest_until - monotonic()), 3),
+                    "seconds_to_next": round(state.seconds_to_next(), 3),
                     "in_subset": state.in_subset,
                     "failures": state.health.failures,
                 }
@@ -501,7 +501,7 @@
         samples[sample("retries_total")] = self._path.budget.spent
         samples[sample("retries_denied_total")] = self._path.budget.denied
         standings = self._containment.shared.count_standings()
-        limits = [state.limit.per_second for state in self._directory.states()]
+        limits = [state.backpressure.limit.per_second for state in self._directory.states()]
         samples[sample("replicas_limited")] = sum(limit is not None for limit in limits)
         samples[sample("requests_suspect")] = standings[Standing.SUSPECT]
         samples[sample("requests_barred")] = standings[Standing.BARRED]
--- a/libs/gateway/src/headcross_gateway/attempts.py
+++ b/libs/gateway/src/headcross_gateway/attempts.py
@@ -131,7 +131,7 @@
                 placed_at = trio.current_time()
                 connection = await self.connections.take(place.replica.address, fresh=fresh)
                 # It may take 0.6 s to open, so what was decided before is looked at again.
-                if place.takes_nothing() or place.asks_rest():
+                if place.takes_nothing() or place.backpressure.is_resting(monotonic()):
                     begun: _Begun | Outcome = _LEFT_MEANWHILE
                 else:
                     hand_over = _less(hand_over, trio.current_time() - placed_at)
@@ -188,9 +188,7 @@
         if problem:
             return MayRun(UPSTREAM_ERROR, problem)
         if not answer_facts.elsewhere:
-            place.note_limit(answer_facts.limit, sent_at)
-            place.note_leaving(answer_facts.leaving)
-            place.note_rest(answer_facts.rest_seconds)
+            place.note_signals(answer_facts.signals, sent_at)
         piece = await _in_time(until, connection.receive_piece, patience.leave)
         times.began_at = trio.current_time()
         return _Begun(answer, answer_facts, piece, until)
--- a/libs/gateway/src/headcross_gateway/replicanews.py
+++ b/libs/gateway/src/headcross_gateway/replicanews.py
@@ -14,6 +14,7 @@
 from headcross_ports.published import Incarnation
 from headcross_wire.peermessages import ReplicaNews, ReplicaWord
 
+from headcross_gateway.backpressure import Backpressure
 from headcross_gateway.replicastate import ReplicaState
 
 # Items of one message; more than a fleet of the size designed for has at a time.
@@ -26,15 +27,15 @@
 
 def untold_news(states: Iterable[ReplicaState], now: float) -> ReplicaNews | None:
     """Return what was learned since the last call, None if nothing was."""
-    untold = [state for state in states if state.has_untold()]
+    untold = [state for state in states if state.backpressure.has_untold()]
     for state in untold:
-        state.note_told()
+        state.backpressure.note_told()
     return _news(untold, now)
 
 
 def all_news(states: Iterable[ReplicaState], now: float) -> ReplicaNews | None:
     """Return everything that replicas ask, None if none asks anything."""
-    return _news([s for s in states if s.leaving or s.limit.per_second is not None], now)
+    return _news([state for state in states if _asks(state.backpressure)], now)
 
 
 def hear_news(
@@ -53,8 +54,9 @@
         state = find(word.replica)
         if state is None or _is_of_another_life(word, state):
             continue
-        has_new_limit = state.hear_limit(word.limit, now - word.age)
-        if (word.leaving and state.hear_leaving()) or has_new_limit:
+        asked = state.backpressure
+        has_new_limit = asked.hear_limit(word.limit, now - word.age, state.own_share, now)
+        if (word.leaving and asked.leave("entry")) or has_new_limit:
             changed.append(state)
     if rejected:
         logger.warning("news of replicas rejected", extra={"items": rejected, "reason": "range"})
@@ -66,15 +68,20 @@
         ReplicaWord(
             state.replica.id,
             state.replica.started_ms,
-            min(MAX_AGE_SECONDS, max(0.0, now - state.limit.said_at)),
-            state.limit.per_second,
-            state.leaving,
+            min(MAX_AGE_SECONDS, max(0.0, now - state.backpressure.limit.said_at)),
+            state.backpressure.limit.per_second,
+            state.backpressure.leaving,
         )
         for state in states[:MAX_ITEMS]
     ]
     return ReplicaNews(words) if words else None
 
 
+def _asks(asked: Backpressure) -> bool:
+    """Tell whether a replica asks anything that others should know."""
+    return asked.leaving or asked.limit.per_second is not None
+
+
 def _is_plausible(word: ReplicaWord) -> bool:
     if not 0 <= word.age <= MAX_AGE_SECONDS:
         return False
--- a/libs/gateway/src/headcross_gateway/replicastate.py
+++ b/libs/gateway/src/headcross_gateway/replicastate.py
@@ -11,13 +11,13 @@
 
 from headcross_base.clocks import monotonic
 from headcross_ports.published import Incarnation, Replica
-from headcross_ports.requests import Unreadable
+from headcross_ports.requests import BackpressureSignals
 from headcross_wire.peermessages import ReplicaLoad
 
+from headcross_gateway.backpressure import Backpressure
 from headcross_gateway.confirmedloads import ConfirmedLoads
 from headcross_gateway.health import Health
 from headcross_gateway.outcomes import DidNotRun, MayRun, Outcome, Streamed, Whole
-from headcross_gateway.requestlimit import RequestLimit
 from headcross_gateway.waittimes import WaitTimes
 
 # What a daemon told of its replica counts for so long.
@@ -71,17 +71,6 @@
     own_share: float = 1.0
     health: Health = field(default_factory=Health)
     waits: WaitTimes = field(default_factory=WaitTimes)
-    limit: RequestLimit = field(default_factory=RequestLimit)
-    # The last limit that could not be read: each is logged once.
-    unreadable_limit: Unreadable | None = None
-    # It said that it leaves. That holds for the rest of this incarnation.
-    leaving: bool = False
-    leaving_untold: bool = False  # other processes have yet to be told
-    # Until then it asked this entry for rest (monotonic). After that one request at a time tries
-    # whether it takes any, until one is not turned away so.
-    rest_until: float = 0.0
-    rested: bool = False
-    tried_after_rest: bool = False  # such a request is under way
     # Whether this entry keeps itself informed of it; others are for the time when all of these
     # are full.
     in_subset: bool = True
@@ -95,9 +84,12 @@
     out_of_reach_since: float | None = None
     # Which of its versions are known to have been loaded whole.
     loads: ConfirmedLoads = field(init=False)
+    # What its answers ask of this entry.
+    backpressure: Backpressure = field(init=False)
 
     def __post_init__(self) -> None:
         self.loads = ConfirmedLoads(self.replica.loaded)
+        self.backpressure = Backpressure(self.replica.id)
 
     def told_age(self) -> float:
         """Return how old the last word of its daemon is, in seconds."""
@@ -133,9 +125,8 @@
         All places are filled. One with 16 ends a request every 70 ms or so: a request that comes a
         moment too soon waits less there than it would for another try.
         """
-        if monotonic() < self.full_until or self.seconds_to_next() > 0:
-            return False
-        if self.rested and self.tried_after_rest:
+        now = monotonic()
+        if now < self.full_until or not self.backpressure.wants_request(self.own_share, now):
             return False
         if reserved and self.load() > (1 - reserved) * self.replica.slots:
             return False
@@ -153,8 +144,7 @@
 
     def seconds_to_next(self) -> float:
         """Return after how many seconds it wants a request of this entry, 0 if now."""
-        now = monotonic()
-        return max(self.limit.seconds_to_next(self.own_share, now), self.rest_until - now)
+        return self.backpressure.seconds_to_next(self.own_share, monotonic())
 
     def is_usable(self, now: float) -> bool:
         """Tell whether it may be worth keeping informed of: it serves and answers."""
@@ -188,88 +178,21 @@
                 if silent:
                     self.health.was_silent()
 
-    def note_limit(self, limit: float | Unreadable | None, sent_at: float) -> None:
-        """Take what the head of an answer names as the limit.
-
-        `sent_at` is when its request was sent (monotonic).
-        """
-        if isinstance(limit, Unreadable):
-            if limit != self.unreadable_limit:
-                fields = {"replica": self.replica.id, "limit": limit.text[:100]}
-                logger.warning("limit not read", extra=fields)
-            self.unreadable_limit = limit
-        elif self.limit.answered(limit, sent_at, self.own_share, monotonic()):
-            self._log_limit("answer")
-
-    def hear_limit(self, limit: float | None, said_at: float) -> bool:
-        """Take the word of another entry on the limit; return whether that changes anything."""
-        changed = self.limit.hear(limit, said_at, self.own_share, monotonic())
-        if changed:
-            self._log_limit("entry")
-        return changed
-
-    def note_leaving(self, leaving: bool | Unreadable) -> None:
-        """Take what the head of an answer says of its leaving."""
-        if isinstance(leaving, Unreadable):
-            fields = {"replica": self.replica.id, "said": leaving.text[:100]}
-            logger.warning("leaving not read", extra=fields)
-        elif leaving:
-            self.leaving_untold |= self._leave("answer")
-
-    def note_rest(self, seconds: float | Unreadable | None) -> None:
-        """Take for how long the head of an answer asks for rest."""
-        if seconds is None:
-            self.rested = self.rested and self.asks_rest()
-            return
-        fields: dict[str, object] = {"replica": self.replica.id}
-        if isinstance(seconds, Unreadable):
-            logger.warning("rest not read", extra={**fields, "said": seconds.text[:100]})
-            return
-        self.rest_until = max(self.rest_until, monotonic() + seconds)
-        self.rested = True
-        logger.info("replica asks for rest", extra={**fields, "seconds": seconds})
-
-    def asks_rest(self) -> bool:
-        """Tell whether it wants no requests of this entry now."""
-        return monotonic() < self.rest_until
-
-    def hear_leaving(self) -> bool:
-        """Take the word of another entry that it leaves; return whether that is new."""
-        return self._leave("entry")
-
-    def _leave(self, source: str) -> bool:
-        if self.leaving:
-            return False
-        self.leaving = True
-        logger.info("replica leaves", extra={"replica": self.replica.id, "source": source})
-        return True
-
-    def has_untold(self) -> bool:
-        """Tell whether its answers told this entry something that others do not know."""
-        return self.limit.untold or self.leaving_untold
-
-    def note_told(self) -> None:
-        """Note that others were told everything."""
-        self.limit.untold = self.leaving_untold = False
-
-    def _log_limit(self, source: str) -> None:
-        limit = self.limit.per_second
-        age = round(monotonic() - self.limit.said_at, 3)
-        fields = {"replica": self.replica.id, "limit": limit, "source": source, "age": age}
-        logger.info("limit named" if limit is not None else "limit ended", extra=fields)
+    def note_signals(self, signals: BackpressureSignals, sent_at: float) -> None:
+        """Take what the head of an answer asks; its request was sent at a moment (monotonic)."""
+        self.backpressure.note_answer(signals, sent_at, self.own_share, monotonic())
 
     def take_place(self) -> None:
         """Count a request of this entry as under way there."""
         self.in_flight += 1
-        self.limit.count(self.own_share, monotonic())
-        self.tried_after_rest = self.rested
+        self.backpressure.note_sent(self.own_share, monotonic())
         if self.told is not None:
             self.told.own_placed += 1
 
     def give_place_back(self) -> None:
         """Count a request of this entry as ended there."""
         self.in_flight -= 1
-        self.tried_after_rest = False
+        self.backpressure.note_ended()
 
     def told_reachable(self) -> bool:
         """Tell whether its daemon, if it says anything, says that it answers."""
@@ -283,7 +206,7 @@
 
     def is_leaving(self) -> bool:
         """Tell whether it has announced, in the list or in an answer, that it leaves."""
-        return self.replica.draining or self.leaving
+        return self.replica.draining or self.backpressure.leaving
 
     def is_gone(self) -> bool:
         """Tell whether nothing may be sent there any more."""
@@ -305,7 +228,7 @@
         if not load.reachable or self._is_of_another_life(load):
             return
         if load.ends:
-            self._leave("daemon")
+            self.backpressure.leave("daemon")
         if self.loads.hear(load, self.told.at):
             logger.info("load judged", extra={"replica": self.replica.id, **self.loads.dump()})
 
--- a/libs/ports/src/headcross_ports/requests.py
+++ b/libs/ports/src/headcross_ports/requests.py
@@ -48,6 +48,17 @@
     text: str
 
 
+@dataclass(frozen=True, slots=True)
+class BackpressureSignals:
+    """What a replica asks of its callers in the head of an answer."""
+
+    # The requests a second that it takes from all entries together; None if it names none.
+    limit: float | Unreadable | None = None
+    leaving: bool | Unreadable = False  # it takes nothing new any more
+    # For how long it wants nothing more from this process; None if it asks for no rest.
+    rest_seconds: float | Unreadable | None = None
+
+
 @dataclass(frozen=True, slots=True)
 class AnswerFacts:
     """What the headers of a replica's answer say."""
@@ -58,12 +69,7 @@
     elsewhere: bool  # another replica, or other weights, are at this address
     encoded: bool  # the body is not the plain one
     weights_version: int | None
-    # The requests a second that it takes from all entries together; None if it names none.
-    limit: float | Unreadable | None
-    leaving: bool | Unreadable  # the replica says that it leaves
-    # For how long the replica, which turned the request away, wants nothing more from this
-    # process; None if it asks for no rest.
-    rest_seconds: float | Unreadable | None
+    signals: BackpressureSignals
 
 
 class RequestDialect(Protocol):
--- a/tests/test_gateway_limited.py
+++ b/tests/test_gateway_limited.py
@@ -14,6 +14,7 @@
 from headcross_gateway.weightsrules import WeightsRules
 from headcross_ports.configuration import CallerLimits, Configuration, Service
 from headcross_ports.published import Replica
+from headcross_ports.requests import BackpressureSignals
 
 from tests.test_gateway_rules import rules
 
@@ -38,9 +39,9 @@
 def use_up(directory: Directory, limit: float) -> None:
     """Have every replica name a limit, and send what it allows now."""
     for state in directory.states():
-        state.note_limit(limit, 0.0)
+        state.note_signals(BackpressureSignals(limit=limit), 0.0)
         for _ in range(100):
-            state.limit.count(state.own_share, monotonic())
+            state.backpressure.limit.count(state.own_share, monotonic())
 
 
 async def test_a_request_is_refused_at_once_where_no_limit_allows_it_in_time(
@@ -59,7 +60,7 @@
     admission, directory = site(3)
     use_up(directory, 0.5)
     free = next(iter(directory.states()))
-    free.note_limit(None, monotonic() + 1)
+    free.note_signals(BackpressureSignals(), monotonic() + 1)
     for _ in range(free.replica.slots):
         place = await admission.take_place(WISH, CONFIGURATION, ORDER, trio.current_time())
         assert place is free
@@ -68,7 +69,7 @@
 async def test_a_request_that_waits_is_placed_when_a_limit_allows_it() -> None:
     admission, directory = site(1)
     state = next(iter(directory.states()))
-    state.note_limit(50.0, 0.0)
+    state.note_signals(BackpressureSignals(limit=50.0), 0.0)
     for _ in range(2):
         until = trio.current_time() + 5.0
         assert await admission.take_place(WISH, CONFIGURATION, ORDER, until) is state
@@ -87,13 +88,13 @@
 async def test_a_replica_at_rest_takes_nothing_and_then_one_request_until_it_serves() -> None:
     admission, directory = site(1)
     state = next(iter(directory.states()))
-    state.note_rest(0.2)
+    state.note_signals(BackpressureSignals(rest_seconds=0.2), 0.0)
     now = trio.current_time()
     assert await admission.take_place(WISH, CONFIGURATION, ORDER, now) is None
     assert await admission.take_place(WISH, CONFIGURATION, ORDER, now + 5.0) is state
     now = trio.current_time()
     assert await admission.take_place(WISH, CONFIGURATION, ORDER, now) is None
-    state.note_rest(None)
+    state.note_signals(BackpressureSignals(), 0.0)
     assert await admission.take_place(WISH, CONFIGURATION, ORDER, now) is state
 
 
@@ -102,7 +103,7 @@
 ):
     admission, directory = site(1)
     state = next(iter(directory.states()))
-    state.note_rest(0.0)
+    state.note_signals(BackpressureSignals(rest_seconds=0.0), 0.0)
     place = await admission.take_place(WISH, CONFIGURATION, ORDER, trio.current_time())
     assert place is state
     admission.give_back(place)
@@ -112,6 +113,6 @@
 async def test_a_shorter_rest_does_not_end_a_longer_one() -> None:
     _, directory = site(1)
     state = next(iter(directory.states()))
-    state.note_rest(30.0)
-    state.note_rest(1.0)
+    state.note_signals(BackpressureSignals(rest_seconds=30.0), 0.0)
+    state.note_signals(BackpressureSignals(rest_seconds=1.0), 0.0)
     assert state.seconds_to_next() > 20.0
--- a/tests/test_replica_news.py
+++ b/tests/test_replica_news.py
@@ -22,7 +22,7 @@
 
 def test_what_an_answer_told_is_told_once_and_repeated_while_it_holds() -> None:
     state = state_of("a")
-    state.limit.answered(2.0, 0.0, 1.0, 99.0)
+    state.backpressure.limit.answered(2.0, 0.0, 1.0, 99.0)
     news = untold_news([state], 100.0)
     assert news == ReplicaNews([ReplicaWord("a", 7, 1.0, 2.0)])
     assert decode(encode(news)) == news
@@ -41,14 +41,14 @@
     assert hear(state, ReplicaWord("a", 7, 1.0, 2.0))
     assert not hear(state, ReplicaWord("a", 7, 3.0, None))
     assert hear(state, ReplicaWord("a", 7, 0.5, None))
-    assert state.limit.per_second is None
+    assert state.backpressure.limit.per_second is None
 
 
 def test_the_word_of_an_earlier_life_or_of_an_unknown_replica_changes_nothing() -> None:
     state = state_of("a")
     assert not hear(state, ReplicaWord("a", 6, 0.0, 2.0))
     assert not hear(state, ReplicaWord("b", 7, 0.0, 2.0))
-    assert state.limit.per_second is None
+    assert state.backpressure.limit.per_second is None
 
 
 @pytest.mark.parametrize(
@@ -59,4 +59,4 @@
     state = state_of("a")
     word = msgspec.structs.replace(ReplicaWord("a", 7, 0.0, 2.0), **wrong)
     assert not hear(state, word)
-    assert state.limit.per_second is None
+    assert state.backpressure.limit.per_second is None
