A limited replica is left to the entries that its daemon counts

Cause: in a large fleet each daemon tells its load to some of the entries, and these share its limit. Such an entry now sends nothing to a replica that names a limit. The test without a network fails before.

--- a/libs/gateway/src/headcross_gateway/replicastate.py
+++ b/libs/gateway/src/headcross_gateway/replicastate.py
@@ -5,6 +5,7 @@
 """
 
 import logging
+import math
 import random
 from dataclasses import dataclass, field
 from typing import Final
@@ -126,7 +127,9 @@
         moment too soon waits less there than it would for another try.
         """
         now = monotonic()
-        if now < self.full_until or not self.backpressure.wants_request(self.own_share, now):
+        if now < self.full_until or self._is_left_to_others():
+            return False
+        if not self.backpressure.wants_request(self.own_share, now):
             return False
         if reserved and self.load() > (1 - reserved) * self.replica.slots:
             return False
@@ -144,8 +147,14 @@
 
     def seconds_to_next(self) -> float:
         """Return after how many seconds it wants a request of this entry, 0 if now."""
+        if self._is_left_to_others():
+            return math.inf
         return self.backpressure.seconds_to_next(self.own_share, monotonic())
 
+    def _is_left_to_others(self) -> bool:
+        """Tell whether a limited replica is for those whom its daemon counts as its entries."""
+        return not self.in_subset and self.backpressure.limit.per_second is not None
+
     def is_usable(self, now: float) -> bool:
         """Tell whether it may be worth keeping informed of: it serves and answers."""
         listed = self.replica
--- a/tests/test_gateway_limited.py
+++ b/tests/test_gateway_limited.py
@@ -1,5 +1,6 @@
 """Requests that find all replicas at the limits that these name."""
 
+import math
 from typing import Final
 
 import pytest
@@ -116,3 +117,13 @@
     state.note_signals(BackpressureSignals(rest_seconds=30.0), 0.0)
     state.note_signals(BackpressureSignals(rest_seconds=1.0), 0.0)
     assert state.seconds_to_next() > 20.0
+
+
+def test_an_entry_leaves_a_limited_replica_to_those_that_its_daemon_counts() -> None:
+    _, directory = site(1)
+    state = next(iter(directory.states()))
+    state.in_subset = False
+    assert state.has_room()
+    state.note_signals(BackpressureSignals(limit=100.0), 0.0)
+    assert not state.has_room()
+    assert state.seconds_to_next() == math.inf
