Callers whom no replica wants are told when one will, also after a refusal

What callers saw: a request that a resting replica had turned away, and that found no other, was told to come back after half a second, whatever rest had been asked. Now the time to come back is that of the first replica that wants a request again, spread. The candidates of a request are looked at once where it is refused, instead of twice.

A new test of one replica at rest fails before (told 0.5 s for a rest of 3 s) and passes. The test of rests asks in addition that the times told differ and that some are longer than half a second; that held before as well.

--- a/libs/gateway/src/headcross_gateway/admission.py
+++ b/libs/gateway/src/headcross_gateway/admission.py
@@ -63,10 +63,6 @@
         """Return how many requests wait for a place."""
         return sum(not waiter.left for waiter in self._queues.get(service, []))
 
-    def has_candidates(self, wish: Wish, configuration: Configuration) -> bool:
-        """Tell whether any replica could serve a request, if it had room."""
-        return bool(self._picker.candidates(wish, configuration))
-
     def seconds_to_opening(self, wish: Wish, configuration: Configuration) -> float:
         """Return after how many seconds a replica may take a request, if it has room then.
 
--- a/libs/gateway/src/headcross_gateway/requestpath.py
+++ b/libs/gateway/src/headcross_gateway/requestpath.py
@@ -193,12 +193,12 @@
             )
             place = await self._take_place(request, wish)
             if place is None:
-                has_candidates = self._admission.has_candidates(wish, request.configuration)
+                opening = self._admission.seconds_to_opening(wish, request.configuration)
                 if not request.runs:
                     self._overload.note_refused(
-                        request.service, returning=request.returning, for_room=has_candidates
+                        request.service, returning=request.returning, for_room=opening < math.inf
                     )
-                return self._last_word(request, last or self._no_room(request, wish))
+                return self._last_word(request, self._no_room(request, last, opening))
             if self._containment.refusal_of(request) is not None:
                 self._admission.give_back(place)
                 continue
@@ -228,18 +228,24 @@
                 case DidNotRun(reason=reason, detail=detail):
                     last = self._worse(last, NotRun(reason, detail, COME_BACK_SECONDS))
                     if not self._retries.may_go_on_after_refusal(request, outcome):
-                        return self._last_word(request, last)
+                        opening = self._admission.seconds_to_opening(wish, request.configuration)
+                        return self._last_word(request, self._no_room(request, last, opening))
                 case MayRun(reason=reason, detail=detail):
                     last = MayHaveRun(reason, detail)
                     if not self._retries.may_run_again(request):
                         return self._last_word(request, last)
 
-    def _no_room(self, request: Admitted, wish: Wish) -> Refusal:
-        """Return what a request is told that finds no place."""
-        opening = self._admission.seconds_to_opening(wish, request.configuration)
+    def _no_room(self, request: Admitted, last: Refusal | None, opening: float) -> Refusal:
+        """Return what a request is told that finds no place; none opens for some seconds."""
+        if isinstance(last, MayHaveRun):
+            return last
         if opening == math.inf:
-            return NotRun(NO_REPLICA, "no replica may serve this now", COME_BACK_LATER_SECONDS)
+            return last or NotRun(
+                NO_REPLICA, "no replica may serve this now", COME_BACK_LATER_SECONDS
+            )
         seconds = self._overload.come_back_seconds(request.service, opening)
+        if last is not None:
+            return replace(last, retry_after_seconds=seconds) if opening > 0 else last
         if opening > 0:
             detail = f"no replica wants a request for another {opening:.2f} s"
             return NotRun(NO_ROOM, detail, seconds)
@@ -255,7 +261,8 @@
         now = trio.current_time()
         priority = request.priority
         returning = request.returning and not request.tried
-        any_serves = self._admission.has_candidates(wish, request.configuration)
+        opening = self._admission.seconds_to_opening(wish, request.configuration)
+        any_serves = opening < math.inf
         wait = self._wait_seconds(request, returning, any_serves)
         if request.tried:
             # It has run somewhere: without a place it fails for good, so it goes first.
--- a/tests/test_replica_rest.py
+++ b/tests/test_replica_rest.py
@@ -10,6 +10,7 @@
 
 import pytest
 import trio
+from headcross_platform import names
 
 from testing.machinecaller import Reply, ask, new_request_id
 from testing.machinelayout import MODEL_SERVICE, PLAIN_SERVICE
@@ -104,9 +105,25 @@
         print([played.most_in_rest(replica) for replica in resting])
         assert all(played.most_in_rest(replica) <= ALLOWED for replica in resting)
         assert {reply.status for reply in played.replies} == {503}
+        told = [float(reply.headers[names.RETRY_AFTER]) for reply in played.replies]
+        print(min(told), max(told))
+        assert max(told) > GRACE_SECONDS
+        assert len(set(told)) > len(told) / 2
         for replica in resting:
             replica.rest = None
         await trio.sleep(REST_SECONDS)
         after = await play(site, path, AFTER_SECONDS)
         print(after.served(), len(after.replies))
         assert after.served() >= 0.9 * len(after.replies)
+
+
+async def test_a_caller_that_a_resting_replica_turned_away_is_told_when_the_rest_is_over(
+    tmp_path: Path,
+) -> None:
+    async with small_site(tmp_path, models=0, plain=1, entries=1) as site:
+        (resting,) = replicas_of(site, PLAIN_SERVICE)
+        resting.rest = str(REST_SECONDS)
+        reply = await ask(site.callers("entry0"), "/again/x")
+    assert resting.arrivals == 1
+    assert reply.status == 503
+    assert float(reply.headers[names.RETRY_AFTER]) > REST_SECONDS - GRACE_SECONDS
