--- a/libs/daemon/src/headcross_daemon/gatewayrole.py
+++ b/libs/daemon/src/headcross_daemon/gatewayrole.py
@@ -12,7 +12,6 @@
 import trio
 from headcross_base.addresses import Address, parse_address
 from headcross_base.clocks import monotonic, now_ms
-from headcross_base.hashing import rendezvous_order
 from headcross_facts.following import entry_pace
 from headcross_gateway.admission import Admission
 from headcross_gateway.budget import RetryBudget
@@ -21,7 +20,6 @@
 from headcross_gateway.overload import Overload
 from headcross_gateway.picking import Picker
 from headcross_gateway.replicalosses import Standing
-from headcross_gateway.replicanews import all_news, hear_news, untold_news
 from headcross_gateway.requestpath import RequestPath
 from headcross_gateway.subsetting import every_other
 from headcross_gateway.weightsrules import ENDING_SECONDS, WeightsRules
@@ -43,6 +41,7 @@
 from headcross_wire.peernode import Incoming
 from prometheus_client import Histogram
 
+from headcross_daemon.entrynews import EntryNews
 from headcross_daemon.machinecommon import AdminPages, MachineProcess
 from headcross_daemon.machinesettings import MachineSettings
 from headcross_daemon.metrics import Samples, sample
@@ -61,15 +60,6 @@
 HOUSEKEEPING_SECONDS: Final = 1.0
 # Refused callers come back after 0.4 s at the earliest, to another entry of the zone.
 OVERLOAD_SECONDS: Final = 0.2
-# What is learned of lost replicas is told at once, and what comes within so long then together.
-TOLD_TOGETHER_SECONDS: Final = 0.1
-# Daemons that are told what makes requests suspect; their links are narrow.
-LOSS_KEEPERS: Final = 4
-# How often news are sent to one whose link is not open, and how soon again.
-TELL_TRIES: Final = 5
-TELL_AGAIN_SECONDS: Final = 0.1
-# Entries to which everything known of replicas is told again, each second.
-REPEAT_NEWS_TO: Final = 3
 # An entry asks for the losses that daemons keep for so long after its start.
 ASK_LOSSES_SECONDS: Final = 6.0
 # Descriptors that are not connections of callers or to replicas.
@@ -120,6 +110,16 @@
         self._containment = Containment(
             settings.host, self._directory.find, lambda: facts.complete
         )
+        self._news = EntryNews(
+            self.process.node,
+            self._directory,
+            self._overload,
+            self._containment,
+            entries=self.process.known_entries,
+            zone_entries=self._zone_entries,
+            daemons=self._daemons,
+            control_port=lambda: self.process.settings.peers.control_port,
+        )
         self._path = RequestPath(
             facts,
             adapter.dialect,
@@ -164,7 +164,7 @@
             nursery.start_soon(self._subscribe)
             nursery.start_soon(self._keep_house)
             nursery.start_soon(self._watch_overload, nursery)
-            nursery.start_soon(self._share_losses)
+            nursery.start_soon(self._news.share_losses)
             nursery.start_soon(self._path.unbegun.run)
             if self._mirror is not None:
                 nursery.start_soon(self._mirror.run)
@@ -341,7 +341,7 @@
             self._containment.hear(incoming.message)
             return
         if isinstance(incoming.message, ReplicaNews):
-            for changed in hear_news(incoming.message, self._directory.find, monotonic()):
+            for changed in self._news.hear_of_replicas(incoming.message):
                 self._admission.notify(changed.replica.service)
             return
         if not isinstance(incoming.message, ReplicaLoad):
@@ -419,69 +419,15 @@
             await trio.sleep(OVERLOAD_SECONDS)
             self._overload.measure(trio.current_time())
             self._containment.update()
-            self._tell_refused()
-            replica_news = untold_news(self._directory.states(), monotonic())
-            if replica_news is not None:
-                told = [*self.process.known_entries(), *self._daemons_beside(replica_news)]
-                nursery.start_soon(self._tell, replica_news, told)
-
-    def _tell_refused(self) -> None:
-        """Tell the other entries of the zone what was refused here since the last time."""
-        refused = self._overload.refused.take_untold()
-        for address in self._zone_entries() if refused else []:
-            self.process.node.send(address, RefusedNews(refused))
-
-    async def _share_losses(self) -> None:
-        """Tell all other entries, and a few daemons, what is learned here of lost replicas."""
-        async with trio.open_nursery() as nursery:
-            while True:
-                news = await self._containment.wait_untold()
-                nursery.start_soon(self._tell, news, self.process.known_entries())
-                kept = self._containment.shared.of_suspects(monotonic())
-                if kept is not None:
-                    nursery.start_soon(self._tell, kept, self._keepers())
-                await trio.sleep(TOLD_TOGETHER_SECONDS)
-
-    def _keepers(self) -> list[Address]:
-        """Return daemons that keep losses for entries that start after all others were killed.
-
-        All entries choose the same ones among the daemons that they keep themselves informed by.
-        """
-        daemons = {str(address): address for address in self._daemons()}
-        return [daemons[name] for name in rendezvous_order("losses", daemons)[:LOSS_KEEPERS]]
-
-    async def _tell(self, news: LossNews | ReplicaNews, to: list[Address]) -> None:
-        """Send news; where the first message only opens the link, send them again."""
-        for _ in range(TELL_TRIES):
-            to = [address for address in to if not self.process.node.send(address, news)]
-            if not to:
-                return
-            await trio.sleep(TELL_AGAIN_SECONDS)
-
-    def _daemons_beside(self, news: ReplicaNews) -> list[Address]:
-        """Return the daemons beside the replicas of some news that say that they leave."""
-        port = self.process.settings.peers.control_port
-        leaving = {word.replica for word in news.words if word.leaving}
-        replicas = self._directory.replicas_with_daemons()
-        return [Address(r.address.ip, port) for r in replicas if r.id in leaving]
-
-    def _repeat_news(self) -> None:
-        """Tell a few entries everything: some may have started, or come out of a cut."""
-        now = monotonic()
-        lost = self._containment.shared.everything(now)
-        asked = all_news(self._directory.states(), now)
-        entries = self.process.known_entries()
-        for address in random.sample(entries, min(REPEAT_NEWS_TO, len(entries))):
-            for news in (lost, asked):
-                if news is not None:
-                    self.process.node.send(address, news)
+            self._news.tell_refused()
+            nursery.start_soon(self._news.tell_asked)
 
     async def _keep_house(self) -> None:
         """Once a second: take the list anew, close connections that were idle for too long."""
         while True:
             await trio.sleep(HOUSEKEEPING_SECONDS)
             self._update_directory()
-            self._repeat_news()
+            self._news.repeat()
             await self._path.attempts.connections.close_expired()
 
     # Metrics.
