headcross explain leads from a refused request to what replicas had asked

An operator could see that no replica wanted a request, and not which had asked for what. The new test fails before (no such lines).

--- a/libs/cli/src/headcross_cli/explaining.py
+++ b/libs/cli/src/headcross_cli/explaining.py
@@ -15,6 +15,12 @@
 # Fields that every line has, or that the story shows in front of the others.
 COMMON_FIELDS: Final = ("at", "host", "message", "request", "level", "logger")
 
+# What replicas asked of an entry, and the reasons of refusals that may follow from it.
+LIMIT_NAMED: Final = "limit named"
+LIMIT_ENDED: Final = "limit ended"
+ASKED_MESSAGES: Final = (LIMIT_NAMED, LIMIT_ENDED, "replica asks for rest", "replica leaves")
+NO_PLACE_REASONS: Final = ("no-room", "not-serving", "no-replica")
+
 Line = dict[str, Any]
 
 
@@ -25,6 +31,8 @@
     lines: list[Line] = field(default_factory=list)  # oldest first
     # Lost attempts of other tries of the same request, and how it was judged, oldest first.
     related: list[Line] = field(default_factory=list)
+    # What replicas had asked of the entry that found no place for the request, oldest first.
+    asked: list[Line] = field(default_factory=list)
     broken: int = 0  # lines that are no JSON objects
 
 
@@ -36,6 +44,7 @@
     """
     story = Story()
     with_digest: list[Line] = []
+    asked: list[Line] = []
     for path in files:
         for raw in path.read_bytes().splitlines():
             try:
@@ -48,13 +57,37 @@
                 story.lines.append(line)
             elif "request_digest" in line:
                 with_digest.append(line)
+            elif line.get("message") in ASKED_MESSAGES:
+                asked.append(line)
     digests = {line["request_digest"] for line in story.lines if "request_digest" in line}
     story.related = [line for line in with_digest if line["request_digest"] in digests]
-    for lines in (story.lines, story.related):
-        lines.sort(key=lambda line: str(line.get("at", "")))
+    for lines in (story.lines, story.related, asked):
+        lines.sort(key=_moment_of)
+    if story.lines:
+        story.asked = _asked_before(story.lines[-1], asked)
     return story
 
 
+def _moment_of(line: Line) -> str:
+    return str(line.get("at", ""))
+
+
+def _asked_before(refusal: Line, asked: list[Line]) -> list[Line]:
+    """Return the newest word of each replica to the entry that refused a request for a place.
+
+    `asked` is sorted by its moments. A limit that had ended is left out.
+    """
+    if refusal.get("reason") not in NO_PLACE_REASONS:
+        return []
+    newest: dict[tuple[str, bool], Line] = {}
+    for line in asked:
+        if line.get("host") == refusal.get("host") and _moment_of(line) <= _moment_of(refusal):
+            is_limit = line["message"] in (LIMIT_NAMED, LIMIT_ENDED)
+            newest[str(line.get("replica")), is_limit] = line
+    held = [line for line in newest.values() if line["message"] != LIMIT_ENDED]
+    return sorted(held, key=_moment_of)
+
+
 def describe_line(line: Line) -> str:
     """Return a line for people.
 
--- a/libs/cli/src/headcross_cli/main.py
+++ b/libs/cli/src/headcross_cli/main.py
@@ -54,7 +54,7 @@
 
 from headcross_cli import exitcodes
 from headcross_cli.adminclient import read_in_force, read_page
-from headcross_cli.explaining import describe_line, find_cause, read_story
+from headcross_cli.explaining import Line, describe_line, find_cause, read_story
 from headcross_cli.planning import plan_changes
 from headcross_cli.watching import watch
 
@@ -151,14 +151,19 @@
         return _fail(f"no line about request {request!r}", exitcodes.REJECTED)
     for line in story.lines:
         print(describe_line(line))
-    if story.related:
-        print("Other tries of the same request, and how it was judged:")
-    for line in story.related:
-        print(describe_line(line))
+    _print_lines("Other tries of the same request, and how it was judged:", story.related)
+    _print_lines("What replicas had asked of that entry:", story.asked)
     print(find_cause(story.lines))
     return exitcodes.OK
 
 
+def _print_lines(heading: str, lines: list[Line]) -> None:
+    if lines:
+        print(heading)
+    for line in lines:
+        print(describe_line(line))
+
+
 def _read_fleet(path: Path) -> FleetFile | None:
     fleet = parse_fleet_file(path.read_bytes())
     if isinstance(fleet, Failure):
--- a/tests/test_tool.py
+++ b/tests/test_tool.py
@@ -183,6 +183,34 @@
     assert "i-0" not in output
 
 
+async def test_explain_leads_from_a_refused_request_to_what_replicas_had_asked(
+    tmp_path: Path,
+) -> None:
+    def asked(at: str, message: str, replica: str, host: str = "e") -> dict[str, object]:
+        return {"at": at, "host": host, "message": message, "replica": replica}
+
+    lines = [
+        {"at": "T5", "host": "e", "message": "refused", "request": "r1", "reason": "no-room"},
+        asked("T1", "limit named", "i-1"),
+        asked("T2", "limit named", "i-2"),
+        asked("T3", "limit ended", "i-2"),
+        asked("T3", "replica asks for rest", "i-3"),
+        asked("T4", "replica leaves", "i-4", host="other"),
+        asked("T6", "replica leaves", "i-5"),
+    ]
+    log = tmp_path / "entry.log"
+    log.write_text("\n".join(json.dumps(line) for line in lines))
+    code, output, errors = await headcross("explain", "r1", str(log))
+    assert (code, errors) == (0, "")
+    told = output.splitlines()
+    assert told[1] == "What replicas had asked of that entry:"
+    assert told[2:4] == [
+        "T1  e  limit named  replica=i-1",
+        "T3  e  replica asks for rest  replica=i-3",
+    ]
+    assert len(told) == 5
+
+
 async def test_explain_says_so_when_no_log_knows_the_request(tmp_path: Path) -> None:
     log = tmp_path / "entry.log"
     log.write_text("")
