--- a/bench/soak/actions.py
+++ b/bench/soak/actions.py
@@ -28,6 +28,10 @@
     REPLICA_WAIT = "replica wait"  # requests wait there before they run
     REPLICA_FAULT = "replica fault"
     ORDERS_LATE = "orders late"  # the daemon's orders get no answer, and are taken at the end
+    # What replicas ask in their answers, which is no fault.
+    REPLICA_LIMIT = "replica limit"  # it names `amount` requests a second
+    REPLICA_REST = "replica rest"  # it turns all away and asks for `amount` seconds of rest
+    REPLICA_LEAVES = "replica leaves"  # it says so, and comes back as a new incarnation
     # The platform.
     STORE_MOOD = "store mood"  # for the targets, or for all if there are none
     STORE_FORGET = "store forget"
@@ -42,7 +46,11 @@
     ADD_ENTRY = "add entry"
 
 
-OPERATOR_KINDS = frozenset(
+BACKPRESSURE_KINDS = frozenset(
+    {ActionKind.REPLICA_LIMIT, ActionKind.REPLICA_REST, ActionKind.REPLICA_LEAVES}
+)
+# What is no fault.
+OPERATOR_KINDS = BACKPRESSURE_KINDS | frozenset(
     {
         ActionKind.NAME_VERSIONS,
         ActionKind.PUBLISH,
--- a/bench/soak/actors.py
+++ b/bench/soak/actors.py
@@ -8,6 +8,7 @@
 from bench.soak.actions import OPERATOR_KINDS, Action, ActionKind
 from bench.soak.processes import Processes
 from bench.soak.proxies import LinkFault, LinkKind
+from bench.soak.record import ReplicaLeaves, ReplicaLimit
 from bench.soak.site import SeatState, Site
 from bench.soak.sizes import Seat, daemon_of
 from testing.machinelayout import MODEL_SERVICE
@@ -46,6 +47,9 @@
             ActionKind.REPLICA_WAIT: self._let_wait,
             ActionKind.REPLICA_FAULT: self._break_answers,
             ActionKind.ORDERS_LATE: self._keep_orders,
+            ActionKind.REPLICA_LIMIT: self._limit_replica,
+            ActionKind.REPLICA_REST: self._let_rest,
+            ActionKind.REPLICA_LEAVES: self._say_leaving,
             ActionKind.STORE_MOOD: self._set_mood,
             ActionKind.STORE_FORGET: self._forget,
             ActionKind.ORIGIN_DOWN: self._take_origin_down,
@@ -175,11 +179,43 @@
         if self._seat(action).replica is replica:
             replica.take_kept_orders()
 
+    async def _limit_replica(self, action: Action) -> None:
+        replica = self._seat(action).replica
+        if replica is None:
+            return
+        replica.limit = f"{action.amount:.1f}"
+        limit = ReplicaLimit(replica.id, action.amount, trio.current_time())
+        self._site.record.limits.append(limit)
+        await trio.sleep(action.seconds)
+        replica.limit = None
+        limit.ended_at = trio.current_time()
+
+    async def _let_rest(self, action: Action) -> None:
+        replica = self._seat(action).replica
+        if replica is None:
+            return
+        replica.rest = f"{action.amount:.2f}"
+        await trio.sleep(action.seconds)
+        replica.rest = None
+
+    async def _say_leaving(self, action: Action) -> None:
+        seat = self._seat(action)
+        if seat.replica is None:
+            return
+        seat.replica.says_leaving = True
+        said = ReplicaLeaves(seat.replica.id, trio.current_time())
+        self._site.record.leaving.append(said)
+        await self._replace_later(seat, action.seconds)
+
     async def _drain(self, action: Action) -> None:
         seat = self._seat(action)
         self._site.drain(seat)
+        await self._replace_later(seat, action.seconds)
+
+    async def _replace_later(self, seat: SeatState, seconds: float) -> None:
+        """End a replica that leaves after some seconds, and start the next incarnation."""
         gone = seat.listed
-        await trio.sleep(action.seconds)
+        await trio.sleep(seconds)
         if gone is None or seat.listed is not gone:
             return  # it crashed meanwhile
         self._site.end_replica(seat)
--- a/bench/soak/bounds.py
+++ b/bench/soak/bounds.py
@@ -14,5 +14,6 @@
     retry_window=10.0,
     recovery=12.0,
     loss_slack=0.2,
+    told=0.5,
 )
 STOP_SECONDS: Final = 4.0  # from a stop signal to the end of the process
--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -12,6 +12,7 @@
     check_one_version,
     check_whole_own,
 )
+from bench.soak.check_backpressure import check_limits, check_rests, check_said_leaving
 from bench.soak.check_news import check_configuration, check_leaving, check_old_weights
 from bench.soak.check_service import check_planned_stop, check_recovery, check_retry_bound
 from bench.soak.check_summary import Summary, summarize
@@ -27,6 +28,9 @@
     Promise.ONE_VERSION: check_one_version,
     Promise.OLD_WEIGHTS: check_old_weights,
     Promise.LEAVING: check_leaving,
+    Promise.SAID_LEAVING: check_said_leaving,
+    Promise.LIMIT: check_limits,
+    Promise.REST: check_rests,
     Promise.PLANNED_STOP: check_planned_stop,
     Promise.CONFIGURATION: check_configuration,
     Promise.RETRY_BOUND: check_retry_bound,
--- a/bench/soak/plan.py
+++ b/bench/soak/plan.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from typing import Final
 
-from bench.soak.actions import Action, ActionKind
+from bench.soak.actions import BACKPRESSURE_KINDS, Action, ActionKind
 from bench.soak.bounds import BOUNDS
 from bench.soak.sizes import (
     Seat,
@@ -31,13 +31,24 @@
 REPLICA_SECONDS: Final = (0.02, 0.25)  # service time, or time between events
 SLOTS: Final = (8, 16)
 SEAT_KINDS: Final = frozenset(
-    {ActionKind.REPLICA_CRASH, ActionKind.DRAIN, ActionKind.ADD_REPLICA, ActionKind.REPLICA_REBORN}
+    {
+        ActionKind.REPLICA_CRASH,
+        ActionKind.DRAIN,
+        ActionKind.ADD_REPLICA,
+        ActionKind.REPLICA_REBORN,
+        ActionKind.REPLICA_LEAVES,
+    }
 )
 # Orders of a daemon are taken up to so much late, as users' replicas have shown.
 LATE_SECONDS: Final = (0.3, 12.0)
 LATE_SHARE: Final = 0.6  # of the namings of a storm have late orders after them
 REBORN_SHARE: Final = 0.5  # of the storms have a replica that starts again under its id
 CLOCK_STEPS_MS: Final = (0, -2000)  # of its clock, as it starts again
+# The parts of storms and of calm spans in which a replica asks for less in its answers.
+BACKPRESSURE_SHARE: Final = 0.6
+BACKPRESSURE_SECONDS: Final = 6.0
+LIMITS: Final = (0.2, 1.4, 2.0, 8.0)  # requests a second
+REST_SECONDS: Final = (0.8, 2.5)
 # A seat is left alone so long before and after, so that one thing happens to it at a time.
 REBORN_ROOM_SECONDS: Final = 6.0
 
@@ -70,6 +81,7 @@
     # Drawn apart, so that plans of older seeds stay as they were but for these.
     drawer.draw_late_orders(random.Random(f"{seed} late orders"))
     drawer.draw_lives(random.Random(f"{seed} lives"))
+    drawer.draw_backpressure(random.Random(f"{seed} backpressure"))
     actions = tuple(sorted(drawer.actions, key=lambda action: action.at))
     return Plan(seed, seconds, sizes, seats, rate, actions, last_storm_ends_at)
 
@@ -142,6 +154,29 @@
             if not self._is_struck(seat, at):
                 self._add(at, ActionKind.REPLICA_REBORN, seat, amount=step)
 
+    def draw_backpressure(self, generator: random.Random) -> None:
+        """Draw replicas that ask for less in their answers, in storms and after them."""
+        for since, until in self._storms:
+            for at in (generator.uniform(since, until - 1.0), until + BOUNDS.reached + 0.5):
+                kind = generator.choice(sorted(BACKPRESSURE_KINDS, key=lambda kind: kind.value))
+                seat = generator.choice([*self._models, *self._plain])
+                amount = generator.choice(LIMITS)
+                if kind is ActionKind.REPLICA_REST:
+                    amount = generator.uniform(*REST_SECONDS)
+                drawn = generator.random() < BACKPRESSURE_SHARE
+                if drawn and not self._is_struck_within(seat, at, at + BACKPRESSURE_SECONDS):
+                    self._add(at, kind, seat, seconds=BACKPRESSURE_SECONDS, amount=amount)
+
+    def _is_struck_within(self, seat: str, since: float, until: float) -> bool:
+        """Tell whether something ends or starts a seat's replica between two moments."""
+        return any(
+            seat in action.targets
+            and action.kind in SEAT_KINDS
+            and action.at < until + REBORN_ROOM_SECONDS
+            and since < action.at + action.seconds + 1.0
+            for action in self.actions
+        )
+
     def _is_struck(self, seat: str, at: float) -> bool:
         """Tell whether something else ends or starts a seat's replica about then."""
         return any(
--- a/bench/soak/record.py
+++ b/bench/soak/record.py
@@ -50,6 +50,25 @@
     request_id: str
     replica_id: str
     at: float
+    rest_seconds: float = 0.0  # it was turned away, and its entry asked for so much rest
+
+
+@dataclass(slots=True)
+class ReplicaLimit:
+    """A limit that a replica names in its answers."""
+
+    replica_id: str
+    per_second: float
+    began_at: float
+    ended_at: float = float("inf")
+
+
+@dataclass(frozen=True, slots=True)
+class ReplicaLeaves:
+    """A replica that says in its answers that it leaves."""
+
+    replica_id: str
+    at: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -134,6 +153,7 @@
     retry_window: float
     recovery: float  # from the end of the last fault to ordinary service
     loss_slack: float  # a request whose connection ends so soon may have crossed its close
+    told: float = 0.5  # from an answer that asks for less to the moment from which it counts
 
 
 @dataclass(slots=True)
@@ -148,6 +168,8 @@
     versions: list[VersionNamed] = field(default_factory=list)
     configurations: list[ConfigurationPublished] = field(default_factory=list)
     draining: list[ReplicaDrains] = field(default_factory=list)
+    limits: list[ReplicaLimit] = field(default_factory=list)
+    leaving: list[ReplicaLeaves] = field(default_factory=list)
     probes: list[RouteProbe] = field(default_factory=list)
     stops: list[PlannedStop] = field(default_factory=list)
     disturbances: list[Disturbance] = field(default_factory=list)
--- a/bench/soak/runner.py
+++ b/bench/soak/runner.py
@@ -135,7 +135,9 @@
         if listed.service == PROBE_SERVICE:
             continue
         replica = listed.replica
-        record.arrivals += [Arrival(a.id, replica.id, a.at) for a in replica.arrived]
+        record.arrivals += [
+            Arrival(a.id, replica.id, a.at, a.rest_seconds) for a in replica.arrived
+        ]
         record.runs += [
             ReplicaRun(run.id, replica.id, listed.service, run.version, run.began_at)
             for run in replica.runs
--- a/testing/platformreplica.py
+++ b/testing/platformreplica.py
@@ -87,7 +87,12 @@
 
     id: str
     at: float  # trio's clock
-    asked_rest: bool = False  # it was turned away, and its sender asked for rest
+    rest_seconds: float = 0.0  # it was turned away, and its sender asked for so much rest
+
+    @property
+    def asked_rest(self) -> bool:
+        """Whether its sender was asked for rest."""
+        return self.rest_seconds > 0
 
 
 @dataclass(frozen=True)
@@ -316,8 +321,8 @@
         """Answer a request; return whether the connection may carry another."""
         self.arrivals += 1
         request_id = headers.get(names.REQUEST_ID, "")
-        asks_rest = self.rest is not None
-        self.arrived.append(ArrivedRequest(request_id, trio.current_time(), asks_rest))
+        rest_seconds = float(self.rest or 0.0)
+        self.arrived.append(ArrivedRequest(request_id, trio.current_time(), rest_seconds))
         base = [(names.REQUEST_ID, request_id)]
         if self.limit is not None:
             base.append((names.LIMIT, self.limit))
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -1,5 +1,6 @@
 """The soak's checkers find each broken promise, and nothing in the nearest innocent history."""
 
+from collections.abc import Callable
 from dataclasses import replace
 
 import pytest
@@ -12,6 +13,7 @@
     check_one_version,
     check_whole_own,
 )
+from bench.soak.check_backpressure import check_limits, check_rests, check_said_leaving
 from bench.soak.check_news import check_configuration, check_leaving, check_old_weights
 from bench.soak.check_service import check_planned_stop, check_recovery, check_retry_bound
 from bench.soak.check_summary import Outcome, OutcomeCount, PromiseCount, outcome_of, summarize
@@ -25,6 +27,8 @@
     PlannedStop,
     Record,
     ReplicaDrains,
+    ReplicaLeaves,
+    ReplicaLimit,
     ReplicaRun,
     RequestKind,
     RouteProbe,
@@ -379,6 +383,97 @@
     assert check_leaving(record) == []
 
 
+# What replicas ask in their answers.
+
+
+def record_of_arrivals(*moments: float, entry: str = "entry") -> Record:
+    """Return a record of requests that reached one replica right after they were sent."""
+    record = Record(BOUNDS, 0.0)
+    for number, at in enumerate(moments):
+        request = served(request_id=f"r{number}", sent_at=at)
+        request.entry, request.ended_at = entry, at + SHORTLY
+        record.requests[request.id] = request
+        record.arrivals.append(Arrival(request.id, "i-1", at))
+    return record
+
+
+def record_of_limit(count: int, *, ended_at: float = 200.0) -> Record:
+    """Return a record of a limit of 1 a second, which allows 11 in a span, and of arrivals."""
+    record = record_of_arrivals(100.0, *(104.0 + number / 4 for number in range(count)))
+    record.limits.append(ReplicaLimit("i-1", 1.0, 100.0, ended_at))
+    return record
+
+
+def test_more_requests_than_a_limit_allows_are_found() -> None:
+    assert check_limits(record_of_limit(11)) == []
+    found = check_limits(record_of_limit(12))
+    assert [(v.promise, v.at, v.subject) for v in found] == [(Promise.LIMIT, 104.0, "i-1")]
+
+
+def test_requests_before_a_limit_counts_or_after_its_end_are_innocent() -> None:
+    assert check_limits(record_of_limit(12, ended_at=104.0)) == []
+    record = record_of_limit(12)
+    record.limits[0].began_at = 104.0 - REACHED + 1.0
+    assert check_limits(record) == []
+
+
+def test_requests_of_an_entry_that_was_not_told_of_a_limit_are_innocent() -> None:
+    record = record_of_limit(12)
+    for request in record.requests.values():
+        request.status = 0
+    assert check_limits(record) == []
+
+
+def record_of_rest(count: int, *, entry: str = "entry") -> Record:
+    """Return a record of a rest of 3 s that an entry was asked for, and of arrivals in it."""
+    record = record_of_arrivals(*(101.0 + number / 4 for number in range(count)), entry=entry)
+    asked = served(request_id="asked", sent_at=100.0)
+    record.requests[asked.id] = asked
+    record.arrivals.append(Arrival("asked", "i-1", 100.0, rest_seconds=3.0))
+    return record
+
+
+def test_requests_within_a_rest_are_found() -> None:
+    assert check_rests(record_of_rest(2)) == []
+    found = check_rests(record_of_rest(3))
+    assert [(v.promise, v.at, v.subject) for v in found] == [(Promise.REST, 100.0, "i-1")]
+
+
+def test_requests_of_another_entry_within_a_rest_are_innocent() -> None:
+    assert check_rests(record_of_rest(3, entry="other")) == []
+
+
+def record_of_said_leaving(sent_at: float) -> Record:
+    """Return a record of a replica that says that it leaves, and of a later request."""
+    record = record_of_arrivals(100.0, sent_at)
+    record.leaving.append(ReplicaLeaves("i-1", 100.0))
+    return record
+
+
+def test_a_request_sent_late_to_a_replica_that_says_that_it_leaves_is_found() -> None:
+    assert check_said_leaving(record_of_said_leaving(103.0 + SHORTLY)) == []
+    found = check_said_leaving(record_of_said_leaving(103.0 + 2 * SHORTLY))
+    assert [(v.promise, v.at, v.subject) for v in found] == [
+        (Promise.SAID_LEAVING, 103.0 + 2 * SHORTLY, "i-1")
+    ]
+
+
+@pytest.mark.parametrize(
+    ("check", "record"),
+    [
+        (check_limits, record_of_limit(12)),
+        (check_rests, record_of_rest(3)),
+        (check_said_leaving, record_of_said_leaving(110.0)),
+    ],
+)
+@pytest.mark.parametrize("machine", ["entry", "i-1"])
+def test_a_fault_excuses_what_a_replica_got_beyond_what_it_asked(
+    check: Callable[[Record], list[Violation]], record: Record, machine: str
+) -> None:
+    record.disturbances = [fault_on(machine, began_at=100.5, ended_at=120.0)]
+    assert check(record) == []
+
+
 # Planned stops.
 
 
@@ -796,6 +891,9 @@
         Promise.ONE_VERSION: two_versions,
         Promise.OLD_WEIGHTS: record_of_naming(run(1, 110.0)),
         Promise.LEAVING: record_of_leaving(110.0),
+        Promise.SAID_LEAVING: record_of_said_leaving(110.0),
+        Promise.LIMIT: record_of_limit(12),
+        Promise.REST: record_of_rest(3),
         Promise.PLANNED_STOP: record_of_stop(lost()),
         Promise.CONFIGURATION: record_of_probes(probe(False, 200.0)),
         Promise.RETRY_BOUND: record_of_retries([], [100.0] * 3),
