--- a/bench/soak/plan.py
+++ b/bench/soak/plan.py
@@ -47,7 +47,7 @@
 # The parts of storms and of calm spans in which a replica asks for less in its answers.
 BACKPRESSURE_SHARE: Final = 0.6
 BACKPRESSURE_SECONDS: Final = 6.0
-LIMITS: Final = (0.2, 1.4, 2.0, 8.0)  # requests a second
+LIMITS: Final = (0.2, 0.5, 1.0, 8.0)  # requests a second
 REST_SECONDS: Final = (0.8, 2.5)
 # A seat is left alone so long before and after, so that one thing happens to it at a time.
 REBORN_ROOM_SECONDS: Final = 6.0
