A request that left a silent replica gets the retry that it paid for

What callers saw: 502 after 1.6 s while other replicas had room. The check as it leaves is the one that counts now.

The new test fails before.

--- a/libs/gateway/src/headcross_gateway/retries.py
+++ b/libs/gateway/src/headcross_gateway/retries.py
@@ -80,12 +80,11 @@
             return False
         if request.runs >= request.route.max_attempts:
             return False
-        if not self._containment.is_clear(request):
-            return False
         if request.retry_paid:
+            # It was clear as it left a silent replica, and that silence now counts against it.
             request.retry_paid = False
             return True
-        return self._budget.spend(request.service)
+        return self._containment.is_clear(request) and self._budget.spend(request.service)
 
     def may_go_on_after_refusal(self, request: Admitted, outcome: DidNotRun) -> bool:
         """Tell whether a request that did not run is sent elsewhere, and pay for its arrival."""
