A second attempt goes to the replica that answered last, where no daemon speaks

What callers saw: 502 after 3 to 4 s. Cause, from the logs of the same runs: the first replica had fallen silent, and the one chosen for the second and last attempt had done so as well a moment before, which nobody knew: a silence shows after 1.6 s, and the choice went by load, where a replica that has ended has none. Now the time since a replica's last answer counts for such attempts, unless its daemon speaks for it.

The new test fails before.

--- a/libs/gateway/src/headcross_gateway/health.py
+++ b/libs/gateway/src/headcross_gateway/health.py
@@ -47,6 +47,10 @@
         """Tell whether it answered so lately, and nothing has failed there since."""
         return not self.failures and monotonic() - self.answered_at < seconds
 
+    def answered_age(self) -> float:
+        """Return how long ago it last answered, in seconds; infinite if it never did."""
+        return monotonic() - self.answered_at
+
     def succeeded(self) -> None:
         """Note a request that it answered."""
         self.answered_at = monotonic()
--- a/libs/gateway/src/headcross_gateway/picking.py
+++ b/libs/gateway/src/headcross_gateway/picking.py
@@ -23,6 +23,10 @@
 CHANCE_SHARE: Final = 0.04
 # A replica whose daemon was heard before and is late now may be behind a slow or broken link.
 SILENT_SHARE: Final = 0.5
+# A request that has run without an answer is not to meet a second replica that has ended unseen:
+# where no daemon speaks for a replica, the time since its last answer counts, up to so much.
+DOUBTED_SECONDS: Final = 1.6
+DOUBTED_SHARE: Final = 0.5
 # Shortly before the bound on its version, a replica must have been heard of so lately.
 SOON_TOLD_SECONDS: Final = 0.5
 # A while before the bound, it must not have been silent to a request for so long. A link that is
@@ -70,10 +74,10 @@
             sound = [s for s in fitting if s.told_reachable() and self._is_healthy(s, wish)]
             with_room = [state for state in sound if state.has_room(reserved)]
             if with_room:
-                return min(with_room, key=self._cost)
+                return min(with_room, key=lambda state: self._cost(state, wish))
         candidates = self.candidates(wish, configuration)
         with_room = [state for state in candidates if state.has_room(reserved)]
-        return min(with_room, key=self._cost, default=None)
+        return min(with_room, key=lambda state: self._cost(state, wish), default=None)
 
     def candidates(self, wish: Wish, configuration: Configuration) -> list[ReplicaState]:
         """Return the replicas that could serve a request, full ones too."""
@@ -138,13 +142,21 @@
             return True
         return wish.may_run_again and not state.health.on_trial
 
-    def _cost(self, state: ReplicaState) -> float:
+    def _cost(self, state: ReplicaState, wish: Wish) -> float:
         share = state.load() / state.replica.slots
         zone = 0.0 if state.replica.zone == self._zone else OTHER_ZONE_SHARE
         told = state.fresh_load()
         pace = max(1.0, told.pace) if told is not None else 1.0
         silence = SILENT_SHARE if state.told_late() else 0.0
-        return share * pace + zone + silence + random.uniform(0.0, CHANCE_SHARE)
+        doubt = _doubt(state) if wish.tried else 0.0
+        return share * pace + zone + silence + doubt + random.uniform(0.0, CHANCE_SHARE)
+
+
+def _doubt(state: ReplicaState) -> float:
+    """Return what the chance costs that a replica has ended unseen."""
+    if state.fresh_load() is not None:
+        return 0.0
+    return DOUBTED_SHARE * min(1.0, state.health.answered_age() / DOUBTED_SECONDS)
 
 
 def _link_is_trusted(state: ReplicaState) -> bool:
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -1,14 +1,24 @@
-"""When a request is sent to a second replica."""
+"""When a request is sent to a second replica, and to which."""
 
 from dataclasses import dataclass
 from typing import cast
 
+from headcross_base.addresses import Address
+from headcross_gateway import health
 from headcross_gateway.admission import Admission
 from headcross_gateway.admitted import Admitted
 from headcross_gateway.budget import RetryBudget
 from headcross_gateway.containment import Containment
+from headcross_gateway.directory import Directory
+from headcross_gateway.outcomes import Streamed
+from headcross_gateway.picking import Picker, Wish
 from headcross_gateway.retries import Retries
-from headcross_ports.configuration import Repetition
+from headcross_gateway.weightsrules import WeightsRules
+from headcross_ports.configuration import CallerLimits, Configuration, Repetition, Service
+from headcross_ports.published import Replica
+from pytest import MonkeyPatch
+
+from tests.test_gateway_rules import rules
 
 
 @dataclass(frozen=True)
@@ -51,3 +61,24 @@
 
 def test_a_suspect_request_does_not_run_again() -> None:
     assert not may_run_again(StubRequest(retry_paid=False))
+
+
+def test_a_second_attempt_goes_to_the_replica_that_answered_last(
+    monkeypatch: MonkeyPatch,
+) -> None:
+    moment = 100.0
+    monkeypatch.setattr(health, "monotonic", lambda: moment)
+    facts = rules([]).facts
+    for number in range(4):
+        address = Address("127.0.0.1", 1 + number)
+        facts.replicas[f"r{number}"] = Replica(f"r{number}", "api", address, "z", 8, False)
+    directory = Directory(facts)
+    directory.update()
+    picker = Picker("z", directory, WeightsRules(facts, 8.0))
+    limits = CallerLimits(1, 1, 1.0, 1.0)
+    configuration = Configuration(1, (), {"api": Service("api", 1)}, (), limits)
+    *_, lively = directory.states()
+    lively.learn(Streamed(), bound=False)
+    second = Wish("api", None, None, ("r0",), True)
+    for _ in range(20):
+        assert picker.pick(second, configuration) is lively
