--- a/bench/soak/check_backpressure.py
+++ b/bench/soak/check_backpressure.py
@@ -12,11 +12,11 @@
 from bench.soak.check_violations import Promise, Violation
 from bench.soak.record import Arrival, Record, ReplicaLimit
 
-# What a limit allows in any span (source: the platform's pages, LIMIT).
+# What a limit allows in any span (source: the platform's pages on replicas in need).
 SPAN_SECONDS: Final = 4.0
 SPAN_PART: Final = 1.5
 SPAN_EXTRA: Final = 5
-# Requests of one entry that may reach a replica in a rest (source: the same, BUDGET).
+# Requests of one entry that may reach a replica in a rest (source: the same).
 MOST_IN_REST: Final = 2
 
 
--- a/libs/gateway/src/headcross_gateway/picking.py
+++ b/libs/gateway/src/headcross_gateway/picking.py
@@ -111,8 +111,8 @@
     def _begins_in_time(self, state: ReplicaState, model: str) -> bool:
         """Tell whether a request would begin before the bound on its version, as far as is known.
 
-        That holds for a stream that goes on as well: a full link kept one for 1.9 s and delivered
-        it after its withdrawal, 0.25 s past the bound.
+        That holds for a stream that goes on as well: a full link may deliver it after its
+        withdrawal, past the bound.
         """
         version = state.version_of(model)
         if version is None:
--- a/libs/gateway/src/headcross_gateway/replicastate.py
+++ b/libs/gateway/src/headcross_gateway/replicastate.py
@@ -34,7 +34,7 @@
 # Shortly before the bound on its version, a replica's link must have shown that it delivers: by a
 # subscription of this entry that came through and was sent so lately, or, where no daemon was
 # heard, by a request that was answered so lately. Entries subscribe every 0.3 s then, and daemons
-# tell every 0.15 s to 0.45 s. A link that was too narrow held requests back for 1.4 s to 2.7 s.
+# tell every 0.15 s to 0.45 s. A link that is too narrow holds requests back for longer.
 DELIVERED_SECONDS: Final = 1.2
 ANSWERED_SECONDS: Final = 1.0
 # A replica whose daemon has not reached it for so long has ended.
@@ -123,8 +123,8 @@
     def has_room(self, reserved: float = 0.0) -> bool:
         """Tell whether a place is free, as far as is known; `reserved` is a part to be left free.
 
-        All places are filled. One with 16 ends a request every 70 ms or so: a request that comes a
-        moment too soon waits less there than it would for another try.
+        All places are filled: a request that comes a moment too soon waits less there than it
+        would for another try.
         """
         now = monotonic()
         if now < self.full_until or self._is_left_to_others():
@@ -136,8 +136,7 @@
         if not self.replica.loaded and self.told is None:
             return self.load() < self.replica.slots  # a plain service: nobody tells its load
         if self.fresh_load() is None:
-            # What the other entries placed there is not known: after a restart of all of them,
-            # each had filled every replica by itself, and requests queued there for 2 s.
+            # What the other entries placed there is not known, so each keeps to its own part.
             return self.in_flight < max(1.0, self.replica.slots * self.own_share)
         assert self.told is not None
         free = self.replica.slots - self.load()
