--- a/libs/daemon/src/headcross_daemon/entrynews.py
+++ b/libs/daemon/src/headcross_daemon/entrynews.py
@@ -17,7 +17,7 @@
 from headcross_gateway.containment import Containment
 from headcross_gateway.directory import Directory
 from headcross_gateway.overload import Overload
-from headcross_gateway.replicanews import all_news, hear_news, untold_news
+from headcross_gateway.replicanews import all_news, pending_news, receive_news
 from headcross_gateway.replicastate import ReplicaState
 from headcross_wire.peermessages import LossNews, RefusedNews, ReplicaNews
 from headcross_wire.peernode import PeerNode
@@ -63,9 +63,9 @@
         self._daemons = daemons
         self._control_port = control_port
 
-    def hear_of_replicas(self, news: ReplicaNews) -> list[ReplicaState]:
+    def receive_replica_news(self, news: ReplicaNews) -> list[ReplicaState]:
         """Take what another entry tells of replicas; return those of which it changes anything."""
-        return hear_news(news, self._directory.find, monotonic())
+        return receive_news(news, self._directory.find, monotonic())
 
     def tell_refused(self) -> None:
         """Tell the other entries of the zone what was refused here since the last time."""
@@ -75,7 +75,7 @@
 
     async def tell_asked(self) -> None:
         """Tell what replicas have begun to ask of all entries, or no longer do."""
-        news = untold_news(self._directory.states(), monotonic())
+        news = pending_news(self._directory.states(), monotonic())
         if news is not None:
             await self._tell(news, [*self._entries(), *self._daemons_beside(news)])
 
@@ -111,7 +111,7 @@
 
     def _daemons_beside(self, news: ReplicaNews) -> list[Address]:
         """Return the daemons beside the replicas of some news that say that they leave."""
-        leaving = {word.replica for word in news.words if word.leaving}
+        leaving = {item.replica for item in news.items if item.leaving}
         port = self._control_port()
         replicas = self._directory.replicas_with_daemons()
         return [Address(r.address.ip, port) for r in replicas if r.id in leaving]
--- a/libs/daemon/src/headcross_daemon/gatewayrole.py
+++ b/libs/daemon/src/headcross_daemon/gatewayrole.py
@@ -341,7 +341,7 @@
             self._containment.hear(incoming.message)
             return
         if isinstance(incoming.message, ReplicaNews):
-            for changed in self._news.hear_of_replicas(incoming.message):
+            for changed in self._news.receive_replica_news(incoming.message):
                 self._admission.notify(changed.replica.service)
             return
         if not isinstance(incoming.message, ReplicaLoad):
--- a/libs/daemon/src/headcross_daemon/renewalrole.py
+++ b/libs/daemon/src/headcross_daemon/renewalrole.py
@@ -308,7 +308,7 @@
             case LossNews() as news:
                 self._losses.hear(news)
             case ReplicaNews() as asked:
-                self._hear_of_replicas(asked)
+                self._receive_replica_news(asked)
             case AskPlan():
                 known_plan = self._plans.newest()
                 if known_plan is not None:
@@ -322,14 +322,14 @@
             case _:
                 self.process.node.malformed += 1
 
-    def _hear_of_replicas(self, news: ReplicaNews) -> None:
-        """Take an entry's word that the replica beside this process leaves."""
+    def _receive_replica_news(self, news: ReplicaNews) -> None:
+        """Learn from an entry that the replica beside this process leaves."""
         assert self.process.settings.replica is not None
         address = parse_address(self.process.settings.replica.address)
-        for word in news.words:
-            listed = self.process.facts.replicas.get(word.replica)
-            if word.leaving and listed is not None and listed.address == address:
-                self._reporter.hear_leaving(word.started_ms)
+        for item in news.items:
+            listed = self.process.facts.replicas.get(item.replica)
+            if item.leaving and listed is not None and listed.address == address:
+                self._reporter.receive_leaving(item.started_ms)
 
     def _hear_of_earlier_process(self, subscription: Subscribe) -> None:
         """Take an entry's word for what was here before this process began."""
--- a/libs/gateway/src/headcross_gateway/backpressure.py
+++ b/libs/gateway/src/headcross_gateway/backpressure.py
@@ -27,7 +27,7 @@
     # Whether it has yet to serve a request after a rest: one at a time tries that.
     rested: bool = False
     _trial_under_way: bool = False
-    _leaving_untold: bool = False  # other processes have yet to be told
+    _leaving_pending: bool = False  # other processes have yet to be told
     _unreadable: dict[str, str] = field(default_factory=dict)  # the last one of each kind, logged
 
     # What is learned.
@@ -46,7 +46,7 @@
         if isinstance(signals.leaving, Unreadable):
             self._log_unreadable("leaving", signals.leaving)
         elif signals.leaving:
-            self._leaving_untold |= self.leave("answer")
+            self._leaving_pending |= self.leave("answer")
         if isinstance(signals.rest_seconds, Unreadable):
             self._log_unreadable("rest", signals.rest_seconds)
         elif signals.rest_seconds is not None:
@@ -54,9 +54,9 @@
         elif not self.is_resting(now):
             self.rested = False
 
-    def hear_limit(self, limit: float | None, said_at: float, share: float, now: float) -> bool:
-        """Take the word of another entry on the limit; return whether that changes anything."""
-        changed = self.limit.hear(limit, said_at, share, now)
+    def receive_limit(self, limit: float | None, said_at: float, share: float, now: float) -> bool:
+        """Take the limit that another entry knows; return whether that changes anything."""
+        changed = self.limit.receive(limit, said_at, share, now)
         if changed:
             self._log_limit("entry", now)
         return changed
@@ -69,13 +69,13 @@
         logger.info("replica leaves", extra={"replica": self.replica, "source": source})
         return True
 
-    def has_untold(self) -> bool:
+    def has_pending_news(self) -> bool:
         """Tell whether answers told this entry something that others do not know."""
-        return self.limit.untold or self._leaving_untold
+        return self.limit.pending or self._leaving_pending
 
-    def note_told(self) -> None:
+    def mark_told(self) -> None:
         """Note that others were told everything."""
-        self.limit.untold = self._leaving_untold = False
+        self.limit.pending = self._leaving_pending = False
 
     # What follows.
 
--- a/libs/gateway/src/headcross_gateway/replicanews.py
+++ b/libs/gateway/src/headcross_gateway/replicanews.py
@@ -2,7 +2,7 @@
 
 An entry learns from the answers to its own requests what a replica asks of all entries. It tells
 the others at once, and now and then a few of them everything it knows, so that entries that start,
-or were cut off, learn it too. News may come late, twice or never: the newer word of a replica
+or were cut off, learn it too. News may come late, twice or never: the newer item of a replica
 counts. Items that cannot be right are left out.
 """
 
@@ -12,25 +12,25 @@
 from typing import Final
 
 from headcross_ports.published import Incarnation
-from headcross_wire.peermessages import ReplicaNews, ReplicaWord
+from headcross_wire.peermessages import ReplicaBackpressure, ReplicaNews
 
 from headcross_gateway.backpressure import Backpressure
 from headcross_gateway.replicastate import ReplicaState
 
 # Items of one message; more than a fleet of the size designed for has at a time.
 MAX_ITEMS: Final = 1024
-# A word that is older says nothing of the replica now.
+# An item that is older says nothing of the replica now.
 MAX_AGE_SECONDS: Final = 3600.0
 
 logger = logging.getLogger(__name__)
 
 
-def untold_news(states: Iterable[ReplicaState], now: float) -> ReplicaNews | None:
+def pending_news(states: Iterable[ReplicaState], now: float) -> ReplicaNews | None:
     """Return what was learned since the last call, None if nothing was."""
-    untold = [state for state in states if state.backpressure.has_untold()]
-    for state in untold:
-        state.backpressure.note_told()
-    return _news(untold, now)
+    pending = [state for state in states if state.backpressure.has_pending_news()]
+    for state in pending:
+        state.backpressure.mark_told()
+    return _news(pending, now)
 
 
 def all_news(states: Iterable[ReplicaState], now: float) -> ReplicaNews | None:
@@ -38,7 +38,7 @@
     return _news([state for state in states if _asks(state.backpressure)], now)
 
 
-def hear_news(
+def receive_news(
     news: ReplicaNews, find: Callable[[str], ReplicaState | None], now: float
 ) -> list[ReplicaState]:
     """Take the news of another entry; return the replicas of which they change anything.
@@ -47,16 +47,16 @@
     """
     changed: list[ReplicaState] = []
     rejected = 0
-    for word in news.words[:MAX_ITEMS]:
-        if not _is_plausible(word):
+    for item in news.items[:MAX_ITEMS]:
+        if not _is_plausible(item):
             rejected += 1
             continue
-        state = find(word.replica)
-        if state is None or _is_of_another_life(word, state):
+        state = find(item.replica)
+        if state is None or _is_of_another_life(item, state):
             continue
         asked = state.backpressure
-        has_new_limit = asked.hear_limit(word.limit, now - word.age, state.own_share, now)
-        if (word.leaving and asked.leave("entry")) or has_new_limit:
+        has_new_limit = asked.receive_limit(item.limit, now - item.age, state.own_share, now)
+        if (item.leaving and asked.leave("entry")) or has_new_limit:
             changed.append(state)
     if rejected:
         logger.warning("news of replicas rejected", extra={"items": rejected, "reason": "range"})
@@ -64,8 +64,8 @@
 
 
 def _news(states: list[ReplicaState], now: float) -> ReplicaNews | None:
-    words = [
-        ReplicaWord(
+    items = [
+        ReplicaBackpressure(
             state.replica.id,
             state.replica.started_ms,
             min(MAX_AGE_SECONDS, max(0.0, now - state.backpressure.limit.said_at)),
@@ -74,7 +74,7 @@
         )
         for state in states[:MAX_ITEMS]
     ]
-    return ReplicaNews(words) if words else None
+    return ReplicaNews(items) if items else None
 
 
 def _asks(asked: Backpressure) -> bool:
@@ -82,12 +82,12 @@
     return asked.leaving or asked.limit.per_second is not None
 
 
-def _is_plausible(word: ReplicaWord) -> bool:
-    if not 0 <= word.age <= MAX_AGE_SECONDS:
+def _is_plausible(item: ReplicaBackpressure) -> bool:
+    if not 0 <= item.age <= MAX_AGE_SECONDS:
         return False
-    return word.limit is None or (math.isfinite(word.limit) and word.limit >= 0)
+    return item.limit is None or (math.isfinite(item.limit) and item.limit >= 0)
 
 
-def _is_of_another_life(word: ReplicaWord, state: ReplicaState) -> bool:
-    told = Incarnation(word.replica, word.started_ms)
+def _is_of_another_life(item: ReplicaBackpressure, state: ReplicaState) -> bool:
+    told = Incarnation(item.replica, item.started_ms)
     return told.is_other_than(state.replica.incarnation)
--- a/libs/gateway/src/headcross_gateway/requestlimit.py
+++ b/libs/gateway/src/headcross_gateway/requestlimit.py
@@ -14,7 +14,7 @@
 from typing import Final
 
 # What a limit allows in any span of so many seconds: so many times its requests, and some more
-# (source: the platform's pages, LIMIT).
+# (source: the platform's pages on replicas in need).
 SPAN_SECONDS: Final = 4.0
 SPAN_PART: Final = 1.5
 SPAN_EXTRA: Final = 5
@@ -32,7 +32,7 @@
 
     per_second: float | None = None  # None while the replica names none
     said_at: float = -math.inf  # when the replica last named it, or was seen to name it no more
-    untold: bool = False  # other entries have yet to be told
+    pending: bool = False  # other entries have yet to be told
     _next_at: float = -math.inf  # from when on the next request may be sent
 
     def answered(self, limit: float | None, sent_at: float, share: float, now: float) -> bool:
@@ -44,11 +44,11 @@
         """
         if limit is None and (self.per_second is None or sent_at <= self.said_at):
             return False
-        changed = self.hear(limit, now, share, now)
-        self.untold |= changed
+        changed = self.receive(limit, now, share, now)
+        self.pending |= changed
         return changed
 
-    def hear(self, limit: float | None, said_at: float, share: float, now: float) -> bool:
+    def receive(self, limit: float | None, said_at: float, share: float, now: float) -> bool:
         """Take what a replica said at a moment; return whether that changes anything."""
         if said_at <= self.said_at:
             return False
--- a/libs/renewal/src/headcross_renewal/reporting.py
+++ b/libs/renewal/src/headcross_renewal/reporting.py
@@ -114,8 +114,8 @@
             self._tell_in_turn()
         return self.report
 
-    def hear_leaving(self, started_ms: int | None) -> None:
-        """Take the word of an entry that a life of the replica leaves."""
+    def receive_leaving(self, started_ms: int | None) -> None:
+        """Learn from an entry that a life of the replica leaves."""
         if self.report is not None and self.report.started_ms == started_ms:
             self._end("entry")
 
--- a/libs/wire/src/headcross_wire/peermessages.py
+++ b/libs/wire/src/headcross_wire/peermessages.py
@@ -347,7 +347,7 @@
     groups: list[GroupEnds] = []
 
 
-class ReplicaWord(_Message, frozen=True):
+class ReplicaBackpressure(_Message, frozen=True):
     """What one life of a replica asks of all entries."""
 
     replica: str  # its id
@@ -360,7 +360,7 @@
 class ReplicaNews(_Message, frozen=True, tag=55):
     """What replicas ask, as their answers told the sender."""
 
-    words: list[ReplicaWord] = []
+    items: list[ReplicaBackpressure] = []
 
 
 class AskDigests(_Message, frozen=True, tag=44):
--- a/tests/test_replica_news.py
+++ b/tests/test_replica_news.py
@@ -5,10 +5,10 @@
 import msgspec
 import pytest
 from headcross_base.addresses import Address
-from headcross_gateway.replicanews import all_news, hear_news, untold_news
+from headcross_gateway.replicanews import all_news, pending_news, receive_news
 from headcross_gateway.replicastate import ReplicaState
 from headcross_ports.published import Replica
-from headcross_wire.peermessages import ReplicaNews, ReplicaWord, decode, encode
+from headcross_wire.peermessages import ReplicaBackpressure, ReplicaNews, decode, encode
 
 
 def state_of(name: str, started_ms: int | None = 7) -> ReplicaState:
@@ -16,38 +16,38 @@
     return ReplicaState(replica)
 
 
-def hear(state: ReplicaState, word: ReplicaWord, now: float = 100.0) -> bool:
-    return bool(hear_news(ReplicaNews([word]), {state.replica.id: state}.get, now))
+def hear(state: ReplicaState, word: ReplicaBackpressure, now: float = 100.0) -> bool:
+    return bool(receive_news(ReplicaNews([word]), {state.replica.id: state}.get, now))
 
 
 def test_what_an_answer_told_is_told_once_and_repeated_while_it_holds() -> None:
     state = state_of("a")
     state.backpressure.limit.answered(2.0, 0.0, 1.0, 99.0)
-    news = untold_news([state], 100.0)
-    assert news == ReplicaNews([ReplicaWord("a", 7, 1.0, 2.0)])
+    news = pending_news([state], 100.0)
+    assert news == ReplicaNews([ReplicaBackpressure("a", 7, 1.0, 2.0)])
     assert decode(encode(news)) == news
-    assert untold_news([state], 100.0) is None
+    assert pending_news([state], 100.0) is None
     assert all_news([state], 100.0) == news
 
 
 def test_what_was_heard_is_not_told_on_at_once() -> None:
     state = state_of("a")
-    assert hear(state, ReplicaWord("a", 7, 1.0, 2.0))
-    assert untold_news([state], 100.0) is None
+    assert hear(state, ReplicaBackpressure("a", 7, 1.0, 2.0))
+    assert pending_news([state], 100.0) is None
 
 
 def test_the_newer_word_counts() -> None:
     state = state_of("a")
-    assert hear(state, ReplicaWord("a", 7, 1.0, 2.0))
-    assert not hear(state, ReplicaWord("a", 7, 3.0, None))
-    assert hear(state, ReplicaWord("a", 7, 0.5, None))
+    assert hear(state, ReplicaBackpressure("a", 7, 1.0, 2.0))
+    assert not hear(state, ReplicaBackpressure("a", 7, 3.0, None))
+    assert hear(state, ReplicaBackpressure("a", 7, 0.5, None))
     assert state.backpressure.limit.per_second is None
 
 
 def test_the_word_of_an_earlier_life_or_of_an_unknown_replica_changes_nothing() -> None:
     state = state_of("a")
-    assert not hear(state, ReplicaWord("a", 6, 0.0, 2.0))
-    assert not hear(state, ReplicaWord("b", 7, 0.0, 2.0))
+    assert not hear(state, ReplicaBackpressure("a", 6, 0.0, 2.0))
+    assert not hear(state, ReplicaBackpressure("b", 7, 0.0, 2.0))
     assert state.backpressure.limit.per_second is None
 
 
@@ -57,6 +57,6 @@
 )
 def test_news_that_cannot_be_right_change_nothing(wrong: dict[str, float]) -> None:
     state = state_of("a")
-    word = msgspec.structs.replace(ReplicaWord("a", 7, 0.0, 2.0), **wrong)
+    word = msgspec.structs.replace(ReplicaBackpressure("a", 7, 0.0, 2.0), **wrong)
     assert not hear(state, word)
     assert state.backpressure.limit.per_second is None
