--- a/libs/gateway/src/headcross_gateway/requestlimit.py
+++ b/libs/gateway/src/headcross_gateway/requestlimit.py
@@ -20,10 +20,13 @@
 SPAN_EXTRA: Final = 5
 # An unused place is saved for so long at most.
 MOST_SAVED_SECONDS: Final = 1.5
-# Where no place may be saved it can be used for so long.
+# Where no place may be saved it can be used for so long, and so much of the limit is used: the
+# entries' places may coincide.
 PLACE_SECONDS: Final = 1.0
+LAPSING_PART: Final = 0.75
 # A lower limit is taken for this one: one request now and then finds out whether it still holds.
 LEAST_LIMIT: Final = 0.25
+LEAST_LAPSING_LIMIT: Final = 0.1  # where no place may be saved
 
 
 @dataclass(slots=True)
@@ -83,12 +86,19 @@
         period = 1 / self._rate(share)
         # Of a smaller share or limit, which held before, no longer wait is left over.
         next_at = min(self._next_at, now + period)
-        if self._saved_seconds(share) < 0 and now - next_at > PLACE_SECONDS:
+        if self._places_lapse(share) and now - next_at > PLACE_SECONDS:
             next_at += math.ceil((now - PLACE_SECONDS - next_at) / period) * period
         return next_at
 
     def _rate(self, share: float) -> float:
-        return max(LEAST_LIMIT, self.per_second or 0.0) * share
+        """Return the requests a second that this entry may send."""
+        limit = self.per_second or 0.0
+        if self._places_lapse(share):
+            return max(LEAST_LAPSING_LIMIT, LAPSING_PART * limit) * share
+        return max(LEAST_LIMIT, limit) * share
+
+    def _places_lapse(self, share: float) -> bool:
+        return self._saved_seconds(share) < 0
 
     def _saved_seconds(self, share: float) -> float:
         """Return for how long unused places are saved, below 0 if none may be.
