--- a/libs/cli/src/headcross_cli/explaining.py
+++ b/libs/cli/src/headcross_cli/explaining.py
@@ -73,7 +73,7 @@
 
 
 def _asked_before(refusal: Line, asked: list[Line]) -> list[Line]:
-    """Return the newest word of each replica to the entry that refused a request for a place.
+    """Return what each replica last asked of the entry that found no place for a request.
 
     `asked` is sorted by its moments. A limit that had ended is left out.
     """
