Known red: three entries back in the users' words, their checks as they were

The users' issue "Our known failures" names three faults that left the list, were reworded, or whose test was eased.

- test_a_request_that_a_link_delivers_after_its_withdrawal_...: let a refusal stand for a link that held nothing, so the test passed without the case that it is about.
- ..._while_the_replica_answered_nothing_...: its entry alone was reworded.

Both long docstrings give way to one line; the stories are in docs/incidents and docs/design/beside-a-replica.md.

--- a/tests/test_beside_replica.py
+++ b/tests/test_beside_replica.py
@@ -241,29 +241,17 @@
 async def test_a_chunk_that_turned_bad_after_its_process_was_killed_is_not_loaded(
     tmp_path: Path,
 ) -> None:
-    """A daemon was killed with its order in doubt; the replica takes it seconds later.
-
-    What happens: version 2 lies beside the replica, read back whole, and the order to load it has
-    no answer when its daemon is killed. A chunk turns bad. Version 3 is named, and the daemon
-    starts again. 3.5 s later the replica takes the order for version 2, with the bad chunk.
-
-    Why: the later process left alone what lay there, since an order for it might be open, and so
-    did not mend it either. It went by version 3 only and had no digests of version 2 to tell which
-    chunk was bad.
-
-    The evidence: between its start and the load it fetches version 3 and neither reads nor puts a
-    chunk: its lines are "started", "fetching" of version 3 and, 2.8 s after the start, "orders
-    counted" with version 2 loaded. The load has one chunk of 16 bad, the one that was spoilt. With
-    the mend the lines "found beside the replica" (version 2) and "staged chunks bad" (chunk 0)
-    stand between them, 0.6 s after the start.
-
-    Known red where nobody can look in time: on a machine with 32 of these sites at once the
-    process logs "started" 2.6 s after the version was named, and the replica takes the order 1.2 s
-    later, 0.1 s after "staged chunks bad".
-    """
+    """A killed daemon's order is taken seconds later, with a chunk that nobody put right."""
     async with small_site(tmp_path, models=1, daemons=True) as site:
         await wait_offered(site)
-        replica = await kill_with_order_in_doubt(site)
+        replica = model_replica(site).replica
+        replica.orders_kept_back = 1
+        site.name_version(2)
+        with trio.fail_after(LOADED_SECONDS):
+            while not replica.kept_orders:
+                await trio.sleep(0.005)
+        site.signal("daemon0", signal.SIGKILL)
+        await site.wait_exit("daemon0")
         spoil(replica, 0)
         site.name_version(3)
         site.start("daemon0")
@@ -276,19 +264,7 @@
 async def test_a_chunk_that_turned_bad_while_the_replica_answered_nothing_is_not_loaded(
     tmp_path: Path,
 ) -> None:
-    """Nobody can reach the replica between the moment a chunk turns bad and the load.
-
-    What happens: version 2 lies beside the replica, read back whole, and its order has no answer.
-    A chunk turns bad, and the replica answers no call for 3.5 s. Then it takes the order.
-
-    Why: a chunk is mended by a call, and there is none that the replica answers. An order that was
-    sent cannot be taken back. So the load cannot be kept whole; what can be done is to keep
-    requests away from it (see test_confirmed_loads).
-
-    The evidence: "order without an answer" after 1.0 s, "replica lost" 1.1 s later as the first
-    report fails, and no further line before the load. All calls in between were sent and had no
-    answer.
-    """
+    """An order is in doubt, and its replica answers no call from the spoiling to the load."""
     async with small_site(tmp_path, models=1, daemons=True) as site:
         await wait_offered(site)
         replica = model_replica(site).replica
--- a/tests/test_old_weights.py
+++ b/tests/test_old_weights.py
@@ -155,21 +155,13 @@
         name_version_without_weights(site, 2)
         link.hold()
         await trio.sleep(1.2)  # entries send to old weights until 2.4 s after the naming
-        replies: list[Reply] = []
-
-        async def call() -> None:
-            replies.append(await ask(site.callers("entry0"), STRICT))
-
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(call)
+            nursery.start_soon(ask, site.callers("entry0"), STRICT)
             await trio.sleep_until(named_at + BOUND_SECONDS + 0.3)
             link.release()
         await trio.sleep(0.3)
         late = [run.began_at - named_at for run in listed.replica.runs[served:]]
-        assert not late, late
-        # Either the link held the request, or its caller was told that it did not run, and it did
-        # not: nothing of it had been sent.
-        assert link.held or [reply.status for reply in replies] == [503]
+        assert link.held and not late, late
 
 
 class HeldLink:
