A request to old weights goes only over a connection that has just proved to deliver

What callers saw: a stream was answered on weights whose bound had passed.

Cause: what an entry took for "this link delivers" was up to 1.2 s old (an answer of the last second, a subscription that a daemon had got), or of another path than the request's, and nothing was asked more than 3.0 s before the bound.

Why this works: the proof takes the request's own path, and a link that holds the proof holds nothing of the request. It replaces the refusal where no daemon was heard and nobody was answered within a second, and the one where a daemon stands still or is dead: those callers are tried now. Ruled out: acknowledgements of the connection (a proxy gives them).

No caller is refused over links that deliver (a test of its own). What is left, a hold within the round trip between proof and request, has a test and is known red: no sender can know of it. The tests of attempts hand their proofs over as their constructor asks; nothing in their checks changed.

--- a/libs/daemon/src/headcross_daemon/gatewayrole.py
+++ b/libs/daemon/src/headcross_daemon/gatewayrole.py
@@ -444,6 +444,8 @@
         samples[sample("requests_in_flight")] = self._path.in_flight
         samples[sample("attempts_total")] = self._path.attempts.made
         samples[sample("attempts_withdrawn_total")] = self._path.unbegun.withdrawn
+        samples[sample("link_proofs_total")] = self._path.attempts.proofs.asked
+        samples[sample("link_proofs_missed_total")] = self._path.attempts.proofs.missed
         samples[sample("retries_total")] = self._path.budget.spent
         samples[sample("retries_denied_total")] = self._path.budget.denied
         standings = self._containment.shared.count_standings()
--- a/libs/gateway/src/headcross_gateway/attempts.py
+++ b/libs/gateway/src/headcross_gateway/attempts.py
@@ -1,6 +1,7 @@
 """One attempt at one replica, and what is known of it afterwards.
 
-Straight down: a connection; the request; the head of the answer and the first piece of its body;
+Straight down: a connection; where old weights are about to end, a proof that it delivers; the
+request; the head of the answer and the first piece of its body;
 the rest of it, whole or event by event. Up to that first piece the attempt may be withdrawn, since
 its weights end. How far it got decides what is known:
 
@@ -33,6 +34,7 @@
 
 from headcross_gateway.connections import ReplicaConnections
 from headcross_gateway.eventstream import EventTooLongError
+from headcross_gateway.linkproofs import LinkProofs, LinkUnprovenError
 from headcross_gateway.outcomes import DidNotRun, MayRun, Outcome, Streamed, Whole
 from headcross_gateway.relay import EventOutOfOrderError, StreamRelay, passed_headers
 from headcross_gateway.replicastate import ReplicaState
@@ -71,6 +73,8 @@
 class AttemptTimes:
     """When an attempt came how far, on trio's clock; None where it did not."""
 
+    # How long the proof took that its connection delivers, in seconds; None where none came.
+    proof_seconds: float | None = None
     sending_at: float | None = None  # the first byte was about to be written
     sent_at: float | None = None  # the whole request had been written
     began_at: float | None = None  # the first piece of the answer's body was here
@@ -101,10 +105,14 @@
     # Attempts made so far.
     made: int
     connections: ReplicaConnections
+    proofs: LinkProofs
 
-    def __init__(self, dialect: RequestDialect, unbegun: UnbegunAttempts) -> None:
+    def __init__(
+        self, dialect: RequestDialect, unbegun: UnbegunAttempts, proofs: LinkProofs
+    ) -> None:
         self.made = 0
         self.connections = ReplicaConnections()
+        self.proofs = proofs
         self._unbegun = unbegun
         self._dialect = dialect
 
@@ -130,7 +138,8 @@
                 times.unbegun = waiting
                 placed_at = trio.current_time()
                 connection = await self.connections.take(place.replica.address, fresh=fresh)
-                # It may take 0.6 s to open, so what was decided before is looked at again.
+                await self._prove(connection, facts, place, times)
+                # Both take a while, so what was decided before is looked at again.
                 if place.takes_nothing() or place.backpressure.is_resting(monotonic()):
                     begun: _Begun | Outcome = _LEFT_MEANWHILE
                 else:
@@ -147,6 +156,16 @@
                 outcome = begun
         except ConnectError as error:
             return DidNotRun(UNREACHED, str(error), arrived=False)
+        except LinkUnprovenError as error:
+            assert connection is not None
+            await connection.abandon()
+            return DidNotRun(
+                UNREACHED,
+                str(error),
+                arrived=False,
+                withdrawn=not error.silent,
+                unproven=error.silent,
+            )
         except LinkLostError as error:
             silent = isinstance(error, SilentError)
             outcome = MayRun(LINK_LOST, str(error), silent=silent, broken=not silent)
@@ -163,6 +182,20 @@
             await connection.abandon()
         return outcome
 
+    async def _prove(
+        self,
+        connection: HttpConnection,
+        facts: RequestFacts,
+        place: ReplicaState,
+        times: AttemptTimes,
+    ) -> None:
+        """Have a connection prove that it delivers, where the request could come too late."""
+        if not self.proofs.is_needed(facts.model, place):
+            return
+        began_at = trio.current_time()
+        await self.proofs.take(connection)
+        times.proof_seconds = trio.current_time() - began_at
+
     async def _begin(
         self,
         connection: HttpConnection,
--- a/libs/gateway/src/headcross_gateway/outcomes.py
+++ b/libs/gateway/src/headcross_gateway/outcomes.py
@@ -36,6 +36,7 @@
     arrived: bool  # the replica has seen the request
     elsewhere: bool = False  # another incarnation, or other weights, are at that address
     withdrawn: bool = False  # this entry took it back; that tells nothing of the replica
+    unproven: bool = False  # not sent, since the link was not shown to deliver
 
 
 @dataclass(frozen=True, slots=True)
--- a/libs/gateway/src/headcross_gateway/picking.py
+++ b/libs/gateway/src/headcross_gateway/picking.py
@@ -160,11 +160,11 @@
 
 
 def _link_is_trusted(state: ReplicaState) -> bool:
-    """Tell whether a replica's link is known to bring requests through without delay.
+    """Tell whether nothing is known to have been held lately on a replica's link.
 
     One that holds requests back delivers them even after their connection's reset.
     """
-    return state.health.silent_age() >= CALM_SECONDS and state.delivers()
+    return state.health.silent_age() >= CALM_SECONDS and state.may_deliver()
 
 
 def _version_fits(state: ReplicaState, wish: Wish, lowest: int) -> bool:
--- a/libs/gateway/src/headcross_gateway/replicastate.py
+++ b/libs/gateway/src/headcross_gateway/replicastate.py
@@ -31,12 +31,10 @@
 # that it answers, or a request was answered so lately.
 LAPSED_TOLD_SECONDS: Final = 0.8
 LAPSED_ANSWERED_SECONDS: Final = 2.0
-# Shortly before the bound on its version, a replica's link must have shown that it delivers: by a
-# subscription of this entry that came through and was sent so lately, or, where no daemon was
-# heard, by a request that was answered so lately. Entries subscribe every 0.3 s then, and daemons
-# tell every 0.15 s to 0.45 s. A link that is too narrow holds requests back for longer.
+# Shortly before the bound on its version, a replica whose daemon speaks is not tried unless a
+# subscription of this entry came through that was sent so lately. Entries subscribe every 0.3 s
+# then, and daemons tell every 0.15 s to 0.45 s. A link that is too narrow holds them for longer.
 DELIVERED_SECONDS: Final = 1.2
-ANSWERED_SECONDS: Final = 1.0
 # A replica whose daemon has not reached it for so long has ended.
 OUT_OF_REACH_SECONDS: Final = 1.5
 # A replica that refused a request for want of room is not tried again for so long.
@@ -100,10 +98,13 @@
         """Tell whether its daemon spoke before and has been silent for too long since."""
         return self.told is not None and self.told_age() > LATE_SECONDS
 
-    def delivers(self) -> bool:
-        """Tell whether its link has lately brought something of this entry through in time."""
-        if self.told is None:
-            return self.health.answered_within(ANSWERED_SECONDS)
+    def may_deliver(self) -> bool:
+        """Tell whether its daemon, if it speaks, says nothing against its link.
+
+        That only saves a try: each request to old weights has its own proof (see linkproofs).
+        """
+        if self.told is None or self.told_late():
+            return True
         return monotonic() - self.told.load.subscribed_ms / 1000 < DELIVERED_SECONDS
 
     def fresh_load(self) -> ReplicaLoad | None:
@@ -176,6 +177,9 @@
                 self.gone = True
             case DidNotRun(elsewhere=True) if self.told_late():
                 self.full_until = monotonic() + OTHER_VERSION_SECONDS
+            case DidNotRun(unproven=True):
+                self.health.failed(certain=False)
+                self.health.was_silent()
             case DidNotRun(arrived=True):
                 self.full_until = monotonic() + FULL_SECONDS
             case DidNotRun():
--- a/libs/gateway/src/headcross_gateway/requestlog.py
+++ b/libs/gateway/src/headcross_gateway/requestlog.py
@@ -51,6 +51,8 @@
         fields["weights_left"] = round(weights.seconds_left, 2)
     if isinstance(outcome, MayRun) and not outcome.withdrawn:
         fields["request_digest"] = str(request.identity)
+    if times.proof_seconds is not None:
+        fields["proof_ms"] = round(times.proof_seconds * 1000, 1)
     for name, moment in (("sent_ms", times.sent_at), ("began_ms", times.began_at)):
         if moment is not None:
             fields[name] = round((moment - request.arrived_at) * 1000, 1)
--- a/libs/gateway/src/headcross_gateway/requestpath.py
+++ b/libs/gateway/src/headcross_gateway/requestpath.py
@@ -42,6 +42,7 @@
 from headcross_gateway.attempts import Attempts, AttemptTimes
 from headcross_gateway.budget import RetryBudget
 from headcross_gateway.containment import Containment
+from headcross_gateway.linkproofs import LinkProofs
 from headcross_gateway.outcomes import DidNotRun, MayRun, Outcome, Streamed, Whole
 from headcross_gateway.overload import (
     COME_BACK_LATER_SECONDS,
@@ -97,7 +98,7 @@
         self.in_flight = 0
         self.budget = budget
         self.unbegun = UnbegunAttempts(rules)
-        self.attempts = Attempts(dialect, self.unbegun)
+        self.attempts = Attempts(dialect, self.unbegun, LinkProofs(rules, dialect))
         self._last_moment: float | None = None
         self._facts = facts
         self._dialect = dialect
--- a/libs/gateway/src/headcross_gateway/weightsrules.py
+++ b/libs/gateway/src/headcross_gateway/weightsrules.py
@@ -24,8 +24,12 @@
 # start: a replica may be ever less full, from the first share of its places to the second.
 CLOSING_SECONDS: Final = 1.0
 CLOSING_SHARES: Final = (0.86, 0.4)
-# A narrow link was measured to hold requests back for up to 2.7 s (docs/design/decisions.md). From
-# so long before the bound on, what goes to an old version must not go where that happens.
+# How long a request may be under way after its entry gave it up: a squeezed link delivered one
+# 3.0 s after its sending, and its replica began it 0.24 s later. From so long before the bound on,
+# a link must prove that it delivers before it takes a request to an old version.
+UNDER_WAY_SECONDS: Final = 5.0
+# From so long before the bound on, old versions are not even tried where something is known to
+# have been held lately.
 ENDING_SECONDS: Final = 3.0
 # A process that starts after a version was named does not know when that was. It serves older
 # versions for so long after its start.
@@ -59,6 +63,10 @@
         """Tell whether a request that is held back for long would start after the bound."""
         return self._seconds_to_bound(model, version) < ENDING_SECONDS
 
+    def may_be_held_past_bound(self, model: str, version: int) -> bool:
+        """Tell whether what is sent to a version now could reach its replica after the bound."""
+        return self._seconds_to_bound(model, version) < UNDER_WAY_SECONDS
+
     def any_ends_within(self, seconds: float) -> bool:
         """Tell whether a bound on older versions comes within so many seconds."""
         now = monotonic()
--- a/libs/ports/src/headcross_ports/requests.py
+++ b/libs/ports/src/headcross_ports/requests.py
@@ -81,6 +81,9 @@
     def upstream_headers(self, headers: Headers, hand_over: HandOver) -> Headers:
         """Return the headers for a replica, from those of the caller."""
 
+    def immediate_target(self) -> str:
+        """Return the target of a GET that a replica answers at once, whatever it runs."""
+
     def read_answer(self, status: int, headers: Headers) -> AnswerFacts:
         """Return what a replica's headers say."""
 
--- /dev/null
+++ b/testing/heldlink.py
@@ -0,0 +1,101 @@
+"""A link to a replica that holds what goes there, and delivers it even after a reset.
+
+What the machine of the replica itself sends does not take the link.
+"""
+
+from contextlib import suppress
+
+import trio
+from headcross_base.addresses import Address
+from headcross_platform import names
+
+
+class HeldLink:
+    """A link that can hold what goes to a replica, and delivers it even after a reset."""
+
+    def __init__(self, public: Address, private: Address) -> None:
+        self.public = public
+        self.connections = 0
+        self.held = 0  # bytes
+        # Connections whose last bytes were a proof that they deliver; a request follows at once.
+        self._proving: set[trio.SocketStream] = set()
+        self._proof_followed = trio.Event()
+        self._holds_behind_proof = False
+        self._private = private
+        self._released = trio.Event()
+        self._released.set()
+
+    async def open(self, nursery: trio.Nursery) -> None:
+        """Listen at the public address until the nursery ends."""
+        listeners = await trio.open_tcp_listeners(self.public.port, host=self.public.ip)
+        nursery.start_soon(trio.serve_listeners, self._serve, listeners)
+
+    def hold(self) -> None:
+        """Hold what comes from now on."""
+        self._released = trio.Event()
+
+    async def hold_between_requests(self) -> None:
+        """Hold what comes from the moment on in which no request is about to follow its proof."""
+        while self._proving:
+            self._proof_followed = trio.Event()
+            await self._proof_followed.wait()
+        self.hold()
+
+    def hold_behind_next_proof(self) -> None:
+        """Hold what comes from the next request on that follows its proof."""
+        self._holds_behind_proof = True
+
+    def release(self) -> None:
+        """Deliver what is held, and pass on what comes."""
+        self._released.set()
+
+    async def _serve(self, caller: trio.SocketStream) -> None:
+        target = await trio.open_tcp_stream(self._private.ip, self._private.port)
+        if caller.socket.getpeername()[0] == self.public.ip:
+            await self._pass_on(caller, target)
+            return
+        self.connections += 1
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._copy, target, caller)
+            with suppress(trio.BrokenResourceError):
+                while data := await caller.receive_some():
+                    self._note_proof(caller, data)
+                    self.held += 0 if self._released.is_set() else len(data)
+                    nursery.start_soon(self._deliver, target, data, self._released)
+            self._note_proof(caller, b"")
+            await self._released.wait()
+            await trio.sleep(0.2)  # the reset comes behind the bytes
+            nursery.cancel_scope.cancel()
+        for stream in (caller, target):
+            await trio.aclose_forcefully(stream)
+
+    async def _pass_on(self, caller: trio.SocketStream, target: trio.SocketStream) -> None:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._copy, target, caller)
+            await self._copy(caller, target)
+            nursery.cancel_scope.cancel()
+        for stream in (caller, target):
+            await trio.aclose_forcefully(stream)
+
+    def _note_proof(self, caller: trio.SocketStream, data: bytes) -> None:
+        """Note whether the last bytes of a connection are a proof."""
+        if data.startswith(b"GET " + names.REPORT_PATH.encode()) and self._released.is_set():
+            self._proving.add(caller)
+            return
+        if data and caller in self._proving and self._holds_behind_proof:
+            self._holds_behind_proof = False
+            self.hold()
+        self._proving.discard(caller)
+        self._proof_followed.set()
+
+    @staticmethod
+    async def _deliver(target: trio.SocketStream, data: bytes, released: trio.Event) -> None:
+        await released.wait()
+        with suppress(trio.BrokenResourceError, trio.ClosedResourceError):
+            await target.send_all(data)
+
+    @staticmethod
+    async def _copy(origin: trio.SocketStream, target: trio.SocketStream) -> None:
+        with suppress(trio.BrokenResourceError, trio.ClosedResourceError):
+            while data := await origin.receive_some():
+                await target.send_all(data)
--- /dev/null
+++ b/tests/test_gateway_linkproofs.py
@@ -0,0 +1,109 @@
+"""The proof that a connection delivers, before a request to old weights is sent on it."""
+
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+
+import pytest
+import trio
+from headcross_base.addresses import Address
+from headcross_base.clocks import monotonic
+from headcross_base.errorcodes import UNREACHED
+from headcross_facts.facts import VersionNotice
+from headcross_gateway.linkproofs import LinkProofs, LinkUnprovenError
+from headcross_gateway.outcomes import DidNotRun
+from headcross_gateway.weightsrules import UNDER_WAY_SECONDS
+from headcross_platform.dialect import PlatformDialect
+from headcross_wire.httpclient import HttpConnection, connect
+
+from tests.test_gateway_places import model_place
+from tests.test_gateway_rules import rules
+
+BOUND_SECONDS = 8.0
+Serve = Callable[[trio.SocketStream], Awaitable[None]]
+
+
+@asynccontextmanager
+async def connection_to(serve: Serve) -> AsyncIterator[HttpConnection]:
+    """Connect to a replica that does as it is told with what comes."""
+    async with trio.open_nursery() as nursery:
+        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        nursery.start_soon(trio.serve_listeners, serve, listeners)
+        port = listeners[0].socket.getsockname()[1]
+        connection = await connect(Address("127.0.0.1", port))
+        yield connection
+        await connection.close()
+        nursery.cancel_scope.cancel()
+
+
+async def answer_all(stream: trio.SocketStream) -> None:
+    while await stream.receive_some():
+        await stream.send_all(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}")
+
+
+async def answer_and_close(stream: trio.SocketStream) -> None:
+    await stream.receive_some()
+    head = b"HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: 2\r\n\r\n"
+    await stream.send_all(head + b"{}")
+
+
+async def say_nothing(stream: trio.SocketStream) -> None:
+    while await stream.receive_some():
+        pass
+
+
+async def close(stream: trio.SocketStream) -> None:
+    await stream.receive_some()
+
+
+def proofs(age: float = BOUND_SECONDS) -> LinkProofs:
+    """Return the proofs of an entry that learned of version 2 so many seconds ago."""
+    return LinkProofs(rules([VersionNotice(2, monotonic() - age, False)]), PlatformDialect())
+
+
+@pytest.mark.parametrize(
+    ("left", "version", "needed"),
+    [
+        (UNDER_WAY_SECONDS + 0.5, 1, False),
+        (UNDER_WAY_SECONDS - 0.1, 1, True),
+        (1.0, 1, True),
+        (1.0, 2, False),
+    ],
+)
+def test_only_old_weights_whose_bound_is_near_need_a_proof(
+    left: float, version: int, needed: bool
+) -> None:
+    place = model_place("replica", version, 0)
+    assert proofs(BOUND_SECONDS - left).is_needed("m", place) == needed
+    assert not proofs(BOUND_SECONDS - left).is_needed(None, place)
+
+
+async def test_a_connection_that_answers_may_carry_a_request_after_its_proof() -> None:
+    taken = proofs()
+    async with connection_to(answer_all) as connection:
+        await taken.take(connection)
+        await connection.send("GET", "/", [], b"")
+        assert (await connection.receive_answer()).status == 200
+    assert (taken.asked, taken.missed) == (1, 0)
+
+
+@pytest.mark.parametrize(
+    ("serve", "silent"), [(say_nothing, True), (close, False), (answer_and_close, False)]
+)
+async def test_a_connection_without_its_proof_carries_no_request(
+    serve: Serve, silent: bool
+) -> None:
+    taken = proofs()
+    async with connection_to(serve) as connection:
+        with pytest.raises(LinkUnprovenError) as raised:
+            await taken.take(connection)
+    assert raised.value.silent == silent
+    assert (taken.asked, taken.missed) == (1, int(silent))
+
+
+def test_a_replica_whose_link_is_not_proven_is_left_alone_after_the_second_time() -> None:
+    place = model_place("replica", 1, 0)
+    unproven = DidNotRun(UNREACHED, "", arrived=False, unproven=True)
+    place.learn(unproven, bound=False)
+    assert not place.health.resting() and place.health.silent_age() < 1.0
+    place.learn(unproven, bound=False)
+    assert place.health.resting()
--- a/tests/test_gateway_streams.py
+++ b/tests/test_gateway_streams.py
@@ -7,6 +7,7 @@
 from headcross_gateway import attempts as attempts_module
 from headcross_gateway.attempts import Attempts, Patience
 from headcross_gateway.eventstream import EventSplitter
+from headcross_gateway.linkproofs import LinkProofs
 from headcross_gateway.outcomes import MayRun, Streamed
 from headcross_gateway.relay import EventOutOfOrderError, StreamRelay
 from headcross_gateway.replicastate import ReplicaState
@@ -97,7 +98,8 @@
     mock_clock.autojump_threshold = 0
     exchange = FakeExchange()
     relay = StreamRelay(exchange, None)  # type: ignore[arg-type]
-    attempts = Attempts(PlatformDialect(), UnbegunAttempts(rules([])))
+    proofs = LinkProofs(rules([]), PlatformDialect())
+    attempts = Attempts(PlatformDialect(), UnbegunAttempts(rules([])), proofs)
     connection = ScriptedConnection(mock_clock, [EVENT % 0], jump)
 
     async def take(address: Address, *, fresh: bool) -> ScriptedConnection:
@@ -122,7 +124,8 @@
     autojump_clock: trio.testing.MockClock, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """The time was counted when the replica was chosen, up to 0.6 s before it was sent."""
-    attempts = Attempts(PlatformDialect(), UnbegunAttempts(rules([])))
+    proofs = LinkProofs(rules([]), PlatformDialect())
+    attempts = Attempts(PlatformDialect(), UnbegunAttempts(rules([])), proofs)
     connection = ScriptedConnection(autojump_clock, [], 0.0)
 
     async def take(address: Address, *, fresh: bool) -> ScriptedConnection:
--- a/tests/test_gateway_unbegun.py
+++ b/tests/test_gateway_unbegun.py
@@ -9,6 +9,7 @@
 from headcross_base.clocks import monotonic
 from headcross_facts.facts import VersionNotice
 from headcross_gateway.attempts import Attempts, Patience
+from headcross_gateway.linkproofs import LinkProofs
 from headcross_gateway.outcomes import DidNotRun, Outcome
 from headcross_gateway.replicastate import ReplicaState, Told
 from headcross_gateway.unbegun import UnbegunAttempts
@@ -215,7 +216,8 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> tuple[Outcome, OpenConnection]:
     """Make an attempt whose connection opens after some seconds, whatever cancels it, or never."""
-    attempts = Attempts(PlatformDialect(), unbegun)
+    proofs = LinkProofs(rules([]), PlatformDialect())
+    attempts = Attempts(PlatformDialect(), unbegun, proofs)
     connection = OpenConnection()
 
     async def take(address: Address, *, fresh: bool) -> OpenConnection:
--- /dev/null
+++ b/tests/test_held_links.py
@@ -0,0 +1,175 @@
+"""Requests to old weights over links that hold them and deliver them after their withdrawal."""
+
+import random
+import signal
+from enum import Enum
+from pathlib import Path
+
+import pytest
+import trio
+from headcross_base.addresses import Address
+from headcross_gateway.weightsrules import CLOSING_SECONDS, MARGIN_SECONDS
+
+from testing.heldlink import HeldLink
+from testing.machinecaller import Reply, ask
+from testing.machinelayout import MODEL_SERVICE
+from testing.machines import ListedReplica, Machines, small_site
+from tests.test_machine_weights import wait_offered
+from tests.test_old_weights import STREAM, STRICT, name_version_without_weights
+
+BOUND_SECONDS = 6.0
+
+LAST_SENDING_SECONDS = BOUND_SECONDS - MARGIN_SECONDS
+# Links begin to hold from so long before the last sending until so long after it.
+BEFORE_SECONDS = 3.0
+AFTER_SECONDS = 0.5
+LINKS = 4
+DRAWS = range(7310, 7320)
+CALLER_GAP_SECONDS = 0.05
+RELEASED_SECONDS = BOUND_SECONDS + 0.3
+
+
+class Daemons(Enum):
+    """What is beside the replicas while their links hold."""
+
+    NONE = "none"
+    OTHER_LINK = "speak over another link"
+    SILENT = "stand still"
+    DEAD = "are dead"
+
+
+async def put_links(site: Machines, *, daemons: bool) -> dict[HeldLink, ListedReplica]:
+    """Have entries reach each replica of the model over a link of its own; return the links."""
+    links: dict[HeldLink, ListedReplica] = {}
+    for listed in site.replicas.values():
+        if listed.service != MODEL_SERVICE:
+            continue
+        link = HeldLink(Address(site.new_ip(), listed.address.port), listed.address)
+        await link.open(site.nursery)
+        site.unlist(listed)
+        listed.ip = link.public.ip
+        site.list_replica(listed)
+        links[link] = listed
+        if daemons:
+            name = f"daemon{len(links)}"
+            site.add_daemon(name, listed)
+            site.start(name)
+    if daemons:
+        await wait_offered(site)
+    with trio.fail_after(20):
+        while not all(link.connections for link in links):
+            async with trio.open_nursery() as nursery:
+                for _ in range(len(links)):
+                    nursery.start_soon(ask, site.callers("entry0"), STRICT)
+    return links
+
+
+async def call_until(site: Machines, moment: float) -> list[Reply]:
+    """Send streams that may and that may not be repeated, until a moment (trio's clock)."""
+    replies: list[Reply] = []
+
+    async def call(path: str) -> None:
+        replies.append(await ask(site.callers("entry0"), path))
+
+    async with trio.open_nursery() as nursery:
+        path = STREAM
+        while trio.current_time() < moment:
+            path = STRICT if path == STREAM else STREAM
+            nursery.start_soon(call, path)
+            await trio.sleep(CALLER_GAP_SECONDS)
+    return replies
+
+
+def late_runs(links: dict[HeldLink, ListedReplica], named_at: float) -> list[float]:
+    """Return when runs on old weights began after the bound, in seconds since the naming."""
+    began = [run.began_at for listed in links.values() for run in listed.replica.runs]
+    return [round(at - named_at, 2) for at in began if at - named_at > BOUND_SECONDS]
+
+
+def quieten(site: Machines, daemons: Daemons) -> None:
+    """Have the daemons of a site stand still or end, where that is asked."""
+    number = {Daemons.SILENT: signal.SIGSTOP, Daemons.DEAD: signal.SIGKILL}.get(daemons)
+    for name, machine in site.machines.items():
+        if number is not None and machine.role == "upstream":
+            site.signal(name, number)
+
+
+async def play_held_links(tmp_path: Path, seed: int, daemons: Daemons) -> None:
+    """Have each link hold from a drawn moment on; check that nothing begins late."""
+    draw = random.Random(seed)
+    moments = [draw.uniform(-BEFORE_SECONDS, AFTER_SECONDS) for _ in range(LINKS)]
+    async with small_site(
+        tmp_path, models=LINKS, plain=0, weights_ms=1000 * BOUND_SECONDS
+    ) as site:
+        links = await put_links(site, daemons=daemons is not Daemons.NONE)
+        named_at = trio.current_time()
+        name_version_without_weights(site, 2)
+        quieten(site, daemons)
+
+        async def hold(link: HeldLink, moment: float) -> None:
+            await trio.sleep_until(named_at + LAST_SENDING_SECONDS + moment)
+            await link.hold_between_requests()
+            await trio.sleep_until(named_at + RELEASED_SECONDS)
+            link.release()
+
+        async with trio.open_nursery() as nursery:
+            for link, moment in zip(links, moments, strict=True):
+                nursery.start_soon(hold, link, moment)
+            await call_until(site, named_at + BOUND_SECONDS)
+        await trio.sleep(0.5)
+        late = late_runs(links, named_at)
+        assert not late, (late, moments)
+
+
+@pytest.mark.parametrize("daemons", [Daemons.NONE, Daemons.OTHER_LINK])
+@pytest.mark.parametrize("seed", DRAWS)
+async def test_no_request_begins_late_on_old_weights_whenever_its_link_begins_to_hold(
+    tmp_path: Path, seed: int, daemons: Daemons
+) -> None:
+    """What a link holds is delivered after its withdrawal, and begins on old weights."""
+    await play_held_links(tmp_path, seed, daemons)
+
+
+@pytest.mark.parametrize("daemons", [Daemons.SILENT, Daemons.DEAD])
+@pytest.mark.parametrize("seed", DRAWS[:3])
+async def test_no_request_begins_late_on_old_weights_over_a_held_link_without_its_daemon(
+    tmp_path: Path, seed: int, daemons: Daemons
+) -> None:
+    """A daemon that tells no more what comes through leaves the links unwatched."""
+    await play_held_links(tmp_path, seed, daemons)
+
+
+@pytest.mark.parametrize("daemons", [Daemons.NONE, Daemons.OTHER_LINK])
+async def test_callers_are_served_by_old_weights_until_shortly_before_the_bound(
+    tmp_path: Path, daemons: Daemons
+) -> None:
+    """Links that deliver cost no caller an answer."""
+    async with small_site(
+        tmp_path, models=LINKS, plain=0, weights_ms=1000 * BOUND_SECONDS
+    ) as site:
+        await put_links(site, daemons=daemons is not Daemons.NONE)
+        named_at = trio.current_time()
+        name_version_without_weights(site, 2)
+        replies = await call_until(site, named_at + LAST_SENDING_SECONDS - CLOSING_SECONDS)
+        assert len(replies) > LAST_SENDING_SECONDS
+        assert all(reply.whole and reply.status == 200 for reply in replies), replies
+
+
+async def test_a_request_whose_link_holds_right_behind_its_proof_does_not_begin_late(
+    tmp_path: Path,
+) -> None:
+    """A link begins to hold within the round trip between a proof and the request behind it."""
+    async with small_site(tmp_path, models=1, plain=0, weights_ms=1000 * BOUND_SECONDS) as site:
+        links = await put_links(site, daemons=False)
+        (link,) = links
+        named_at = trio.current_time()
+        name_version_without_weights(site, 2)
+        await trio.sleep_until(named_at + LAST_SENDING_SECONDS - 1.2)
+        link.hold_behind_next_proof()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ask, site.callers("entry0"), STRICT)
+            await trio.sleep_until(named_at + RELEASED_SECONDS)
+            link.release()
+        await trio.sleep(0.5)
+        late = late_runs(links, named_at)
+        assert link.held and not late, late
--- a/tests/test_old_weights.py
+++ b/tests/test_old_weights.py
@@ -8,7 +8,6 @@
 requests.
 """
 
-from contextlib import suppress
 from pathlib import Path
 
 import pytest
@@ -17,6 +16,7 @@
 from headcross_gateway.weightsrules import WITHDRAWAL_SECONDS
 from headcross_platform import names
 
+from testing.heldlink import HeldLink
 from testing.machinecaller import Reply, ask
 from testing.machinelayout import MODEL, MODEL_SERVICE
 from testing.machines import Machines, replicas_of, small_site
@@ -162,54 +162,3 @@
         await trio.sleep(0.3)
         late = [run.began_at - named_at for run in listed.replica.runs[served:]]
         assert link.held and not late, late
-
-
-class HeldLink:
-    """A link that can hold what goes to a replica, and delivers it even after a reset."""
-
-    def __init__(self, public: Address, private: Address) -> None:
-        self.public = public
-        self.connections = 0
-        self.held = 0  # bytes
-        self._private = private
-        self._released = trio.Event()
-        self._released.set()
-
-    async def open(self, nursery: trio.Nursery) -> None:
-        """Listen at the public address until the nursery ends."""
-        listeners = await trio.open_tcp_listeners(self.public.port, host=self.public.ip)
-        nursery.start_soon(trio.serve_listeners, self._serve, listeners)
-
-    def hold(self) -> None:
-        """Hold what comes from now on."""
-        self._released = trio.Event()
-
-    def release(self) -> None:
-        """Deliver what is held, and pass on what comes."""
-        self._released.set()
-
-    async def _serve(self, caller: trio.SocketStream) -> None:
-        self.connections += 1
-        target = await trio.open_tcp_stream(self._private.ip, self._private.port)
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._answer, target, caller)
-            with suppress(trio.BrokenResourceError):
-                while data := await caller.receive_some():
-                    self.held += 0 if self._released.is_set() else len(data)
-                    nursery.start_soon(self._deliver, target, data)
-            await self._released.wait()
-            await trio.sleep(0.2)  # the reset comes behind the bytes
-            nursery.cancel_scope.cancel()
-        for stream in (caller, target):
-            await trio.aclose_forcefully(stream)
-
-    async def _deliver(self, target: trio.SocketStream, data: bytes) -> None:
-        await self._released.wait()
-        with suppress(trio.BrokenResourceError, trio.ClosedResourceError):
-            await target.send_all(data)
-
-    @staticmethod
-    async def _answer(target: trio.SocketStream, caller: trio.SocketStream) -> None:
-        with suppress(trio.BrokenResourceError, trio.ClosedResourceError):
-            while data := await target.receive_some():
-                await caller.send_all(data)
