--- a/libs/renewal/src/headcross_renewal/recovery.py
+++ b/libs/renewal/src/headcross_renewal/recovery.py
@@ -4,7 +4,8 @@
 later with whatever lies beside it by then. Chunks may turn bad meanwhile, and one that has been
 bad for 3 s must not be loaded. So the later process finds out which version lies there, gets its
 digests and, where one is bad, its chunks from others or the origin, and keeps it whole until no
-order of an earlier process can be taken any more (see `indoubt`).
+order of an earlier process can be taken any more (see `indoubt`). Each step begins as soon as it
+can: the chunks are read once, before any version is known, and a bad one is put as it comes.
 """
 
 import logging
@@ -18,11 +19,12 @@
 from headcross_weights.chunkstore import StoredArtifact
 
 from headcross_renewal.confirmation import key_of
+from headcross_renewal.digestbook import DigestBook
 from headcross_renewal.fetching import Fetching
 from headcross_renewal.indoubt import InDoubt
 from headcross_renewal.reporting import Reporter
 from headcross_renewal.sources import weights_name
-from headcross_renewal.staging import Staging
+from headcross_renewal.staging import StagedCopy, Staging, read_staged
 
 # Much less than the 3 s for which a chunk may be bad.
 LOOK_SECONDS: Final = 0.5
@@ -42,12 +44,14 @@
         replica: ReplicaControl,
         reporter: Reporter,
         fetching: Fetching,
+        book: DigestBook,
         in_doubt: InDoubt,
     ) -> None:
         self._facts = facts
         self._replica = replica
         self._reporter = reporter
         self._fetching = fetching
+        self._book = book
         self._in_doubt = in_doubt
         self._first_report: ReplicaReport | None = None
 
@@ -55,7 +59,11 @@
         """Look and keep whole until no order of an earlier process can be open."""
         while self._awaits_earlier():
             report = self._reporter.report
-            if report is not None and self._in_doubt.ordered_before is None:
+            if report is None:
+                with trio.move_on_after(LOOK_SECONDS):
+                    await self._reporter.wait_change()
+                continue
+            if self._in_doubt.ordered_before is None:
                 await self._identify(report)
             goal = self._in_doubt.ordered_before
             stored = await self._admit(goal) if goal is not None else None
@@ -74,16 +82,43 @@
         return self._in_doubt.awaits_earlier(monotonic())
 
     async def _identify(self, report: ReplicaReport) -> None:
-        """Find out which version lies beside the replica.
+        """Find out which version lies beside the replica."""
+        models = {held.model for held in report.loaded} or set(self._facts.versions)
+        async with trio.open_nursery() as nursery:
+            for model in models:
+                nursery.start_soon(self._identify_model, model, report)
+
+    async def _identify_model(self, model: str, report: ReplicaReport) -> None:
+        """Find out which version of a model lies beside the replica.
 
         Where chunks of the served version do, no other lies there whole, so none is on order.
         """
-        for held in report.loaded:
-            if await self._adopt(held):
-                self._in_doubt.nothing_from_before()
-                return
-        for goal in self._candidates(report):
-            if await self._adopt(goal):
+        copy = await read_staged(self._replica, model)
+        if copy is None:
+            return
+        if not copy.indexes:
+            self._in_doubt.nothing_lay_there()
+            return
+        with trio.move_on_after(LOOK_SECONDS):
+            while model not in self._facts.versions:
+                await self._facts.wait_change()
+        served = [held for held in report.loaded if held.model == model]
+        newer = [goal for goal in self._candidates(report) if goal.model == model]
+        found: set[LoadedModel] = set()
+
+        async def compare(goal: LoadedModel) -> None:
+            if await self._adopt(goal, copy):
+                found.add(goal)
+
+        with trio.move_on_after(DIGESTS_SECONDS):
+            async with trio.open_nursery() as nursery:
+                for goal in (*served, *newer):
+                    nursery.start_soon(compare, goal)
+        if found.intersection(served):
+            self._in_doubt.nothing_from_before()
+            return
+        for goal in newer:
+            if goal in found:
                 logger.info("found beside the replica", extra={"goal": weights_name(goal)})
                 self._in_doubt.found_from_before(goal)
 
@@ -99,10 +134,13 @@
             found += [LoadedModel(model, version) for version in reversed(newer)]
         return found
 
-    async def _adopt(self, goal: LoadedModel) -> int:
-        """Take the chunks of a version that lie beside the replica; return how many do."""
-        stored = await self._admit(goal)
-        return await self._staging(goal).adopt(stored) if stored is not None else 0
+    async def _adopt(self, goal: LoadedModel, copy: StagedCopy) -> int:
+        """Take the chunks of a version that lay beside the replica; return how many did."""
+        digests = await self._book.obtain(goal)
+        if not copy.of_version(digests.digests):
+            return 0
+        stored = await self._fetching.admit_beside(goal)
+        return self._staging(goal).take(stored, copy) if stored is not None else 0
 
     async def _admit(self, goal: LoadedModel) -> StoredArtifact | None:
         """Return the place for a version, None without its digests or room for it."""
@@ -112,22 +150,29 @@
 
     async def _keep_whole(self, goal: LoadedModel, stored: StoredArtifact) -> None:
         """Read a version back again and again, and put what is bad of it."""
+        fetched = trio.Event()
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._fetch, goal, stored)
+            nursery.start_soon(self._fetch, goal, stored, fetched)
             self._in_doubt.keep_whole(goal)
             try:
                 while self._awaits_earlier():
+                    could_put_all = stored.whole
                     await self._staging(goal).verify(stored)
-                    await trio.sleep(LOOK_SECONDS)
+                    if could_put_all:
+                        await trio.sleep(LOOK_SECONDS)
+                        continue
+                    with trio.move_on_after(LOOK_SECONDS):
+                        await fetched.wait()
             finally:
                 self._in_doubt.keep_whole(None)
             nursery.cancel_scope.cancel()
 
-    async def _fetch(self, goal: LoadedModel, stored: StoredArtifact) -> None:
-        """Fetch what is missing of a version."""
+    async def _fetch(self, goal: LoadedModel, stored: StoredArtifact, fetched: trio.Event) -> None:
+        """Fetch what is missing of a version; set `fetched` once all of it is here."""
         while not stored.whole:
-            await self._fetching.fetch(goal, stored)
-            await trio.sleep(RETRY_SECONDS)
+            if not await self._fetching.fetch(goal, stored):
+                await trio.sleep(RETRY_SECONDS)
+        fetched.set()
 
     def _staging(self, goal: LoadedModel) -> Staging:
         return Staging(goal, self._replica, self._in_doubt)
--- a/libs/renewal/src/headcross_renewal/renewer.py
+++ b/libs/renewal/src/headcross_renewal/renewer.py
@@ -85,7 +85,7 @@
         self._set_link_use = set_link_use
         # Told whether a version is being brought here, which needs fresh news of other replicas.
         self._set_busy = set_busy
-        self._recovery = Recovery(facts, replica, reporter, fetching, orders.in_doubt)
+        self._recovery = Recovery(facts, replica, reporter, fetching, book, orders.in_doubt)
         self._confirming = Confirming(replica, reporter, book, orders.in_doubt)
         self._offered: set[LoadedModel] = set()
         # Set once all chunks of the version that is being fetched lie beside the replica.
--- a/libs/renewal/src/headcross_renewal/staging.py
+++ b/libs/renewal/src/headcross_renewal/staging.py
@@ -5,7 +5,8 @@
 """
 
 import logging
-from collections.abc import Awaitable, Callable, Iterable, Sequence
+from collections.abc import Awaitable, Callable, Iterable, Mapping, Sequence
+from dataclasses import dataclass
 from functools import partial
 from typing import Final
 
@@ -26,6 +27,20 @@
 logger = logging.getLogger(__name__)
 
 
+@dataclass(frozen=True, slots=True)
+class StagedCopy:
+    """What lay beside a replica as it was read, unverified."""
+
+    indexes: frozenset[int]  # of all chunks there
+    chunks: Mapping[int, bytes]  # those that could be read
+
+    def of_version(self, digests: Sequence[str]) -> Mapping[int, bytes]:
+        """Return the chunks that have the digests of a version."""
+        return {
+            index: data for index, data in self.chunks.items() if _belongs(data, index, digests)
+        }
+
+
 class Staging:
     """The staged copy of one model, as it is to be for one version."""
 
@@ -36,28 +51,25 @@
         self._in_doubt = in_doubt
 
     async def adopt(self, stored: StoredArtifact) -> int:
-        """Take those staged chunks that belong to a version; return how many lie there.
+        """Take those staged chunks that belong to a version; return how many lie there."""
+        copy = await read_staged(self._replica, self._model)
+        return self.take(stored, copy) if copy is not None else 0
+
+    def take(self, stored: StoredArtifact, copy: StagedCopy) -> int:
+        """Take the chunks of a version from what was read; return how many lay there.
 
         Where a chunk is missing, an earlier process of this daemon has no order open.
         """
-        held = await self._replica.staged_chunks(self._model)
-        if isinstance(held, Failure):
-            return 0
-        found = 0
-        for index in sorted(held.value):
-            data = await self._replica.read_chunk(self._model, index)
-            if isinstance(data, Failure):
-                break
-            if data.value is not None and _is_chunk(stored, index, data.value):
-                found += 1
-                stored.add(index, data.value)
-        if found == len(stored.places):
+        found = copy.of_version([place.digest for place in stored.places])
+        for index, data in found.items():
+            stored.add(index, data)
+        if len(found) == len(stored.places):
             self._in_doubt.lay_whole(self._goal)
-        if not held.value:
+        if not copy.indexes:
             self._in_doubt.nothing_lay_there()
-        elif len(held.value) < len(stored.places):
+        elif len(copy.indexes) < len(stored.places):
             self._in_doubt.nothing_from_before()
-        return found
+        return len(found)
 
     async def put(self, stored: StoredArtifact, indexes: list[int]) -> None:
         """Put chunks that are here beside the replica."""
@@ -67,12 +79,13 @@
         """Read every chunk back; put those that are bad once more. True if none was."""
         bad: list[int] = []
         unread: list[int] = []
+        digests = [place.digest for place in stored.places]
 
         async def check(index: int) -> None:
             data = await self._replica.read_chunk(self._model, index)
             if isinstance(data, Failure):
                 unread.append(index)
-            elif data.value is None or not _is_chunk(stored, index, data.value):
+            elif data.value is None or not _belongs(data.value, index, digests):
                 bad.append(index)
                 await self._put_once(stored, index)
 
@@ -106,6 +119,22 @@
         return False
 
 
+async def read_staged(replica: ReplicaControl, model: str) -> StagedCopy | None:
+    """Read what lies beside a replica, None if it does not tell what does."""
+    held = await replica.staged_chunks(model)
+    if isinstance(held, Failure):
+        return None
+    chunks: dict[int, bytes] = {}
+
+    async def read(index: int) -> None:
+        data = await replica.read_chunk(model, index)
+        if not isinstance(data, Failure) and data.value is not None:
+            chunks[index] = data.value
+
+    await _in_parallel(sorted(held.value), read)
+    return StagedCopy(held.value, chunks)
+
+
 async def find_bad(
     replica: ReplicaControl, model: str, digests: Sequence[str]
 ) -> frozenset[int] | None:
@@ -118,7 +147,7 @@
         data = await replica.read_chunk(model, index)
         if isinstance(data, Failure):
             unread = True
-        elif data.value is None or digest_of(data.value) != digests[index]:
+        elif data.value is None or not _belongs(data.value, index, digests):
             bad.add(index)
 
     await _in_parallel(range(len(digests)), check)
@@ -138,5 +167,6 @@
             nursery.start_soon(work)
 
 
-def _is_chunk(stored: StoredArtifact, index: int, data: bytes) -> bool:
-    return index < len(stored.places) and digest_of(data) == stored.places[index].digest
+def _belongs(data: bytes, index: int, digests: Sequence[str]) -> bool:
+    """Tell whether a chunk is the one that a version has at an index."""
+    return index < len(digests) and digest_of(data) == digests[index]
