--- a/libs/gateway/src/headcross_gateway/linkproofs.py
+++ b/libs/gateway/src/headcross_gateway/linkproofs.py
@@ -64,7 +64,7 @@
                 await exchange(connection, "GET", self._target, [], b"", MAX_ANSWER_BYTES)
         except trio.TooSlowError:
             self.missed += 1
-            detail = f"the link shows for {PROOF_SECONDS} s not that it delivers"
+            detail = f"the link did not show within {PROOF_SECONDS} s that it delivers"
             raise LinkUnprovenError(detail, silent=True) from None
         except LinkLostError as error:
             raise LinkUnprovenError(f"lost before its proof: {error}", silent=False) from None
--- a/libs/gateway/src/headcross_gateway/weightsrules.py
+++ b/libs/gateway/src/headcross_gateway/weightsrules.py
@@ -24,9 +24,9 @@
 # start: a replica may be ever less full, from the first share of its places to the second.
 CLOSING_SECONDS: Final = 1.0
 CLOSING_SHARES: Final = (0.86, 0.4)
-# How long a request may be under way after its entry gave it up: a squeezed link delivered one
-# 3.0 s after its sending, and its replica began it 0.24 s later. From so long before the bound on,
-# a link must prove that it delivers before it takes a request to an old version.
+# How long a request may be under way after its entry gave it up: squeezed links hold one for 3 s
+# and more. From so long before the bound on, a link must prove that it delivers before it takes a
+# request to an old version.
 UNDER_WAY_SECONDS: Final = 5.0
 # From so long before the bound on, old versions are not even tried where something is known to
 # have been held lately.
--- a/libs/renewal/src/headcross_renewal/recovery.py
+++ b/libs/renewal/src/headcross_renewal/recovery.py
@@ -138,6 +138,8 @@
         """Take the chunks of a version that lay beside the replica; return how many did."""
         digests = await self._book.obtain(goal)
         if not copy.of_version(digests.digests):
+            if len(copy.indexes) < len(digests.digests):
+                self._in_doubt.nothing_from_before()
             return 0
         stored = await self._fetching.admit_beside(goal)
         return self._staging(goal).take(stored, copy) if stored is not None else 0
@@ -149,7 +151,7 @@
         return None
 
     async def _keep_whole(self, goal: LoadedModel, stored: StoredArtifact) -> None:
-        """Read a version back again and again, and put what is bad of it."""
+        """Read a version back again and again, and put what is bad of it as soon as it is here."""
         fetched = trio.Event()
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._fetch, goal, stored, fetched)
