--- a/tests/test_old_weights.py
+++ b/tests/test_old_weights.py
@@ -31,6 +31,7 @@
 # after it. A stream leaves a silent replica after 1.6 s by itself: not before it is withdrawn.
 EARLY_CALLER_SECONDS = 0.2
 FIRST_CALLER_SECONDS = 1.9
+LEAVING_CALLER_SECONDS = 1.6
 CALLERS = 16
 CALLER_GAP_SECONDS = 0.06
 
@@ -73,6 +74,8 @@
         dropped = {name for replica in replicas for name in replica.cancelled}
         assert dropped and not dropped & set(began)
         assert (await site.state("entry0"))["attempts_withdrawn"] >= len(dropped)
+        promised = {reply.id for reply in replies if reply.status == 503}
+        assert not promised & set(began), "a request that ran was promised not to have"
         # Nobody can promise that they did not run.
         assert {reply.status for reply in replies if reply.id in dropped} == {502}
         if path == STRICT:
@@ -81,6 +84,36 @@
             assert max(moments) < BOUND_SECONDS, moments
 
 
+@pytest.mark.parametrize("path", [STREAM, STRICT])
+async def test_a_request_that_leaves_its_replica_as_it_is_withdrawn_does_not_start_after_the_bound(
+    tmp_path: Path, path: str
+) -> None:
+    """Streams that came 2.4 s before the bound leave a silent replica by themselves as well."""
+    async with small_site(
+        tmp_path, models=3, plain=0, daemons=True, weights_ms=1000 * BOUND_SECONDS
+    ) as site:
+        replicas = replicas_of(site, MODEL_SERVICE)
+        for replica in replicas:
+            replica.wait_seconds = WAIT_SECONDS
+        replies: list[Reply] = []
+
+        async def call(delay: float) -> None:
+            await trio.sleep(delay)
+            replies.append(await ask(site.callers("entry0"), path))
+
+        named_at = trio.current_time()
+        name_version_without_weights(site, 2)
+        async with trio.open_nursery() as nursery:
+            for number in range(CALLERS):
+                nursery.start_soon(call, LEAVING_CALLER_SECONDS + number * CALLER_GAP_SECONDS)
+        began = {run.id: run.began_at - named_at for r in replicas for run in r.runs}
+        late = {name: round(seconds, 2) for name, seconds in began.items()}
+        assert sum(replica.arrivals for replica in replicas) > 0
+        assert all(seconds <= BOUND_SECONDS for seconds in late.values()), late
+        promised = {reply.id for reply in replies if reply.status == 503}
+        assert not promised & set(began), "a request that ran was promised not to have"
+
+
 async def test_a_withdrawn_stream_is_served_by_a_replica_with_the_new_weights(
     tmp_path: Path,
 ) -> None:
