A daemon asks for an older version that others have while the newest cannot be had

Cause: while the newest version could not be had, only an older one whose digests were settled here already counted as one to go on with; a daemon that had not begun with it in time never asked. Evidence: in the log of a red run versions 2 and 3 are named within 6 ms, then "version cannot be had" of 3 comes every 0.8 s for 30 s, and no line asks for version 2. Now such a version is asked for as long as it would serve for longer than the held one, and given up for a moment if it cannot be had either. Why this works: others tell digests as soon as they are asked. Besides, a version named while a daemon makes ready what it offers is taken up at once, not after up to 0.6 s. Ruled out: that the daemon did not know of version 2, or that others kept its digests.

--- a/libs/renewal/src/headcross_renewal/goalchoice.py
+++ b/libs/renewal/src/headcross_renewal/goalchoice.py
@@ -64,11 +64,10 @@
         if not named:
             return self._goal_without_name(model)
         newest = named[-1]
-        if newest in self._withheld and self._withheld[newest] > monotonic():
-            older = [goal for goal in named[:-1] if self._is_under_way(goal)]
-            worth = [goal for goal in older if self.is_worth_bringing(goal, delays_newer=False)]
-            return worth[-1] if worth else newest
-        return newest
+        if not self._is_withheld(newest):
+            return newest
+        worth = [goal for goal in named[:-1] if self._is_worth_going_on_with(goal)]
+        return worth[-1] if worth else newest
 
     def is_worth_bringing(self, goal: LoadedModel, *, delays_newer: bool) -> bool:
         """Tell whether an older version is worth finishing; not if nothing is known of it yet."""
@@ -77,12 +76,7 @@
             return False
         held = self._store.get(manifest_of(digests)[2])
         missing = len(held.missing) if held is not None else len(digests.digests)
-        bringing = Bringing(
-            missing * digests.chunk_bytes,
-            self._link_bytes_per_second,
-            self._loading.serves_until(goal.model, goal.version),
-            self._loading.serves_until(goal.model, self.version_held(goal.model)),
-        )
+        bringing = self._bringing(goal, missing * digests.chunk_bytes)
         return bringing.is_worth_it(monotonic(), delays_newer=delays_newer)
 
     def older_is_closer(self, goal: LoadedModel, stored: StoredArtifact) -> bool:
@@ -124,6 +118,28 @@
         held = [m.version for m in report.loaded if m.model == model] if report else []
         return LoadedModel(model, max([*listed, *held], default=FIRST_VERSION))
 
+    def _is_withheld(self, goal: LoadedModel) -> bool:
+        return self._withheld.get(goal, 0.0) > monotonic()
+
+    def _is_worth_going_on_with(self, goal: LoadedModel) -> bool:
+        """Tell whether an older version is worth bringing in while the newest cannot be had.
+
+        Others may have one whose digests are not known here yet, so these are asked for.
+        """
+        if self._is_withheld(goal) or self._reporter.holds(goal):
+            return False
+        if goal in self._book.settled:
+            return self.is_worth_bringing(goal, delays_newer=False)
+        return self._bringing(goal, 0).is_worth_it(monotonic(), delays_newer=False)
+
+    def _bringing(self, goal: LoadedModel, missing_bytes: int) -> Bringing:
+        return Bringing(
+            missing_bytes,
+            self._link_bytes_per_second,
+            self._loading.serves_until(goal.model, goal.version),
+            self._loading.serves_until(goal.model, self.version_held(goal.model)),
+        )
+
     def _is_under_way(self, goal: LoadedModel) -> bool:
         """Tell whether an older version is wanted still and can be had."""
         return goal in self._book.settled and not self._reporter.holds(goal)
--- a/libs/renewal/src/headcross_renewal/renewer.py
+++ b/libs/renewal/src/headcross_renewal/renewer.py
@@ -111,6 +111,8 @@
             if goal is None or self._reporter.holds(goal):
                 if goal is not None:
                     await self._offer(goal)
+                    if self._choice.choose() != goal:
+                        continue  # another one was named meanwhile
                 self._enter("idle", goal)
                 self._set_busy(False)
                 self._fetching.open_links()
--- a/tests/test_machine_weights.py
+++ b/tests/test_machine_weights.py
@@ -223,6 +223,23 @@
         check_loads(site)
 
 
+async def test_a_daemon_that_learns_of_two_versions_at_once_fetches_the_one_that_others_have(
+    tmp_path: Path,
+) -> None:
+    """It stood still while version 2 came; then version 3 was named and the origin was away."""
+    async with small_site(tmp_path, models=2, daemons=True) as site:
+        await wait_offered(site)
+        first, second = replicas_of(site, MODEL_SERVICE)
+        site.signal("daemon1", signal.SIGSTOP)
+        site.name_version(2)
+        await wait_loaded([first], 2)
+        site.origin.down = True
+        site.name_version(3)
+        site.signal("daemon1", signal.SIGCONT)
+        await wait_loaded([second], 2)
+        check_loads(site)
+
+
 async def test_what_came_before_a_kill_need_not_come_again(tmp_path: Path) -> None:
     async with small_site(tmp_path, models=1, daemons=True, mirrors=False) as site:
         await wait_offered(site)
