The end of a tiny limit is found out within 4 s

Cause: the end of a limit shows in the next answer only, and two entries sent one request in 8 s each under a limit of 0.2, beginning at a random moment; in a quarter of the draws neither came within 4 s. Evidence: without a network the longest pause is 4 s or more in all 80 draws with limits of 0 and 0.2 and one or two entries. Now each entry sends a request every 3.5 s to find out, where the limit is that low, as far as what it allows in a span has room for it, and all together at most 0.6 a second. Why this works: one entry's next request comes in time by itself. Ruled out: late news of the end (0.2 s after the answer).

Left: with three and more entries a limit near 0 has no room for that.

--- a/libs/gateway/src/headcross_gateway/requestlimit.py
+++ b/libs/gateway/src/headcross_gateway/requestlimit.py
@@ -27,6 +27,10 @@
 # A lower limit is taken for this one: one request now and then finds out whether it still holds.
 LEAST_LIMIT: Final = 0.25
 LEAST_LAPSING_LIMIT: Final = 0.1  # where no place may be saved
+# Each entry sends a request so often to find out whether a lower limit still holds, as far as
+# what the limit allows in a span has room for that, and all together at most so many a second.
+FIND_OUT_SECONDS: Final = 3.5
+MOST_TO_FIND_OUT: Final = 0.6
 
 
 @dataclass(slots=True)
@@ -95,7 +99,14 @@
         limit = self.per_second or 0.0
         if self._places_lapse(share):
             return max(LEAST_LAPSING_LIMIT, LAPSING_PART * limit) * share
-        return max(LEAST_LIMIT, limit) * share
+        return self._pace(share) * share
+
+    def _pace(self, share: float) -> float:
+        """Return the requests a second that all entries send together where no place lapses."""
+        limit = self.per_second or 0.0
+        entries = 1 / share
+        spare = _spare_places(limit, entries) / SPAN_SECONDS
+        return max(LEAST_LIMIT, limit, min(entries / FIND_OUT_SECONDS, spare, MOST_TO_FIND_OUT))
 
     def _places_lapse(self, share: float) -> bool:
         return self._saved_seconds(share) < 0
@@ -103,9 +114,16 @@
     def _saved_seconds(self, share: float) -> float:
         """Return for how long unused places are saved, below 0 if none may be.
 
-        With E entries, a limit of N and c saved seconds, E + (SPAN + c) N requests come in a span
+        With E entries, a pace of P and c saved seconds, E + (SPAN + c) P requests come in a span
         at most.
         """
-        limit = max(LEAST_LIMIT, self.per_second or 0.0)
-        spare = SPAN_EXTRA - 1 / share
-        return min(MOST_SAVED_SECONDS, SPAN_SECONDS * (SPAN_PART - 1) + spare / limit)
+        limit = self.per_second or 0.0
+        pace = self._pace(share)
+        if pace == LEAST_LIMIT:
+            limit = LEAST_LIMIT
+        return min(MOST_SAVED_SECONDS, _spare_places(limit, 1 / share) / pace - SPAN_SECONDS)
+
+
+def _spare_places(limit: float, entries: float) -> float:
+    """Return how many requests a limit allows in a span beside the first one of each entry."""
+    return SPAN_EXTRA + SPAN_SECONDS * SPAN_PART * limit - entries
--- a/tests/test_request_limit.py
+++ b/tests/test_request_limit.py
@@ -1,5 +1,6 @@
 """How entries pace their requests to the limit of a replica, without a network or a clock."""
 
+import itertools
 import math
 import random
 from bisect import bisect_left
@@ -119,6 +120,20 @@
     assert not state.seconds_to_next(1.0, 1 / LEAST_LIMIT)
 
 
+@pytest.mark.parametrize(("entries", "limit"), [(1, 0.0), (2, 0.0), (1, 0.2), (2, 0.2), (2, 0.5)])
+@pytest.mark.parametrize("seed", range(20))
+def test_a_request_finds_out_in_time_that_a_tiny_limit_has_ended(
+    entries: int, limit: float, seed: int
+) -> None:
+    """The end of a limit shows in the next request only, and nothing else told it within 4 s."""
+    random.seed(seed)
+    fleet = Fleet(entries, limit)
+    fleet.play(lambda number, now: True)
+    pauses = [b - a for a, b in itertools.pairwise([0.0, *fleet.moments, PLAYED_SECONDS])]
+    assert max(pauses) < SPAN_SECONDS
+    assert fleet.most_in_span() <= allowed(limit)
+
+
 def test_an_answer_without_a_limit_ends_it() -> None:
     state = RequestLimit()
     assert state.answered(2.0, 0.0, 0.5, 1.0)
