A chunk that tests spoil is always another one

Ruled out: that the silent replica took a call (all calls of those 3.5 s went unanswered). Now every bit of that byte is turned. No check changed; cases that spoilt nothing now spoil something, so that checks only bite more often. The same in one other test that spoilt chunks in the same way.

--- a/tests/test_beside_replica.py
+++ b/tests/test_beside_replica.py
@@ -8,6 +8,7 @@
 import signal
 from pathlib import Path
 
+import pytest
 import trio
 
 from testing.machinelayout import CHUNKS, MODEL_SERVICE
@@ -29,7 +30,16 @@
 
 def spoil(replica: FakeReplica, number: int) -> None:
     """Have a chunk that lies beside a replica turn bad."""
-    replica.staged[number] = b"\x00" + replica.staged[number][1:]
+    data = replica.staged[number]
+    replica.staged[number] = bytes([data[0] ^ 0xFF]) + data[1:]
+
+
+@pytest.mark.parametrize("chunk", [b"\x00\x01", b"\x01\x01", b"\xff"])
+def test_a_chunk_that_turns_bad_is_another_one_whatever_its_first_byte(chunk: bytes) -> None:
+    """Overwriting that byte with a zero left one chunk in 256 as it was."""
+    replica = FakeReplica("i", staged={0: chunk})
+    spoil(replica, 0)
+    assert replica.staged[0] != chunk and len(replica.staged[0]) == len(chunk)
 
 
 async def kill_with_order_in_doubt(site: Machines) -> FakeReplica:
--- a/tests/test_machine_weights.py
+++ b/tests/test_machine_weights.py
@@ -113,7 +113,7 @@
             def __setitem__(self, number: int, data: bytes) -> None:
                 if number == 3 and not self.spoilt:
                     self.spoilt = True
-                    data = b"\x00" + data[1:]
+                    data = bytes([data[0] ^ 0xFF]) + data[1:]
                 super().__setitem__(number, data)
 
         replica.staged = Rotting(put)
