--- a/bench/load.py
+++ b/bench/load.py
@@ -19,7 +19,8 @@
 import trio
 from hdrh.histogram import HdrHistogram
 from headcross_base.addresses import Address
-from headcross_wire.httpclient import ConnectError, LinkLostError, closing, connect
+from headcross_wire.httpclient import closing, connect
+from headcross_wire.httpcodec import ConnectError, LinkLostError
 
 from testing.fleet import HTTP, Fleet, Spec, running_fleet
 
--- a/bench/probe.py
+++ b/bench/probe.py
@@ -13,6 +13,14 @@
 KIB = 1024
 
 
+@dataclass(frozen=True)
+class Memory:
+    """Resident memory of one process."""
+
+    rss_bytes: int  # with shared pages counted in full
+    private_bytes: int  # pages not shared with any other process
+
+
 @dataclass(frozen=True)
 class Sample:
     """Resource use of one process at one time."""
@@ -48,12 +56,12 @@
     """Sample the resource use of one daemon."""
     process = fleet.nodes[name].process
     assert process is not None
-    rollup = _read_sizes(Path(f"/proc/{process.pid}/smaps_rollup"))
+    memory = read_memory(process.pid)
     state: dict[str, Any] = await fleet.state(name)
     control = state["control"]
     return Sample(
-        rollup["Rss"],
-        rollup["Private_Clean"] + rollup["Private_Dirty"],
+        memory.rss_bytes,
+        memory.private_bytes,
         cpu_seconds(process.pid),
         control["sent_bytes"] + control["received_bytes"],
     )
@@ -78,6 +86,18 @@
     }
 
 
+def read_memory(pid: int) -> Memory:
+    """Return the resident memory of a process."""
+    sizes = _read_sizes(Path(f"/proc/{pid}/smaps_rollup"))
+    return Memory(sizes["Rss"], sizes["Private_Clean"] + sizes["Private_Dirty"])
+
+
+def run_seconds(pid: int) -> float:
+    """Return the processor time of all threads of a process so far, to the nanosecond."""
+    times = Path(f"/proc/{pid}/task").glob("*/schedstat")
+    return sum(int(path.read_text().split()[0]) for path in times) / 1e9
+
+
 def _read_sizes(path: Path) -> dict[str, int]:
     """Return the sizes in a smaps_rollup file, in bytes by field."""
     lines = (line.split() for line in path.read_text().splitlines()[1:])
--- a/bench/soak/exchange.py
+++ b/bench/soak/exchange.py
@@ -5,8 +5,8 @@
 
 import trio
 from headcross_platform import names
-from headcross_wire.httpclient import Answer, HttpConnection, LinkLostError
-from headcross_wire.httpserver import Headers
+from headcross_wire.httpclient import HttpConnection
+from headcross_wire.httpcodec import Answer, Headers, LinkLostError
 
 from bench.soak.record import CallerRequest, RequestKind
 from bench.soak.site import STREAM_EVENTS
