--- a/Makefile
+++ b/Makefile
@@ -3,6 +3,8 @@
 PY := $(VENV)/bin/python
 LIBS := base wire ports native facts fleet weights rollout routing gateway renewal daemon cli
 STAMP := $(VENV)/.installed
+# What processes import; without bytecode, each process would compile it at its start.
+RUN := libs platform/src deploy/start.py testing
 CODE := .ci libs platform deploy tests testing bench misc
 SEED ?= 1
 ROUNDS ?= 5
@@ -11,6 +13,7 @@
 .PHONY: setup demo test lint bench load following slopes faults soak check clean
 
 setup: $(STAMP)
+	@$(PY) -m compileall -q $(RUN)
 
 $(STAMP): requirements-dev.txt $(wildcard libs/*/pyproject.toml) platform/pyproject.toml
 	test -x $(PY) || python3 -m venv $(VENV)
--- a/libs/base/src/headcross_base/clocks.py
+++ b/libs/base/src/headcross_base/clocks.py
@@ -12,6 +12,8 @@
 import trio
 import trio.abc
 
+from headcross_base.monotonic import monotonic
+
 TICK_SECONDS: Final = 0.5
 # How often CLOCK_MONOTONIC is compared with CLOCK_BOOTTIME. Trio reads the time thousands of times
 # a second, and reading CLOCK_BOOTTIME may take a system call.
@@ -20,15 +22,6 @@
 MIN_PAUSE_SECONDS: Final = 1.5
 
 
-def monotonic() -> float:
-    """Return seconds on this process's monotonic clock.
-
-    The clock is CLOCK_BOOTTIME, which includes the time for which the machine was suspended;
-    CLOCK_MONOTONIC does not.
-    """
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
-
-
 def now_ms() -> int:
     """Return `monotonic()` in whole milliseconds."""
     return int(monotonic() * 1000)
--- a/libs/cli/src/headcross_cli/adminclient.py
+++ b/libs/cli/src/headcross_cli/adminclient.py
@@ -10,7 +10,8 @@
 from headcross_base.version import ADMIN_API
 from headcross_fleet.fleetfile import EMPTY_FLEET, FleetFile, parse_fleet_file
 from headcross_native.hostlist import EMPTY_HOST_LIST, HostList, parse_host_list
-from headcross_wire.httpclient import WholeAnswer, call
+from headcross_wire.httpclient import call
+from headcross_wire.httpcodec import WholeAnswer
 
 READ_TIMEOUT_SECONDS: Final = 5.0
 MAX_PAGE_BYTES: Final = 64 * 1024 * 1024
--- a/libs/daemon/src/headcross_daemon/entrynews.py
+++ b/libs/daemon/src/headcross_daemon/entrynews.py
@@ -12,8 +12,8 @@
 
 import trio
 from headcross_base.addresses import Address
-from headcross_base.clocks import monotonic
 from headcross_base.hashing import rendezvous_order
+from headcross_base.monotonic import monotonic
 from headcross_gateway.containment import Containment
 from headcross_gateway.directory import Directory
 from headcross_gateway.overload import Overload
--- a/libs/daemon/src/headcross_daemon/gatewayrole.py
+++ b/libs/daemon/src/headcross_daemon/gatewayrole.py
@@ -11,7 +11,8 @@
 import msgspec
 import trio
 from headcross_base.addresses import Address, parse_address
-from headcross_base.clocks import monotonic, now_ms
+from headcross_base.clocks import now_ms
+from headcross_base.monotonic import monotonic
 from headcross_facts.following import entry_polling
 from headcross_gateway.admission import Admission
 from headcross_gateway.budget import RetryBudget
--- a/libs/daemon/src/headcross_daemon/heartbeats.py
+++ b/libs/daemon/src/headcross_daemon/heartbeats.py
@@ -9,7 +9,7 @@
 from typing import Final
 
 import trio
-from headcross_base.clocks import monotonic
+from headcross_base.monotonic import monotonic
 from headcross_fleet.documents import Documents
 from headcross_fleet.membership import heartbeat_period
 from headcross_native.hostlist import Host
--- a/libs/daemon/src/headcross_daemon/lossregistry.py
+++ b/libs/daemon/src/headcross_daemon/lossregistry.py
@@ -4,7 +4,7 @@
 without acting on it, and send it to entries that ask for it, which they do after a start.
 """
 
-from headcross_base.clocks import monotonic
+from headcross_base.monotonic import monotonic
 from headcross_gateway.lossnews import SharedLosses
 from headcross_wire.peermessages import LossNews
 from headcross_wire.peernode import Reply
--- a/libs/daemon/src/headcross_daemon/machinemain.py
+++ b/libs/daemon/src/headcross_daemon/machinemain.py
@@ -1,107 +1,105 @@
-"""Starts a process on the machines of a platform: settings, logs, signals and the role.
+"""Starts a process on the machines of a platform: settings, early repairs, then the role.
 
-The program that calls `run` supplies the adapter of its platform; this module does not depend on
-the platform. Exit codes: 0 after a planned stop, 2 for settings that are not valid, 3 when an
-address cannot be bound.
+The program that calls `run` supplies the adapters of its platform; this module does not depend on
+the platform. It imports little: a daemon first checks what is staged at its replica, and only then
+imports the modules of its role. Exit codes: those of the role, and 2 for settings that are not
+valid.
 """
 
 import faulthandler
-import gc
 import logging
 import signal
 import sys
 from collections.abc import Callable
+from functools import partial
 from pathlib import Path
-from typing import Final, Protocol
+from typing import TYPE_CHECKING, Final
 
-import trio
 from headcross_base.addresses import Address, parse_address
-from headcross_base.clocks import SuspensionClock
+from headcross_base.earlylog import configure_early_log
+from headcross_base.earlysignals import EarlySignals
 from headcross_base.errors import Failure
-from headcross_base.linelog import LineLog, configure_line_log
-from headcross_base.version import VERSION
-from headcross_ports.adapter import Adapter
-from headcross_wire.httpclient import SOURCE_IP
-from headcross_wire.httpserver import BindError
+from headcross_ports.early import EarlyAdapter
 
-from headcross_daemon.machineprocess import MachineProcess
 from headcross_daemon.machinesettings import MachineSettings, read_machine_settings
 
-EXIT_STOPPED: Final = 0
+if TYPE_CHECKING:
+    from headcross_ports.adapter import Adapter
+    from headcross_renewal.earlyrepair import EarlyPuts, EarlyRepair
+    from headcross_wire.addressclaim import AddressClaim
+
 EXIT_SETTINGS: Final = 2
-EXIT_BIND: Final = 3
+# Maximum time for which the import of other modules waits for the first check of the staged copy.
+FIRST_CHECK_SECONDS: Final = 1.0
 
 logger = logging.getLogger(__name__)
 
-MakeAdapter = Callable[[Address, Address | None], Adapter]
-
-
-class Role(Protocol):
-    """The interface that both roles have."""
+MakeAdapter = Callable[[Address, Address | None], "Adapter"]
+MakeEarlyAdapter = Callable[[Address, Address, str], EarlyAdapter]
 
-    process: MachineProcess
 
-    async def run(self, stop: trio.Event) -> None:
-        """Serve until `stop` is set."""
-
-
-def run(path: Path, make_adapter: MakeAdapter) -> int:
+def run(path: Path, make_adapter: MakeAdapter, make_early_adapter: MakeEarlyAdapter) -> int:
     """Run the process that a settings file describes; return the exit code."""
     # If a native library crashes, the stack of every thread is written to standard error.
     faulthandler.enable()
-    settings = read_machine_settings(path)
-    if isinstance(settings, Failure):
-        print(f"headcross: {settings.detail}", file=sys.stderr)
+    outcome = read_machine_settings(path)
+    if isinstance(outcome, Failure):
+        print(f"headcross: {outcome.detail}", file=sys.stderr)
         return EXIT_SETTINGS
-    log = configure_line_log(settings.value.host, settings.value.log_level)
-    store = parse_address(settings.value.store.address)
-    adapter = make_adapter(store, settings.value.replica_address)
-    code = EXIT_STOPPED
-    try:
-        trio.run(_run_until_stopped, settings.value, path, adapter, log, clock=SuspensionClock())
-    except* BindError as errors:
-        logger.error("cannot listen", extra={"detail": str(errors.exceptions)})
-        code = EXIT_BIND
-    finally:
-        log.flush()
-    return code
-
-
-async def _run_until_stopped(
-    settings: MachineSettings, path: Path, adapter: Adapter, log: LineLog
-) -> None:
-    SOURCE_IP.set(settings.ip)
-    stop = trio.Event()
-    role = _make_role(settings, path, adapter)
-    # Objects created so far live as long as the process, so the garbage collector need not
-    # traverse them again.
-    gc.freeze()
-    logger.info(
-        "started", extra={"version": VERSION, "role": settings.role, "zone": settings.zone}
-    )
-    async with trio.open_nursery() as nursery:
-        nursery.start_soon(log.run)
-        nursery.start_soon(_watch_signals, stop, role.process)
-        await role.run(stop)
-        nursery.cancel_scope.cancel()
-
-
-async def _watch_signals(stop: trio.Event, process: MachineProcess) -> None:
-    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
-        async for number in signals:
-            if number == signal.SIGHUP:
-                process.reload("signal")
-            else:
-                logger.info("stop requested", extra={"signal": signal.Signals(number).name})
-                stop.set()
-
-
-def _make_role(settings: MachineSettings, path: Path, adapter: Adapter) -> Role:
+    settings = outcome.value
+    early_log = configure_early_log()
+    early_signals = EarlySignals((signal.SIGTERM, signal.SIGINT, signal.SIGHUP))
+    early = _start_early_phase(settings, make_early_adapter)
+    adapter = make_adapter(parse_address(settings.store.address), settings.replica_address)
     # Each role is imported only when used, which keeps the other one's libraries out of memory.
+    from headcross_daemon.machinerole import run_role
+
     if settings.role == "entry":
         from headcross_daemon.gatewayrole import GatewayRole
 
-        return GatewayRole(settings, path, adapter)
+        make_entry = partial(GatewayRole, settings, path, adapter)
+        return run_role(settings, make_entry, early_log, early_signals.received)
+    from headcross_renewal.earlyrepair import EarlyPuts
+
     from headcross_daemon.renewalrole import RenewalRole
 
-    return RenewalRole(settings, path, adapter)
+    puts = early.end() if early is not None else EarlyPuts()
+    make_upstream = partial(RenewalRole, settings, path, adapter, puts)
+    return run_role(settings, make_upstream, early_log, early_signals.received)
+
+
+class _EarlyPhase:
+    """The early repair, and the claim to this daemon's address that it needs."""
+
+    def __init__(self, claim: "AddressClaim", repair: "EarlyRepair") -> None:
+        self._claim = claim
+        self._repair = repair
+        repair.start()
+        repair.wait_checked(FIRST_CHECK_SECONDS)
+
+    def end(self) -> "EarlyPuts":
+        """End the repair, free the address for the role, and return what was put."""
+        self._repair.stop()
+        self._claim.release()
+        return self._repair.puts
+
+
+def _start_early_phase(
+    settings: MachineSettings, make_early_adapter: MakeEarlyAdapter
+) -> _EarlyPhase | None:
+    """Start to repair what is staged at the replica beside a daemon; an entry has none."""
+    if settings.role == "entry" or settings.replica_address is None:
+        return None
+    from headcross_renewal.earlyrepair import EarlyRepair
+    from headcross_wire.addressclaim import AddressClaim
+
+    try:
+        claim = AddressClaim(parse_address(settings.listen.peers))
+    except OSError as error:
+        # Another process of this daemon may run, so this one must put nothing.
+        logger.warning("no early repair", extra={"reason": str(error)})
+        return None
+    adapter = make_early_adapter(
+        parse_address(settings.store.address), settings.replica_address, settings.ip
+    )
+    return _EarlyPhase(claim, EarlyRepair(adapter, settings.seed_addresses, settings.ip))
--- a/libs/daemon/src/headcross_daemon/machinesettings.py
+++ b/libs/daemon/src/headcross_daemon/machinesettings.py
@@ -6,14 +6,16 @@
 
 import tomllib
 from pathlib import Path
-from typing import Annotated, Any, Final, Literal
+from typing import TYPE_CHECKING, Annotated, Any, Final, Literal
 
 import msgspec
 from headcross_base.addresses import Address, parse_address
 from headcross_base.errorcodes import SETTINGS_INVALID
 from headcross_base.errors import Failure, Ok
 from headcross_base.units import BITS_PER_BYTE, MEGABYTE
-from headcross_facts.following import FactBounds
+
+if TYPE_CHECKING:
+    from headcross_facts.bounds import FactBounds
 
 Text = Annotated[str, msgspec.Meta(min_length=1, max_length=255)]
 Seconds = Annotated[float, msgspec.Meta(gt=0, le=86_400)]
@@ -94,8 +96,10 @@
         return self.weights_milliseconds / 1000
 
     @property
-    def fact_bounds(self) -> FactBounds:
+    def fact_bounds(self) -> "FactBounds":
         """The bounds on the age of facts from the platform."""
+        from headcross_facts.bounds import FactBounds
+
         return FactBounds(
             configuration=self.configuration_milliseconds / 1000,
             leaving=self.leaving_milliseconds / 1000,
--- a/libs/daemon/src/headcross_daemon/renewalrole.py
+++ b/libs/daemon/src/headcross_daemon/renewalrole.py
@@ -7,12 +7,13 @@
 
 import trio
 from headcross_base.addresses import Address, parse_address
-from headcross_base.clocks import monotonic
+from headcross_base.monotonic import monotonic
 from headcross_facts.following import daemon_polling
 from headcross_ports.adapter import Adapter
 from headcross_ports.published import LoadedModel, Replica, Topic
 from headcross_renewal.confirmation import LoadStatus
 from headcross_renewal.digestregistry import DigestRegistry
+from headcross_renewal.earlyrepair import EarlyPuts
 from headcross_renewal.fetching import DaemonLocation, Fetcher
 from headcross_renewal.goalchoice import GoalSelector
 from headcross_renewal.loading import Loading
@@ -41,6 +42,7 @@
     LossNews,
     ReplicaNews,
     Subscribe,
+    WeightsPlan,
 )
 from headcross_wire.peernode import IncomingMessage
 
@@ -76,7 +78,14 @@
 
     process: MachineProcess
 
-    def __init__(self, settings: MachineSettings, path: Path, adapter: Adapter) -> None:
+    def __init__(
+        self,
+        settings: MachineSettings,
+        path: Path,
+        adapter: Adapter,
+        early_puts: EarlyPuts,
+    ) -> None:
+        """Create the role; `early_puts` are those that this process made before."""
         assert settings.replica is not None and adapter.replica is not None
         self.process = MachineProcess(
             settings,
@@ -127,6 +136,7 @@
             origin, self.process.node, self._daemons, settings.ip, self._daemons_for_digests
         )
         self._orders = Orders(str(address), facts, adapter.replica, self._reporter)
+        self._orders.in_doubt.record_early_puts(early_puts.last_at, early_puts.unanswered)
         self._loading = Loading(
             str(address),
             settings.replica.service,
@@ -307,7 +317,7 @@
                         subscription.host, incoming.reply, subscription.sent_ms
                     )
                 if subscription.plan is not None:
-                    self._plans.receive(subscription.plan)
+                    self._receive_plan(subscription.plan)
                 receive_version_news(self.process.facts, subscription.named)
                 self._record_earlier_process(subscription)
                 if subscription.mirror is not None:
@@ -325,7 +335,7 @@
                 if known_plan is not None:
                     incoming.reply(KnownPlan(known_plan), None)
             case KnownPlan(plan=plan):
-                self._plans.receive(plan)
+                self._receive_plan(plan)
             case AskDigests() as question:
                 self._digests.answer(question, incoming.reply)
             case KnownDigests() as known:
@@ -333,6 +343,13 @@
             case _:
                 self.process.node.malformed += 1
 
+    def _receive_plan(self, plan: WeightsPlan) -> None:
+        """Record the plan; what waits for the origin's address goes on at once."""
+        origin = self._plans.origin()
+        self._plans.receive(plan)
+        if self._plans.origin() != origin:
+            self._digests.retry()
+
     def _receive_replica_news(self, news: ReplicaNews) -> None:
         """Record that the replica beside this process is leaving, if an entry says so."""
         assert self.process.settings.replica is not None
--- a/libs/daemon/src/headcross_daemon/upstream.py
+++ b/libs/daemon/src/headcross_daemon/upstream.py
@@ -7,7 +7,7 @@
 
 import trio
 from headcross_base.addresses import parse_address
-from headcross_base.clocks import monotonic
+from headcross_base.monotonic import monotonic
 from headcross_fleet.upstreamgate import LEAVING, UpstreamGate
 from headcross_native.engine import Engine
 from headcross_native.weightsource import WeightSource
--- a/libs/daemon/src/headcross_daemon/versionnews.py
+++ b/libs/daemon/src/headcross_daemon/versionnews.py
@@ -8,7 +8,7 @@
 from collections.abc import Iterable, Sequence
 from typing import Final
 
-from headcross_base.clocks import monotonic
+from headcross_base.monotonic import monotonic
 from headcross_facts.facts import Facts, VersionNotice
 from headcross_wire.peermessages import NamedVersionNews
 
--- a/libs/facts/src/headcross_facts/facts.py
+++ b/libs/facts/src/headcross_facts/facts.py
@@ -11,8 +11,8 @@
 from typing import Final
 
 import trio
-from headcross_base.clocks import monotonic
 from headcross_base.errors import Failure
+from headcross_base.monotonic import monotonic
 from headcross_ports.configuration import Configuration
 from headcross_ports.published import (
     Changes,
--- a/libs/facts/src/headcross_facts/following.py
+++ b/libs/facts/src/headcross_facts/following.py
@@ -17,10 +17,12 @@
 from typing import Final
 
 import trio
-from headcross_base.clocks import PauseWatch, monotonic
+from headcross_base.clocks import PauseWatch
 from headcross_base.errors import Failure, Ok
+from headcross_base.monotonic import monotonic
 from headcross_ports.published import HistoryLost, PublishedStore, Topic
 
+from headcross_facts.bounds import FactBounds
 from headcross_facts.facts import FROM_STORE, Facts
 
 PAUSE_CHECK_SECONDS: Final = 0.2
@@ -35,16 +37,6 @@
 logger = logging.getLogger(__name__)
 
 
-@dataclass(frozen=True, slots=True)
-class FactBounds:
-    """The bounds within which changes must take effect, in seconds."""
-
-    configuration: float = 2.0  # from the publication of a configuration to its use by all entries
-    leaving: float = 2.0  # from the report that a replica leaves to the last request it gets
-    # Both apply to a process once the store has been answering it for this long.
-    reached: float = 3.0
-
-
 @dataclass(frozen=True, slots=True)
 class WatchLimits:
     """The time limits of one watch, in seconds."""
--- a/libs/facts/src/headcross_facts/peerfacts.py
+++ b/libs/facts/src/headcross_facts/peerfacts.py
@@ -22,7 +22,7 @@
 
 import trio
 from headcross_base.addresses import Address
-from headcross_base.clocks import monotonic
+from headcross_base.monotonic import monotonic
 from headcross_ports.published import Item, Listing, Topic
 from headcross_wire.peermessages import (
     AskFacts,
--- a/libs/facts/src/headcross_facts/topicstate.py
+++ b/libs/facts/src/headcross_facts/topicstate.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass, field
 from typing import Final
 
-from headcross_base.clocks import monotonic
+from headcross_base.monotonic import monotonic
 from headcross_ports.published import Changes, Item, Listing, Topic
 
 # Lower than every revision: no listing has been taken yet.
--- a/libs/fleet/src/headcross_fleet/documents.py
+++ b/libs/fleet/src/headcross_fleet/documents.py
@@ -15,11 +15,11 @@
 from typing import Final
 
 import trio
-from headcross_base.clocks import monotonic
 from headcross_base.decisions import Journal
 from headcross_base.errorcodes import FILE_REJECTED, REVISION_CONFLICT, REVISION_OLD
 from headcross_base.errors import Failure
 from headcross_base.hashing import digest_of
+from headcross_base.monotonic import monotonic
 from headcross_native.configservice import FLEET_KEY, HOSTS_KEY, KEYS
 from headcross_native.hostlist import EMPTY_HOST_LIST, HostList, parse_host_list
 
--- a/libs/fleet/src/headcross_fleet/following.py
+++ b/libs/fleet/src/headcross_fleet/following.py
@@ -20,9 +20,9 @@
 
 import trio
 from headcross_base.addresses import Address
-from headcross_base.clocks import monotonic
 from headcross_base.errors import Failure
 from headcross_base.hashing import digest_of
+from headcross_base.monotonic import monotonic
 from headcross_native.configservice import KEYS, ConfigService, Snapshot, Unchanged
 from headcross_native.hostlist import Host
 from headcross_wire.peermessages import AskDocument, Document, DocumentNotice, PeerMessage
--- a/libs/fleet/src/headcross_fleet/membership.py
+++ b/libs/fleet/src/headcross_fleet/membership.py
@@ -12,7 +12,7 @@
 from typing import Final
 
 import msgspec
-from headcross_base.clocks import monotonic
+from headcross_base.monotonic import monotonic
 from headcross_wire.peermessages import Status, UpstreamStatus
 
 # Heartbeats that an entry should receive per second; with 300 daemons each sends one every 15 s.
--- a/libs/fleet/src/headcross_fleet/upstreamgate.py
+++ b/libs/fleet/src/headcross_fleet/upstreamgate.py
@@ -10,7 +10,7 @@
 from typing import Final
 
 import trio
-from headcross_base.clocks import monotonic
+from headcross_base.monotonic import monotonic
 
 # States of an upstream, as dumps and heartbeats show them.
 EMPTY: Final = "empty"  # serves nothing, and no weights are being fetched or loaded
--- a/libs/gateway/src/headcross_gateway/attempts.py
+++ b/libs/gateway/src/headcross_gateway/attempts.py
@@ -19,7 +19,6 @@
 from typing import Final, TypeVar
 
 import trio
-from headcross_base.clocks import monotonic
 from headcross_base.errorcodes import (
     ENDS_REPLICAS,
     LINK_LOST,
@@ -30,8 +29,10 @@
     WEIGHTS_ENDED,
     WITHDRAWN,
 )
+from headcross_base.monotonic import monotonic
 from headcross_ports.requests import AnswerFacts, HandOver, RequestDialect, RequestFacts
-from headcross_wire.httpclient import Answer, ConnectError, HttpConnection, LinkLostError
+from headcross_wire.httpclient import HttpConnection
+from headcross_wire.httpcodec import Answer, ConnectError, LinkLostError
 from headcross_wire.httpserver import Request
 
 from headcross_gateway.connections import ReplicaConnections
--- a/libs/gateway/src/headcross_gateway/connections.py
+++ b/libs/gateway/src/headcross_gateway/connections.py
@@ -9,7 +9,8 @@
 
 import trio
 from headcross_base.addresses import Address
-from headcross_wire.httpclient import Answer, HttpConnection, connect
+from headcross_wire.httpclient import HttpConnection, connect
+from headcross_wire.httpcodec import Answer
 
 CONNECT_SECONDS: Final = 0.6
 # Maximum idle time of a connection, unless the replica's own limit is shorter.
--- a/libs/gateway/src/headcross_gateway/containment.py
+++ b/libs/gateway/src/headcross_gateway/containment.py
@@ -9,8 +9,8 @@
 from typing import Final
 
 import trio
-from headcross_base.clocks import monotonic
 from headcross_base.errorcodes import ENDS_REPLICAS
+from headcross_base.monotonic import monotonic
 from headcross_base.verdicts import NotRun
 from headcross_ports.published import Incarnation
 from headcross_wire.peermessages import LossNews
--- a/libs/gateway/src/headcross_gateway/directory.py
+++ b/libs/gateway/src/headcross_gateway/directory.py
@@ -7,9 +7,9 @@
 from typing import Final
 
 from headcross_base.addresses import Address
-from headcross_base.clocks import monotonic
+from headcross_base.monotonic import monotonic
+from headcross_facts.bounds import FactBounds
 from headcross_facts.facts import Facts
-from headcross_facts.following import FactBounds
 from headcross_ports.published import Replica
 from headcross_wire.peermessages import LoadedVersionNews, ReplicaLoad
 
--- a/libs/gateway/src/headcross_gateway/health.py
+++ b/libs/gateway/src/headcross_gateway/health.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 from typing import Final
 
-from headcross_base.clocks import monotonic
+from headcross_base.monotonic import monotonic
 
 FAILURES_TO_EJECT: Final = 2
 FIRST_EJECTION_SECONDS: Final = 0.5
--- a/libs/gateway/src/headcross_gateway/linkproofs.py
+++ b/libs/gateway/src/headcross_gateway/linkproofs.py
@@ -12,7 +12,8 @@
 
 import trio
 from headcross_ports.requests import RequestDialect
-from headcross_wire.httpclient import HttpConnection, LinkLostError, exchange
+from headcross_wire.httpclient import HttpConnection, exchange
+from headcross_wire.httpcodec import LinkLostError
 
 from headcross_gateway.replicastate import ReplicaState
 from headcross_gateway.weightsrules import WeightsRules
--- a/libs/gateway/src/headcross_gateway/losswatch.py
+++ b/libs/gateway/src/headcross_gateway/losswatch.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass, field
 from typing import Final
 
-from headcross_base.clocks import monotonic
+from headcross_base.monotonic import monotonic
 
 from headcross_gateway.admitted import Admitted
 from headcross_gateway.attempts import AttemptTimes
--- a/libs/gateway/src/headcross_gateway/outcomes.py
+++ b/libs/gateway/src/headcross_gateway/outcomes.py
@@ -4,7 +4,7 @@
 from typing import Final
 
 from headcross_base.errorcodes import ErrorCode
-from headcross_wire.httpclient import Answer
+from headcross_wire.httpcodec import Answer
 
 SERVER_ERRORS: Final = range(500, 600)
 
--- a/libs/gateway/src/headcross_gateway/replicastate.py
+++ b/libs/gateway/src/headcross_gateway/replicastate.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass, field
 from typing import Final
 
-from headcross_base.clocks import monotonic
+from headcross_base.monotonic import monotonic
 from headcross_ports.published import Incarnation, Replica
 from headcross_ports.requests import BackpressureSignals
 from headcross_wire.peermessages import ReplicaLoad
--- a/libs/gateway/src/headcross_gateway/waittimes.py
+++ b/libs/gateway/src/headcross_gateway/waittimes.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass, field
 from typing import Final
 
-from headcross_base.clocks import monotonic
+from headcross_base.monotonic import monotonic
 
 # Half-life of the longest recent wait; a replica's queue lasts some seconds.
 HALF_LIFE_SECONDS: Final = 2.0
--- a/libs/gateway/src/headcross_gateway/weightsrules.py
+++ b/libs/gateway/src/headcross_gateway/weightsrules.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass
 from typing import Final
 
-from headcross_base.clocks import monotonic
+from headcross_base.monotonic import monotonic
 from headcross_facts.facts import Facts, VersionNotice
 
 # No requests are sent to older versions within this time before the bound. The margin covers the
--- a/libs/ports/src/headcross_ports/published.py
+++ b/libs/ports/src/headcross_ports/published.py
@@ -7,12 +7,15 @@
 
 from dataclasses import dataclass
 from enum import Enum
-from typing import Protocol
+from typing import TYPE_CHECKING, Protocol, Union
 
+import msgspec
 from headcross_base.addresses import Address
 from headcross_base.errors import Failure, Ok
 
-from headcross_ports.configuration import Configuration
+# Not imported at run time, because a starting process reads other items than the configuration.
+if TYPE_CHECKING:
+    from headcross_ports.configuration import Configuration
 
 
 class Topic(Enum):
@@ -23,8 +26,7 @@
     REPLICAS = "replicas"  # the list of replicas, one key per replica
 
 
-@dataclass(frozen=True, slots=True)
-class Item:
+class Item(msgspec.Struct, frozen=True):
     """One published item, or the removal of one."""
 
     key: str
@@ -34,16 +36,14 @@
     problem: str = ""
 
 
-@dataclass(frozen=True, slots=True)
-class Listing:
+class Listing(msgspec.Struct, frozen=True):
     """All items of a topic."""
 
     items: tuple[Item, ...]
     revision: int  # the items may lack changes after this revision
 
 
-@dataclass(frozen=True, slots=True)
-class Changes:
+class Changes(msgspec.Struct, frozen=True):
     """The items changed after a revision; empty if the wait ended without changes."""
 
     items: tuple[Item, ...]
@@ -55,24 +55,21 @@
     """The store no longer has the changes after a revision; the topic must be read again."""
 
 
-@dataclass(frozen=True, slots=True)
-class NamedVersion:
+class NamedVersion(msgspec.Struct, frozen=True):
     """The weight version that the operators name for a model."""
 
     model: str
     version: int
 
 
-@dataclass(frozen=True, slots=True)
-class LoadedModel:
+class LoadedModel(msgspec.Struct, frozen=True):
     """A model and the weight version of it that is loaded."""
 
     model: str
     version: int
 
 
-@dataclass(frozen=True, slots=True)
-class Incarnation:
+class Incarnation(msgspec.Struct, frozen=True):
     """One run of a replica's process; it keeps no state of earlier incarnations.
 
     A replica may restart under the same id. The later of two incarnations is the one that the
@@ -99,8 +96,7 @@
         return self.started_ms != other.started_ms
 
 
-@dataclass(frozen=True, slots=True)
-class Replica:
+class Replica(msgspec.Struct, frozen=True):
     """One list entry of a replica; the list lags behind the replicas' state."""
 
     id: str
@@ -119,7 +115,7 @@
 
 
 # What a published item describes.
-Fact = Configuration | NamedVersion | Replica
+Fact = Union["Configuration", NamedVersion, Replica]
 
 
 class PublishedStore(Protocol):
--- a/libs/ports/src/headcross_ports/replicas.py
+++ b/libs/ports/src/headcross_ports/replicas.py
@@ -3,14 +3,14 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+import msgspec
 from headcross_base.addresses import Address
 from headcross_base.errors import Failure, Ok
 
 from headcross_ports.published import LoadedModel
 
 
-@dataclass(frozen=True, slots=True)
-class ReplicaReport:
+class ReplicaReport(msgspec.Struct, frozen=True):
     """The state that a replica reports of itself."""
 
     loaded: tuple[LoadedModel, ...]
@@ -60,8 +60,8 @@
         """Close the connection."""
 
 
-class ReplicaControl(Protocol):
-    """Calls to a daemon's replica, which stages one copy of each model's weights."""
+class StagedControl(Protocol):
+    """Calls that read the state of a daemon's replica and stage one copy of a model's weights."""
 
     async def report(self) -> Ok[ReplicaReport] | Failure:
         """Return the replica's state."""
@@ -75,12 +75,15 @@
     async def stage_chunk(self, model: str, index: int, data: bytes) -> Ok[None] | Failure:
         """Stage a chunk, replacing the one staged under its index."""
 
+
+class ReplicaControl(StagedControl, Protocol):
+    """Calls to a daemon's replica, which stages one copy of each model's weights."""
+
     async def open_line(self) -> "Ok[OrderLine] | Failure":
         """Connect to the current incarnation; the connection does not reach a later one."""
 
 
-@dataclass(frozen=True, slots=True)
-class ChunkDigests:
+class ChunkDigests(msgspec.Struct, frozen=True):
     """The digests of a version's chunks, by index."""
 
     chunk_bytes: int
--- a/libs/ports/src/headcross_ports/requests.py
+++ b/libs/ports/src/headcross_ports/requests.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from headcross_wire.httpserver import Headers
+from headcross_wire.httpcodec import Headers
 
 
 @dataclass(frozen=True, slots=True)
--- a/libs/renewal/src/headcross_renewal/confirmation.py
+++ b/libs/renewal/src/headcross_renewal/confirmation.py
@@ -11,13 +11,14 @@
 """
 
 import logging
-from dataclasses import dataclass
 from enum import Enum
 from typing import Final
 
 from headcross_ports.published import LoadedModel
 from headcross_ports.replicas import ReplicaReport
 
+from headcross_renewal.loadkey import LoadKey, key_of
+
 # For how long an outstanding read-back of a load blocks puts of other versions' chunks.
 READ_BACK_PRIORITY_SECONDS: Final = 2.0
 NEVER: Final = float("-inf")
@@ -33,19 +34,6 @@
     SUSPECT = "suspect"
 
 
-@dataclass(frozen=True, slots=True)
-class LoadKey:
-    """Identifies one load of a replica."""
-
-    started_ms: int | None  # start time of the replica's incarnation, None if it reports none
-    sequence: int  # number of orders accepted, including the one that started the load
-
-
-def key_of(report: ReplicaReport) -> LoadKey:
-    """Return the key of the newest load that a report covers."""
-    return LoadKey(report.started_ms, report.order_sequence)
-
-
 class Confirmation:
     """The status of one replica's newest load; all times are monotonic, in seconds.
 
--- a/libs/renewal/src/headcross_renewal/digestregistry.py
+++ b/libs/renewal/src/headcross_renewal/digestregistry.py
@@ -18,15 +18,16 @@
 
 import trio
 from headcross_base.addresses import Address
-from headcross_base.clocks import monotonic
 from headcross_base.errors import Failure
 from headcross_base.hashing import is_digest, rendezvous_order, rendezvous_weight
+from headcross_base.monotonic import monotonic
 from headcross_ports.published import LoadedModel
 from headcross_ports.replicas import ChunkDigests
 from headcross_wire.peermessages import AskDigests, KnownDigests
 from headcross_wire.peernode import PeerNode, Reply
 
-from headcross_renewal.sources import OriginSource, parse_weights_name, weights_name
+from headcross_renewal.sources import OriginSource
+from headcross_renewal.weightsname import parse_weights_name, weights_name
 
 ANSWERS_NEEDED: Final = 2
 PEERS_ASKED: Final = 2
@@ -78,7 +79,7 @@
         self._wanted_at: dict[LoadedModel, float] = {}
         # Replies to processes that wait for digests, by the host name in their request.
         self._requesters: dict[LoadedModel, dict[str, Reply]] = {}
-        self._settled_event = trio.Event()
+        self._wake_event = trio.Event()
 
     async def obtain(self, goal: LoadedModel) -> ChunkDigests:
         """Return a version's digests, asking the region's readers or the origin until settled."""
@@ -87,7 +88,7 @@
             readers = self._readers_to_wait_for(goal)
             if readers:
                 self._ask(goal, readers)
-                await self._wait_settled(ASK_INTERVAL_SECONDS)
+                await self._wait(ASK_INTERVAL_SECONDS)
                 continue
             outcome = await self._origin.read_digests(goal)
             if isinstance(outcome, Failure):
@@ -97,11 +98,16 @@
                 failures += 1
                 peers = self._peers()
                 self._ask(goal, random.sample(peers, min(PEERS_ASKED, len(peers))))
-                await self._wait_settled(RETRY_SECONDS * random.uniform(0.7, 1.3))
+                await self._wait(RETRY_SECONDS * random.uniform(0.7, 1.3))
             else:
                 self._count_answer(goal, outcome.value)
         return self.settled[goal]
 
+    def retry(self) -> None:
+        """Have all that wait for digests try again now, because the origin is known."""
+        self._wake_event.set()
+        self._wake_event = trio.Event()
+
     def settled_within(self, goal: LoadedModel, seconds: float) -> bool:
         """Return whether the digests of a version were settled in the last `seconds`."""
         return monotonic() - self._settled_at.get(goal, float("-inf")) < seconds
@@ -150,8 +156,7 @@
             self._settled_at[goal] = monotonic()
             for reply in self._requesters.pop(goal, {}).values():
                 reply(_digests_message(goal, digests), None)
-            self._settled_event.set()
-            self._settled_event = trio.Event()
+            self.retry()
 
     def _readers_to_wait_for(self, goal: LoadedModel) -> list[Address]:
         """Return the readers to ask for digests; empty if this process is to read the origin."""
@@ -174,9 +179,9 @@
         for peer in peers:
             self._node.send(peer, AskDigests(weights_name(goal), self._host))
 
-    async def _wait_settled(self, seconds: float) -> None:
+    async def _wait(self, seconds: float) -> None:
         with trio.move_on_after(seconds):
-            await self._settled_event.wait()
+            await self._wake_event.wait()
 
 
 def reader_order(goal: LoadedModel, daemons: Iterable[str]) -> list[str]:
--- a/libs/renewal/src/headcross_renewal/fetching.py
+++ b/libs/renewal/src/headcross_renewal/fetching.py
@@ -16,7 +16,8 @@
 from headcross_renewal.goalchoice import GoalSelector
 from headcross_renewal.loading import Loading
 from headcross_renewal.mirrors import MirrorRegistry, SwarmPorts, has_loaded, swarm_hosts
-from headcross_renewal.sources import OriginSource, manifest_of, weights_name
+from headcross_renewal.sources import OriginSource, manifest_of
+from headcross_renewal.weightsname import weights_name
 
 RETRY_SECONDS: Final = 0.3
 # Interval between attempts to admit a version that does not fit into memory.
--- a/libs/renewal/src/headcross_renewal/goalchoice.py
+++ b/libs/renewal/src/headcross_renewal/goalchoice.py
@@ -7,7 +7,7 @@
 import logging
 from typing import Final
 
-from headcross_base.clocks import monotonic
+from headcross_base.monotonic import monotonic
 from headcross_facts.facts import Facts
 from headcross_ports.published import LoadedModel, Topic
 from headcross_weights.chunkstore import ChunkStore, StoredArtifact
@@ -16,8 +16,9 @@
 from headcross_renewal.loading import Loading
 from headcross_renewal.plan import PlanRegistry
 from headcross_renewal.reporting import Reporter
-from headcross_renewal.sources import manifest_of, weights_name
+from headcross_renewal.sources import manifest_of
 from headcross_renewal.versionchoice import FetchEstimate
+from headcross_renewal.weightsname import weights_name
 
 FIRST_VERSION: Final = 1
 # A version whose digests or chunks are unavailable yields to an older one for this long.
--- a/libs/renewal/src/headcross_renewal/indoubt.py
+++ b/libs/renewal/src/headcross_renewal/indoubt.py
@@ -14,7 +14,7 @@
 or not at all.
 """
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 from typing import Final
 
@@ -216,6 +216,11 @@
         """Record that a put of a chunk was not answered."""
         self._unanswered_puts[goal] = now
 
+    def record_early_puts(self, last_at: float, unanswered: Mapping[LoadedModel, float]) -> None:
+        """Record the puts of this process from before its role, with the times of their end."""
+        self.last_put_at = last_at
+        self._unanswered_puts.update(unanswered)
+
     def may_stage(self, goal: LoadedModel, report: ReplicaReport | None, now: float) -> bool:
         """Return whether chunks of a version may be staged at the replica now."""
         if report is None or report.busy_loading:
--- a/libs/renewal/src/headcross_renewal/loading.py
+++ b/libs/renewal/src/headcross_renewal/loading.py
@@ -8,7 +8,7 @@
 from typing import Final
 
 import trio
-from headcross_base.clocks import monotonic
+from headcross_base.monotonic import monotonic
 from headcross_facts.facts import Facts
 from headcross_ports.published import LoadedModel, Replica
 from headcross_weights.chunkstore import StoredArtifact
@@ -17,10 +17,10 @@
 from headcross_renewal.orders import Load, Orders
 from headcross_renewal.polling import poll_until
 from headcross_renewal.reporting import Reporter
-from headcross_renewal.sources import weights_name
 from headcross_renewal.staging import Staging
 from headcross_renewal.turns import earlier_groups, group_of, latest_start
 from headcross_renewal.versionchoice import SEND_MARGIN_SECONDS, serves_until
+from headcross_renewal.weightsname import weights_name
 
 TURN_CHECK_SECONDS: Final = 0.05
 # The last group's latest start after this process's start, for a version named before it.
--- a/libs/renewal/src/headcross_renewal/loadverifier.py
+++ b/libs/renewal/src/headcross_renewal/loadverifier.py
@@ -7,12 +7,12 @@
 from headcross_ports.published import LoadedModel
 from headcross_ports.replicas import ChunkDigests, ReplicaControl
 
-from headcross_renewal.confirmation import key_of
 from headcross_renewal.digestregistry import DigestRegistry
 from headcross_renewal.indoubt import InDoubtCalls
+from headcross_renewal.loadkey import key_of
 from headcross_renewal.reporting import Reporter
-from headcross_renewal.sources import weights_name
 from headcross_renewal.staging import find_corrupt_chunks
+from headcross_renewal.weightsname import weights_name
 
 # Time limit of one attempt to obtain the loaded version's digests.
 DIGESTS_TIMEOUT_SECONDS: Final = 1.0
--- a/libs/renewal/src/headcross_renewal/mirroring.py
+++ b/libs/renewal/src/headcross_renewal/mirroring.py
@@ -16,8 +16,8 @@
 from typing import Final
 
 import trio
-from headcross_base.clocks import monotonic
 from headcross_base.errors import Failure
+from headcross_base.monotonic import monotonic
 from headcross_facts.facts import Facts, VersionNotice
 from headcross_fleet.fleetfile import Artifact
 from headcross_native.hostlist import HostList
@@ -33,8 +33,9 @@
     swarm_hosts,
     upload_seconds,
 )
-from headcross_renewal.sources import OriginSource, manifest_of, weights_name
+from headcross_renewal.sources import OriginSource, manifest_of
 from headcross_renewal.versionchoice import ESTIMATED_LOAD_SECONDS, SEND_MARGIN_SECONDS
+from headcross_renewal.weightsname import weights_name
 
 # The newest versions of a model that are stored and fetched: one may be named before the previous
 # one is loaded everywhere.
--- a/libs/renewal/src/headcross_renewal/mirrors.py
+++ b/libs/renewal/src/headcross_renewal/mirrors.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 from typing import Final
 
-from headcross_base.clocks import monotonic
+from headcross_base.monotonic import monotonic
 from headcross_native.hostlist import Host, HostList
 from headcross_ports.published import LoadedModel, Replica
 from headcross_wire.peermessages import MirrorLocation
--- a/libs/renewal/src/headcross_renewal/orders.py
+++ b/libs/renewal/src/headcross_renewal/orders.py
@@ -12,8 +12,8 @@
 from typing import Final
 
 import trio
-from headcross_base.clocks import monotonic
 from headcross_base.errors import Failure
+from headcross_base.monotonic import monotonic
 from headcross_facts.facts import Facts
 from headcross_ports.published import LoadedModel
 from headcross_ports.replicas import OrderLine, OrderRefused, ReplicaControl, ReplicaReport
@@ -22,8 +22,8 @@
 from headcross_renewal.indoubt import READ_BACK_VALID_SECONDS, InDoubtCalls, SentOrder
 from headcross_renewal.polling import POLL_INTERVAL_SECONDS, poll_until
 from headcross_renewal.reporting import Reporter
-from headcross_renewal.sources import weights_name
 from headcross_renewal.staging import Staging
+from headcross_renewal.weightsname import weights_name
 
 # Entries are asked to divert requests this long before the order is sent.
 DIVERT_NOTICE_SECONDS: Final = 0.04
--- a/libs/renewal/src/headcross_renewal/plan.py
+++ b/libs/renewal/src/headcross_renewal/plan.py
@@ -16,8 +16,8 @@
 
 import trio
 from headcross_base.addresses import Address, parse_address
-from headcross_base.clocks import monotonic
 from headcross_base.hashing import rendezvous_order
+from headcross_base.monotonic import monotonic
 from headcross_facts.facts import Facts
 from headcross_ports.configuration import Configuration
 from headcross_wire.peermessages import AskPlan, WeightsPlan
--- a/libs/renewal/src/headcross_renewal/recovery.py
+++ b/libs/renewal/src/headcross_renewal/recovery.py
@@ -12,22 +12,26 @@
 from typing import Final
 
 import trio
-from headcross_base.clocks import monotonic
+from headcross_base.monotonic import monotonic
 from headcross_facts.facts import Facts
 from headcross_ports.published import LoadedModel
 from headcross_ports.replicas import ReplicaControl, ReplicaReport
 from headcross_weights.chunkstore import StoredArtifact
 
-from headcross_renewal.confirmation import key_of
 from headcross_renewal.digestregistry import DigestRegistry
 from headcross_renewal.fetching import Fetcher
 from headcross_renewal.indoubt import InDoubtCalls
+from headcross_renewal.loadkey import key_of
 from headcross_renewal.reporting import Reporter
-from headcross_renewal.sources import weights_name
-from headcross_renewal.staging import StagedCopy, Staging, read_staged
+from headcross_renewal.stagedcopy import (
+    CHECK_INTERVAL_SECONDS,
+    StagedCopy,
+    read_staged,
+    staged_candidates,
+)
+from headcross_renewal.staging import Staging, in_parallel
+from headcross_renewal.weightsname import weights_name
 
-# Well below the 3 s for which a chunk may be bad.
-CHECK_INTERVAL_SECONDS: Final = 0.5
 # Time limit of one attempt to obtain the digests of a version that may be staged.
 DIGESTS_TIMEOUT_SECONDS: Final = 0.7
 RETRY_SECONDS: Final = 0.3
@@ -94,7 +98,7 @@
         If chunks of the loaded version are staged, no other version is staged completely, so no
         order for another version can be in doubt.
         """
-        copy = await read_staged(self._replica, model)
+        copy = await read_staged(self._replica, model, in_parallel)
         if copy is None:
             return
         if not copy.indexes:
@@ -125,15 +129,8 @@
 
     def _candidates(self, report: ReplicaReport) -> list[LoadedModel]:
         """Return the versions that an earlier process may have staged, newest first per model."""
-        loaded = {m.model: m.version for m in report.loaded}
-        candidates: list[LoadedModel] = []
-        for model, notices in self._facts.versions.items():
-            versions = {notice.version for notice in notices}
-            # The store lists only the newest version; the previous one may have been staged.
-            versions.add(max(versions) - 1)
-            newer = sorted(v for v in versions if v > loaded.get(model, 0))
-            candidates += [LoadedModel(model, version) for version in reversed(newer)]
-        return candidates
+        versions = self._facts.versions.items()
+        return staged_candidates(report, {m: [n.version for n in ns] for m, ns in versions})
 
     async def _adopt(self, goal: LoadedModel, copy: StagedCopy) -> int:
         """Adopt the staged chunks of a version; return how many were staged."""
--- a/libs/renewal/src/headcross_renewal/renewer.py
+++ b/libs/renewal/src/headcross_renewal/renewer.py
@@ -30,8 +30,9 @@
 from headcross_renewal.plan import PlanRegistry
 from headcross_renewal.recovery import Recovery
 from headcross_renewal.reporting import Reporter
-from headcross_renewal.sources import OriginSource, weights_name
+from headcross_renewal.sources import OriginSource
 from headcross_renewal.staging import Staging
+from headcross_renewal.weightsname import weights_name
 
 IDLE_CHECK_SECONDS: Final = 0.5
 # Steps of an update in which it may be cancelled; all are before its order.
--- a/libs/renewal/src/headcross_renewal/reporting.py
+++ b/libs/renewal/src/headcross_renewal/reporting.py
@@ -9,8 +9,8 @@
 import msgspec
 import trio
 from headcross_base.addresses import Address
-from headcross_base.clocks import monotonic
 from headcross_base.errors import Failure
+from headcross_base.monotonic import monotonic
 from headcross_ports.published import LoadedModel
 from headcross_ports.replicas import ReplicaControl, ReplicaReport
 from headcross_wire.peermessages import NamedVersionNews, ReplicaLoad
--- a/libs/renewal/src/headcross_renewal/sources.py
+++ b/libs/renewal/src/headcross_renewal/sources.py
@@ -17,28 +17,14 @@
 from headcross_ports.replicas import ChunkDigests, WeightsOrigin
 from headcross_weights.manifest import MANIFEST_FORMAT, Manifest, ManifestFile
 
+from headcross_renewal.weightsname import parse_weights_name
+
 # A manifest presents the chunks of a version as ranges of a single file.
 MANIFEST_FILE_NAME: Final = "weights"
-NAME_SEPARATOR: Final = "@"
 # Used until the digests of a version supply its chunk size.
 DEFAULT_CHUNK_BYTES: Final = 32 * 1024
 
 
-def weights_name(goal: LoadedModel) -> str:
-    """Return the name of a version in the swarm.
-
-    >>> weights_name(LoadedModel("m", 2)), parse_weights_name("m@2")
-    ('m@2', LoadedModel(model='m', version=2))
-    """
-    return f"{goal.model}{NAME_SEPARATOR}{goal.version}"
-
-
-def parse_weights_name(name: str) -> LoadedModel:
-    """Return the version that a swarm name refers to; raise ValueError if it has no number."""
-    model, _, version = name.rpartition(NAME_SEPARATOR)
-    return LoadedModel(model, int(version))
-
-
 def manifest_of(digests: ChunkDigests) -> tuple[Manifest, bytes, str]:
     """Return the manifest of a version, its encoded bytes and the digest of those bytes."""
     size = digests.chunk_bytes * len(digests.digests)
--- a/libs/renewal/src/headcross_renewal/staging.py
+++ b/libs/renewal/src/headcross_renewal/staging.py
@@ -5,44 +5,26 @@
 """
 
 import logging
-from collections.abc import Awaitable, Callable, Iterable, Mapping, Sequence
-from dataclasses import dataclass
+from collections.abc import Awaitable, Callable, Iterable, Sequence
 from functools import partial
 from typing import Final
 
 import trio
-from headcross_base.clocks import monotonic
 from headcross_base.errorcodes import LINK_LOST
 from headcross_base.errors import Failure
-from headcross_base.hashing import digest_of
+from headcross_base.monotonic import monotonic
 from headcross_ports.published import LoadedModel
 from headcross_ports.replicas import ReplicaControl
 from headcross_weights.chunkstore import StoredArtifact
 
 from headcross_renewal.indoubt import InDoubtCalls
+from headcross_renewal.stagedcopy import WORKERS, StagedCopy, matches_digest, read_staged
 
-WORKERS: Final = 4
 RETRY_SECONDS: Final = 0.1
 
 logger = logging.getLogger(__name__)
 
 
-@dataclass(frozen=True, slots=True)
-class StagedCopy:
-    """Chunks that were staged at a replica when it was read, unverified."""
-
-    indexes: frozenset[int]  # of all staged chunks
-    chunks: Mapping[int, bytes]  # those that could be read, by index
-
-    def matching_chunks(self, digests: Sequence[str]) -> Mapping[int, bytes]:
-        """Return the chunks that match a version's digests, by index."""
-        return {
-            index: data
-            for index, data in self.chunks.items()
-            if _matches_digest(data, index, digests)
-        }
-
-
 class Staging:
     """Brings the staged copy of one model to one version."""
 
@@ -54,7 +36,7 @@
 
     async def adopt(self, stored: StoredArtifact) -> int:
         """Copy the staged chunks that match a version to the store; return how many match."""
-        copy = await read_staged(self._replica, self._model)
+        copy = await read_staged(self._replica, self._model, in_parallel)
         return self.adopt_copy(stored, copy) if copy is not None else 0
 
     def adopt_copy(self, stored: StoredArtifact, copy: StagedCopy) -> int:
@@ -75,7 +57,7 @@
 
     async def put(self, stored: StoredArtifact, indexes: list[int]) -> None:
         """Stage the given chunks at the replica, retrying until each is staged."""
-        await _in_parallel(indexes, partial(self._put, stored))
+        await in_parallel(indexes, partial(self._put, stored))
 
     async def verify(self, stored: StoredArtifact) -> bool:
         """Read every staged chunk back, and stage those that are corrupt again.
@@ -90,13 +72,11 @@
             data = await self._replica.read_chunk(self._model, index)
             if isinstance(data, Failure):
                 unread.append(index)
-            elif data.value is None or not _matches_digest(data.value, index, digests):
+            elif data.value is None or not matches_digest(data.value, index, digests):
                 bad.append(index)
                 await self._put_once(stored, index)
 
-        # Reading sequentially from a replica that takes 0.1 s per chunk would take longer than a
-        # read-back stays valid.
-        await _in_parallel(range(len(stored.locations)), check)
+        await in_parallel(range(len(stored.locations)), check)
         if bad:
             fields = {"model": self._model, "chunks": sorted(bad)}
             logger.warning("staged chunks bad", extra=fields)
@@ -124,22 +104,6 @@
         return False
 
 
-async def read_staged(replica: ReplicaControl, model: str) -> StagedCopy | None:
-    """Read the staged chunks of a model; return None if the replica does not list them."""
-    staged = await replica.staged_chunks(model)
-    if isinstance(staged, Failure):
-        return None
-    chunks: dict[int, bytes] = {}
-
-    async def read(index: int) -> None:
-        data = await replica.read_chunk(model, index)
-        if not isinstance(data, Failure) and data.value is not None:
-            chunks[index] = data.value
-
-    await _in_parallel(sorted(staged.value), read)
-    return StagedCopy(staged.value, chunks)
-
-
 async def find_corrupt_chunks(
     replica: ReplicaControl, model: str, digests: Sequence[str]
 ) -> frozenset[int] | None:
@@ -152,14 +116,14 @@
         data = await replica.read_chunk(model, index)
         if isinstance(data, Failure):
             unread = True
-        elif data.value is None or not _matches_digest(data.value, index, digests):
+        elif data.value is None or not matches_digest(data.value, index, digests):
             bad.add(index)
 
-    await _in_parallel(range(len(digests)), check)
+    await in_parallel(range(len(digests)), check)
     return None if unread else frozenset(bad)
 
 
-async def _in_parallel(indexes: Iterable[int], act: Callable[[int], Awaitable[None]]) -> None:
+async def in_parallel(indexes: Iterable[int], act: Callable[[int], Awaitable[None]]) -> None:
     """Call `act` for each index, starting in order, with up to `WORKERS` calls at a time."""
     waiting = iter(indexes)
 
@@ -170,8 +134,3 @@
     async with trio.open_nursery() as nursery:
         for _ in range(WORKERS):
             nursery.start_soon(work)
-
-
-def _matches_digest(data: bytes, index: int, digests: Sequence[str]) -> bool:
-    """Return whether the data is the chunk at `index` of the version with these digests."""
-    return index < len(digests) and digest_of(data) == digests[index]
--- a/libs/rollout/src/headcross_rollout/runner.py
+++ b/libs/rollout/src/headcross_rollout/runner.py
@@ -13,10 +13,10 @@
 from typing import Final
 
 import trio
-from headcross_base.clocks import monotonic
 from headcross_base.decisions import Journal
 from headcross_base.errorcodes import ENGINE_MISMATCH, FACTS_OLD, ORDER_FAILED
 from headcross_base.errors import Failure, Ok
+from headcross_base.monotonic import monotonic
 from headcross_fleet.documents import DocumentRevisions, Documents
 from headcross_fleet.following import ConfigFollower
 from headcross_fleet.upstreamgate import (
--- a/libs/routing/src/headcross_routing/answerrelay.py
+++ b/libs/routing/src/headcross_routing/answerrelay.py
@@ -10,8 +10,8 @@
 import msgspec
 from headcross_base.verdicts import COMPLETED, VERDICT_HEADER, Refusal
 from headcross_native.eventstream import EVENT_STREAM, EventSplitter
-from headcross_wire.httpclient import Answer, LinkLostError
-from headcross_wire.httpserver import CallerGone, Exchange, Headers
+from headcross_wire.httpcodec import Answer, Headers, LinkLostError
+from headcross_wire.httpserver import CallerGone, Exchange
 from headcross_wire.replies import error_body
 
 from headcross_routing.requestmeta import DIGEST_HEADER, HOP_BY_HOP_HEADERS, INTERNAL_HEADERS
--- a/libs/routing/src/headcross_routing/attempts.py
+++ b/libs/routing/src/headcross_routing/attempts.py
@@ -36,15 +36,8 @@
 from headcross_fleet.documents import Documents
 from headcross_fleet.membership import StatusTable
 from headcross_native.eventstream import EventTooLongError
-from headcross_wire.httpclient import (
-    Answer,
-    ConnectError,
-    ConnectionPool,
-    HttpConnection,
-    LinkLostError,
-    call,
-)
-from headcross_wire.httpserver import Headers
+from headcross_wire.httpclient import ConnectionPool, HttpConnection, call
+from headcross_wire.httpcodec import Answer, ConnectError, Headers, LinkLostError
 from headcross_wire.replies import MAX_ERROR_BYTES, parse_refusal
 
 from headcross_routing.answerrelay import AnswerRelay
--- a/libs/routing/src/headcross_routing/entryhandler.py
+++ b/libs/routing/src/headcross_routing/entryhandler.py
@@ -13,7 +13,6 @@
 from typing import Final
 
 import trio
-from headcross_base.clocks import monotonic
 from headcross_base.errorcodes import (
     BAD_REQUEST,
     NO_REPLICA,
@@ -22,6 +21,7 @@
     TEAM_LIMIT,
     UNKNOWN_TEAM,
 )
+from headcross_base.monotonic import monotonic
 from headcross_base.verdicts import (
     COMPLETED,
     Completed,
@@ -33,7 +33,8 @@
 )
 from headcross_fleet.documents import Documents
 from headcross_fleet.membership import StatusTable
-from headcross_wire.httpserver import Exchange, Headers
+from headcross_wire.httpcodec import Headers
+from headcross_wire.httpserver import Exchange
 from headcross_wire.replies import send_refusal
 
 from headcross_routing.answerrelay import AnswerRelay
--- a/libs/routing/src/headcross_routing/ledger.py
+++ b/libs/routing/src/headcross_routing/ledger.py
@@ -17,9 +17,9 @@
 from typing import Final, Literal
 
 import msgspec
-from headcross_base.clocks import monotonic
 from headcross_base.errorcodes import DUPLICATE_KEY, LEDGER_FULL, LEDGER_YOUNG
 from headcross_base.hashing import rendezvous_first
+from headcross_base.monotonic import monotonic
 from headcross_base.verdicts import MayHaveRun, NotRun, Refusal
 from headcross_native.hostlist import HostList
 
--- a/libs/routing/src/headcross_routing/picking.py
+++ b/libs/routing/src/headcross_routing/picking.py
@@ -18,9 +18,9 @@
 from typing import Final
 
 from headcross_base.addresses import Address
-from headcross_base.clocks import monotonic
 from headcross_base.errorcodes import ErrorCode
 from headcross_base.hashing import digest_of, rendezvous_order
+from headcross_base.monotonic import monotonic
 from headcross_fleet.membership import StatusTable
 from headcross_fleet.upstreamgate import SERVING
 from headcross_native.hostlist import HostList
--- a/libs/routing/src/headcross_routing/requestmeta.py
+++ b/libs/routing/src/headcross_routing/requestmeta.py
@@ -9,11 +9,12 @@
 from dataclasses import dataclass
 from typing import Final
 
-from headcross_base.clocks import monotonic
 from headcross_base.errorcodes import BAD_REQUEST, NO_ROUTE, UNKNOWN_TEAM
+from headcross_base.monotonic import monotonic
 from headcross_base.verdicts import NotRun
 from headcross_fleet.fleetfile import FleetFile, Route
-from headcross_wire.httpserver import Headers, Request
+from headcross_wire.httpcodec import Headers
+from headcross_wire.httpserver import Request
 
 # Set by callers.
 TEAM_HEADER: Final = "headcross-team"
--- a/libs/routing/src/headcross_routing/teams.py
+++ b/libs/routing/src/headcross_routing/teams.py
@@ -12,8 +12,8 @@
 from dataclasses import dataclass
 from typing import Final
 
-from headcross_base.clocks import monotonic
 from headcross_base.errorcodes import TEAM_LIMIT
+from headcross_base.monotonic import monotonic
 from headcross_base.verdicts import NotRun
 from headcross_fleet.fleetfile import Team
 
--- a/libs/routing/src/headcross_routing/upstreamhandler.py
+++ b/libs/routing/src/headcross_routing/upstreamhandler.py
@@ -16,7 +16,6 @@
 import msgspec
 import trio
 from headcross_base.addresses import Address
-from headcross_base.clocks import monotonic
 from headcross_base.errorcodes import (
     BAD_REQUEST,
     CONNECT_FAILED,
@@ -29,6 +28,7 @@
     NOT_SERVING,
     REVOKED,
 )
+from headcross_base.monotonic import monotonic
 from headcross_base.verdicts import (
     COMPLETED,
     VERDICT_HEADER,
@@ -48,15 +48,9 @@
     ENGINE_RESUME_HEADER,
     WEIGHTS_MISMATCH_STATUS,
 )
-from headcross_wire.httpclient import (
-    Answer,
-    ConnectError,
-    HttpConnection,
-    LinkLostError,
-    closing,
-    connect,
-)
-from headcross_wire.httpserver import CallerGone, Exchange, Headers, Request
+from headcross_wire.httpclient import HttpConnection, closing, connect
+from headcross_wire.httpcodec import Answer, ConnectError, Headers, LinkLostError
+from headcross_wire.httpserver import CallerGone, Exchange, Request
 from headcross_wire.replies import send_refusal
 
 from headcross_routing.fairqueue import FairQueue
--- a/libs/weights/src/headcross_weights/chunkchoice.py
+++ b/libs/weights/src/headcross_weights/chunkchoice.py
@@ -10,7 +10,7 @@
 from collections.abc import Mapping
 from typing import Final
 
-from headcross_base.clocks import monotonic
+from headcross_base.monotonic import monotonic
 
 from headcross_weights.chunkstore import StoredArtifact
 from headcross_weights.neighbourview import NeighbourView
--- a/libs/weights/src/headcross_weights/importduties.py
+++ b/libs/weights/src/headcross_weights/importduties.py
@@ -15,7 +15,7 @@
 from collections.abc import Iterable
 from typing import Final
 
-from headcross_base.clocks import monotonic
+from headcross_base.monotonic import monotonic
 from headcross_wire.peermessages import AskIntent, Intent
 
 from headcross_weights.pace import LARGE_WEIGHTS, SwarmSettings
--- a/libs/weights/src/headcross_weights/imports.py
+++ b/libs/weights/src/headcross_weights/imports.py
@@ -10,9 +10,9 @@
 from collections.abc import Sequence
 from typing import Protocol
 
-from headcross_base.clocks import monotonic
 from headcross_base.errorcodes import SOURCE_FAILED
 from headcross_base.errors import Failure, Ok
+from headcross_base.monotonic import monotonic
 from headcross_native.weightsource import SourceBusy
 from headcross_wire.linkrate import LinkRate
 
--- a/libs/weights/src/headcross_weights/manifestfetch.py
+++ b/libs/weights/src/headcross_weights/manifestfetch.py
@@ -9,8 +9,8 @@
 from typing import Final
 
 import trio
-from headcross_base.clocks import monotonic
 from headcross_base.errors import Failure, Ok
+from headcross_base.monotonic import monotonic
 from headcross_fleet.fleetfile import Artifact
 
 from headcross_weights.imports import Importer
--- a/libs/weights/src/headcross_weights/neighbourview.py
+++ b/libs/weights/src/headcross_weights/neighbourview.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from typing import Final
 
-from headcross_base.clocks import monotonic
+from headcross_base.monotonic import monotonic
 from headcross_wire.peermessages import PeerMessage
 
 from headcross_weights.pace import LARGE_WEIGHTS, SwarmSettings
--- a/libs/weights/src/headcross_weights/transfer.py
+++ b/libs/weights/src/headcross_weights/transfer.py
@@ -23,9 +23,9 @@
 from typing import Final
 
 import trio
-from headcross_base.clocks import monotonic
 from headcross_base.errorcodes import MANIFEST_MISMATCH
 from headcross_base.errors import Failure, Ok
+from headcross_base.monotonic import monotonic
 from headcross_fleet.fleetfile import Artifact
 from headcross_native.hostlist import Host
 from headcross_wire.linkrate import LinkRate
--- a/libs/wire/src/headcross_wire/httpclient.py
+++ b/libs/wire/src/headcross_wire/httpclient.py
@@ -9,58 +9,35 @@
 from collections.abc import Callable
 from contextlib import suppress
 from contextvars import ContextVar
-from dataclasses import dataclass
 from types import TracebackType
 from typing import Final
 
-import h11
 import trio
 from headcross_base.addresses import Address
 from headcross_base.errorcodes import CONNECT_FAILED, LINK_LOST
 from headcross_base.errors import Failure, Ok
 
-from headcross_wire.httpserver import RECEIVE_BYTES, Headers
+from headcross_wire.httpcodec import (
+    MAX_IDLE_PER_ADDRESS,
+    RECEIVE_BYTES,
+    Answer,
+    ClientCodec,
+    ConnectError,
+    Headers,
+    LinkLostError,
+    WholeAnswer,
+)
 
 # SO_LINGER value: closing discards unsent data and resets the connection (socket(7)).
 RESET_ON_CLOSE: Final = struct.pack("ii", 1, 0)
 CONNECT_TIMEOUT_SECONDS: Final = 2.0
 IDLE_SECONDS: Final = 20.0  # a connection idle for longer is not reused
-MAX_IDLE_PER_ADDRESS: Final = 16  # idle connections kept per address
 
 # The source IP address of this process's connections; None lets the system choose. It is set once
 # at the start from the settings, and tasks inherit it.
 SOURCE_IP: Final[ContextVar[str | None]] = ContextVar("SOURCE_IP", default=None)
 
 
-class ConnectError(Exception):
-    """No connection was made; nothing of the request was sent."""
-
-
-class LinkLostError(Exception):
-    """The connection broke after the request may have been sent."""
-
-
-@dataclass(frozen=True, slots=True)
-class Answer:
-    """Status and headers of an answer whose body has not been read yet."""
-
-    status: int
-    headers: Headers  # names in lower case
-
-    def header(self, name: str) -> str | None:
-        """Return the first header of that name (lower case), or None."""
-        return next((value for key, value in self.headers if key == name), None)
-
-
-@dataclass(frozen=True, slots=True)
-class WholeAnswer:
-    """An answer with its complete body."""
-
-    status: int
-    headers: Headers
-    body: bytes
-
-
 class HttpConnection:
     """One connection to one address, used for one request at a time."""
 
@@ -68,34 +45,21 @@
         self.address = address
         self.idle_since = trio.current_time()
         self._stream = stream
-        self._connection = h11.Connection(h11.CLIENT)
+        self._codec = ClientCodec(str(address))
 
     async def send(self, method: str, target: str, headers: Headers, body: bytes) -> None:
         """Write a complete request; raise LinkLostError if the connection breaks."""
-        names = {name.lower() for name, _ in headers}
-        extra = [] if "host" in names else [("host", str(self.address))]
-        if body or method in ("POST", "PUT"):
-            extra.append(("content-length", str(len(body))))
-        encoded = [(n.encode("latin-1"), v.encode("latin-1")) for n, v in [*extra, *headers]]
-        parts = [
-            self._connection.send(h11.Request(method=method, target=target, headers=encoded)),
-            self._connection.send(h11.Data(data=body)) if body else b"",
-            self._connection.send(h11.EndOfMessage()),
-        ]
+        data = self._codec.encode_request(method, target, headers, body)
         try:
-            await self._stream.send_all(b"".join(part for part in parts if part))
+            await self._stream.send_all(data)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
             raise LinkLostError(str(error)) from None
 
     async def receive_answer(self) -> Answer:
         """Return status and headers; raise LinkLostError if the connection ends before them."""
-        while True:
-            event = await self._next_event()
-            if isinstance(event, h11.Response):
-                headers = [(n.decode("latin-1"), v.decode("latin-1")) for n, v in event.headers]
-                return Answer(event.status_code, headers)
-            if not isinstance(event, h11.InformationalResponse):
-                raise LinkLostError("the link closed before an answer")
+        while (answer := self._codec.next_answer()) is None:
+            await self._receive()
+        return answer
 
     async def receive_piece(self) -> bytes | None:
         """Return the next piece of the body, or None at its end.
@@ -103,19 +67,14 @@
         Raises LinkLostError if the body is truncated. A cancelled call has consumed nothing and
         may be repeated.
         """
-        event = await self._next_event()
-        if isinstance(event, h11.EndOfMessage):
-            return None
-        if not isinstance(event, h11.Data):
-            raise LinkLostError("the link closed within the answer")
-        return bytes(event.data)
+        while (piece := self._codec.next_piece()) == b"":
+            await self._receive()
+        return piece
 
     def reusable(self) -> bool:
         """Return whether another exchange may follow, and prepare the connection for it if so."""
-        states = (self._connection.our_state, self._connection.their_state)
-        if states != (h11.DONE, h11.DONE) or self._connection.trailing_data[0]:
+        if not self._codec.reusable():
             return False
-        self._connection.start_next_cycle()
         self.idle_since = trio.current_time()
         return True
 
@@ -133,17 +92,11 @@
             self._stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
         await trio.aclose_forcefully(self._stream)
 
-    async def _next_event(self) -> object:
+    async def _receive(self) -> None:
         try:
-            while True:
-                event = self._connection.next_event()
-                if event is not h11.NEED_DATA:
-                    return event
-                self._connection.receive_data(await self._stream.receive_some(RECEIVE_BYTES))
+            self._codec.receive(await self._stream.receive_some(RECEIVE_BYTES))
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
             raise LinkLostError(str(error)) from None
-        except h11.RemoteProtocolError as error:
-            raise LinkLostError(f"broken answer: {error}") from None
 
 
 async def connect(address: Address, seconds: float = CONNECT_TIMEOUT_SECONDS) -> HttpConnection:
@@ -355,3 +308,53 @@
         return Failure(
             LINK_LOST, f"{address}{target}: no whole answer in {seconds} s, or silent within it"
         )
+
+
+class TrioHttp:
+    """Makes calls on trio; idle connections are kept for later calls."""
+
+    def __init__(self) -> None:
+        self._pool = ConnectionPool()
+
+    async def call(
+        self,
+        address: Address,
+        method: str,
+        target: str,
+        *,
+        seconds: float,
+        max_bytes: int,
+        silence_seconds: float | None = None,
+    ) -> Ok[WholeAnswer] | Failure:
+        """Make one call on a new connection."""
+        return await call(
+            address,
+            method,
+            target,
+            seconds=seconds,
+            max_bytes=max_bytes,
+            silence_seconds=silence_seconds,
+        )
+
+    async def call_idempotent(
+        self, address: Address, method: str, target: str, *, seconds: float, max_bytes: int
+    ) -> Ok[WholeAnswer] | Failure:
+        """Make one call that may be repeated if an idle connection turns out to be dead."""
+        return await call_idempotent(
+            self._pool, address, method, target, seconds=seconds, max_bytes=max_bytes
+        )
+
+    async def call_once(
+        self,
+        address: Address,
+        method: str,
+        target: str,
+        *,
+        body: bytes,
+        seconds: float,
+        max_bytes: int,
+    ) -> Ok[WholeAnswer] | Failure:
+        """Make one call without repeating it."""
+        return await call_once(
+            self._pool, address, method, target, body=body, seconds=seconds, max_bytes=max_bytes
+        )
--- /dev/null
+++ b/libs/wire/src/headcross_wire/httpcodec.py
@@ -0,0 +1,155 @@
+"""HTTP/1.1 messages of a client, encoded and decoded by h11, and the interface to make calls.
+
+This module does no input or output and does not import trio: the client on trio and the one on
+blocking sockets, which a process uses before trio is imported, both use it.
+"""
+
+from dataclasses import dataclass
+from typing import Final, Protocol
+
+import h11
+from headcross_base.addresses import Address
+from headcross_base.errors import Failure, Ok
+
+Headers = list[tuple[str, str]]
+
+RECEIVE_BYTES: Final = 64 * 1024
+MAX_IDLE_PER_ADDRESS: Final = 16  # idle connections kept per address
+
+
+class ConnectError(Exception):
+    """No connection was made; nothing of the request was sent."""
+
+
+class LinkLostError(Exception):
+    """The connection broke after the request may have been sent."""
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """Status and headers of an answer whose body has not been read yet."""
+
+    status: int
+    headers: Headers  # names in lower case
+
+    def header(self, name: str) -> str | None:
+        """Return the first header of that name (lower case), or None."""
+        return next((value for key, value in self.headers if key == name), None)
+
+
+@dataclass(frozen=True, slots=True)
+class WholeAnswer:
+    """An answer with its complete body."""
+
+    status: int
+    headers: Headers
+    body: bytes
+
+
+class HttpCalls(Protocol):
+    """Calls to other processes; expected errors are returned as failures.
+
+    `seconds` bounds a call, and `max_bytes` the body of its answer.
+    """
+
+    async def call(
+        self,
+        address: Address,
+        method: str,
+        target: str,
+        *,
+        seconds: float,
+        max_bytes: int,
+        silence_seconds: float | None = None,
+    ) -> Ok[WholeAnswer] | Failure:
+        """Make one call on a new connection.
+
+        With `silence_seconds`, `seconds` only bounds the time to the first piece of the body.
+        """
+
+    async def call_idempotent(
+        self, address: Address, method: str, target: str, *, seconds: float, max_bytes: int
+    ) -> Ok[WholeAnswer] | Failure:
+        """Make one call that may be repeated if an idle connection turns out to be dead."""
+
+    async def call_once(
+        self,
+        address: Address,
+        method: str,
+        target: str,
+        *,
+        body: bytes,
+        seconds: float,
+        max_bytes: int,
+    ) -> Ok[WholeAnswer] | Failure:
+        """Make one call without repeating it; only CONNECT_FAILED means that nothing was sent."""
+
+
+class ClientCodec:
+    """The messages of one connection, which is used for one request at a time."""
+
+    def __init__(self, host: str) -> None:
+        """Start a connection; `host` is sent as the host header of requests without one."""
+        self._host = host
+        self._connection = h11.Connection(h11.CLIENT)
+
+    def encode_request(self, method: str, target: str, headers: Headers, body: bytes) -> bytes:
+        """Return the bytes of a complete request."""
+        names = {name.lower() for name, _ in headers}
+        extra = [] if "host" in names else [("host", self._host)]
+        if body or method in ("POST", "PUT"):
+            extra.append(("content-length", str(len(body))))
+        encoded = [(n.encode("latin-1"), v.encode("latin-1")) for n, v in [*extra, *headers]]
+        parts = [
+            self._connection.send(h11.Request(method=method, target=target, headers=encoded)),
+            self._connection.send(h11.Data(data=body)) if body else b"",
+            self._connection.send(h11.EndOfMessage()),
+        ]
+        return b"".join(part for part in parts if part)
+
+    def receive(self, data: bytes) -> None:
+        """Add received bytes; empty bytes are the end of the connection."""
+        self._connection.receive_data(data)
+
+    def next_answer(self) -> Answer | None:
+        """Return status and headers of the answer, or None if more bytes are needed.
+
+        Raises LinkLostError if the connection ended before them, or the bytes are not HTTP.
+        """
+        while True:
+            event = self._next_event()
+            if event is h11.NEED_DATA:
+                return None
+            if isinstance(event, h11.Response):
+                headers = [(n.decode("latin-1"), v.decode("latin-1")) for n, v in event.headers]
+                return Answer(event.status_code, headers)
+            if not isinstance(event, h11.InformationalResponse):
+                raise LinkLostError("the link closed before an answer")
+
+    def next_piece(self) -> bytes | None:
+        """Return the next piece of the body, None at its end, empty bytes if more are needed.
+
+        Raises LinkLostError if the body is truncated, or the bytes are not HTTP.
+        """
+        event = self._next_event()
+        if event is h11.NEED_DATA:
+            return b""
+        if isinstance(event, h11.EndOfMessage):
+            return None
+        if not isinstance(event, h11.Data):
+            raise LinkLostError("the link closed within the answer")
+        return bytes(event.data)
+
+    def reusable(self) -> bool:
+        """Return whether another exchange may follow, and prepare the connection for it if so."""
+        states = (self._connection.our_state, self._connection.their_state)
+        if states != (h11.DONE, h11.DONE) or self._connection.trailing_data[0]:
+            return False
+        self._connection.start_next_cycle()
+        return True
+
+    def _next_event(self) -> object:
+        try:
+            return self._connection.next_event()
+        except h11.RemoteProtocolError as error:
+            raise LinkLostError(f"broken answer: {error}") from None
--- a/libs/wire/src/headcross_wire/httpserver.py
+++ b/libs/wire/src/headcross_wire/httpserver.py
@@ -27,10 +27,9 @@
 )
 from headcross_base.verdicts import NOT_RUN, VERDICT_HEADER
 
-Headers = list[tuple[str, str]]
+from headcross_wire.httpcodec import RECEIVE_BYTES, Headers
 
 MAX_HEADER_BYTES: Final = 32 * 1024
-RECEIVE_BYTES: Final = 64 * 1024
 ACCEPT_BACKLOG: Final = 512
 # How long a connection without a request stays open while the server closes.
 CLOSING_IDLE_SECONDS: Final = 0.5
--- a/libs/wire/src/headcross_wire/linkrate.py
+++ b/libs/wire/src/headcross_wire/linkrate.py
@@ -1,7 +1,7 @@
 """Rate limiting of links by a token bucket that serves waiters in order of arrival."""
 
 import trio
-from headcross_base.clocks import monotonic
+from headcross_base.monotonic import monotonic
 
 
 class LinkRate:
--- a/libs/wire/src/headcross_wire/replies.py
+++ b/libs/wire/src/headcross_wire/replies.py
@@ -19,7 +19,8 @@
     verdict_name,
 )
 
-from headcross_wire.httpserver import Exchange, Headers
+from headcross_wire.httpcodec import Headers
+from headcross_wire.httpserver import Exchange
 
 MAX_ERROR_BYTES: Final = 16 * 1024
 
--- a/testing/caller.py
+++ b/testing/caller.py
@@ -6,8 +6,8 @@
 
 import trio
 from headcross_base.addresses import Address
-from headcross_wire.httpclient import ConnectError, LinkLostError, closing, connect
-from headcross_wire.httpserver import Headers
+from headcross_wire.httpclient import closing, connect
+from headcross_wire.httpcodec import ConnectError, Headers, LinkLostError
 
 from testing.engine import token
 
--- a/tests/test_confirmation.py
+++ b/tests/test_confirmation.py
@@ -11,8 +11,8 @@
     READ_BACK_PRIORITY_SECONDS,
     Confirmation,
     LoadStatus,
-    key_of,
 )
+from headcross_renewal.loadkey import key_of
 from headcross_wire.peermessages import ReplicaLoad
 
 OLDER, NEWER = LoadedModel("m", 1), LoadedModel("m", 2)
--- a/tests/test_digests.py
+++ b/tests/test_digests.py
@@ -16,6 +16,7 @@
 from headcross_renewal.digestregistry import (
     ANSWERS_NEEDED,
     READERS_PER_STEP,
+    RETRY_SECONDS,
     DigestRegistry,
     reader_order,
 )
@@ -194,3 +195,21 @@
     with trio.fail_after(10):
         await region.obtain_all()
     assert all(registry.settled[GOAL] == DIGESTS for registry in region.registries.values())
+
+
+async def test_digests_are_read_at_once_when_the_origin_becomes_known() -> None:
+    region = Region(daemons=1, entries=0)
+    (registry,) = region.registries.values()
+    region.origin.unreachable = True
+    began = trio.current_time()
+
+    async def find_origin() -> None:
+        await trio.sleep(READ_SECONDS + 0.01)
+        region.origin.unreachable = False
+        registry.retry()
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(find_origin)
+        assert await registry.obtain(GOAL) == DIGESTS
+    reads = 1 + ANSWERS_NEEDED
+    assert trio.current_time() - began < reads * READ_SECONDS + RETRY_SECONDS / 2
--- a/tests/test_foreign_entries.py
+++ b/tests/test_foreign_entries.py
@@ -16,7 +16,7 @@
 from headcross_platform.documents import MAX_VALUE_BYTES, decode
 from headcross_platform.store import MetadataStore
 from headcross_ports.published import Changes, Item, Listing, Replica, Topic
-from headcross_wire.httpclient import WholeAnswer
+from headcross_wire.httpcodec import WholeAnswer
 from hypothesis import given
 from hypothesis import strategies as st
 
--- a/tests/test_gateway_lapsed.py
+++ b/tests/test_gateway_lapsed.py
@@ -5,7 +5,7 @@
 import pytest
 import trio
 from headcross_base.addresses import Address
-from headcross_base.clocks import monotonic
+from headcross_base.monotonic import monotonic
 from headcross_facts.facts import LAPSE_SECONDS, Facts
 from headcross_gateway.directory import LAPSED_USE_SHARE, Directory
 from headcross_gateway.replicastate import ReplicaState
--- a/tests/test_gateway_limited.py
+++ b/tests/test_gateway_limited.py
@@ -7,7 +7,7 @@
 import trio
 import trio.testing
 from headcross_base.addresses import Address
-from headcross_base.clocks import monotonic
+from headcross_base.monotonic import monotonic
 from headcross_gateway.admission import Admission, QueueOrder
 from headcross_gateway.directory import Directory
 from headcross_gateway.overload import Overload
--- a/tests/test_gateway_linkproofs.py
+++ b/tests/test_gateway_linkproofs.py
@@ -6,8 +6,8 @@
 import pytest
 import trio
 from headcross_base.addresses import Address
-from headcross_base.clocks import monotonic
 from headcross_base.errorcodes import UNREACHED
+from headcross_base.monotonic import monotonic
 from headcross_facts.facts import VersionNotice
 from headcross_gateway.linkproofs import LinkProofs, LinkUnprovenError
 from headcross_gateway.outcomes import DidNotRun
--- a/tests/test_gateway_places.py
+++ b/tests/test_gateway_places.py
@@ -7,7 +7,8 @@
 import trio
 import trio.testing
 from headcross_base.addresses import Address
-from headcross_base.clocks import monotonic, now_ms
+from headcross_base.clocks import now_ms
+from headcross_base.monotonic import monotonic
 from headcross_facts.facts import VersionNotice
 from headcross_gateway.admission import Admission, QueueOrder
 from headcross_gateway.demand import DemandMeter
--- a/tests/test_gateway_rules.py
+++ b/tests/test_gateway_rules.py
@@ -4,7 +4,7 @@
 
 import pytest
 from headcross_base.addresses import Address
-from headcross_base.clocks import monotonic
+from headcross_base.monotonic import monotonic
 from headcross_facts.facts import Facts, VersionNotice
 from headcross_gateway.directory import Directory
 from headcross_gateway.health import Health
--- a/tests/test_gateway_subsetting.py
+++ b/tests/test_gateway_subsetting.py
@@ -5,7 +5,7 @@
 
 import pytest
 from headcross_base.addresses import Address
-from headcross_base.clocks import monotonic
+from headcross_base.monotonic import monotonic
 from headcross_gateway.directory import SUBSET_EXCLUSION_SECONDS, Directory
 from headcross_gateway.picking import Picker, Requirements
 from headcross_gateway.replicastate import (
--- a/tests/test_gateway_unbegun.py
+++ b/tests/test_gateway_unbegun.py
@@ -1,12 +1,10 @@
 """Tests of the withdrawal of attempts that replicas have not begun when weights expire."""
 
-from dataclasses import replace
-
 import pytest
 import trio
 import trio.testing
 from headcross_base.addresses import Address
-from headcross_base.clocks import monotonic
+from headcross_base.monotonic import monotonic
 from headcross_facts.facts import VersionNotice
 from headcross_gateway.attempts import Attempts, AttemptTimeouts
 from headcross_gateway.linkproofs import LinkProofs
@@ -17,9 +15,10 @@
 from headcross_platform.dialect import PlatformDialect
 from headcross_ports.published import LoadedModel, Replica
 from headcross_ports.requests import HandOver, RequestFacts
-from headcross_wire.httpclient import Answer
-from headcross_wire.httpserver import Headers, Request
+from headcross_wire.httpcodec import Answer, Headers
+from headcross_wire.httpserver import Request
 from headcross_wire.peermessages import ReplicaLoad
+from msgspec.structs import replace
 
 from tests.test_gateway_rules import rules
 
--- a/tests/test_incarnations.py
+++ b/tests/test_incarnations.py
@@ -1,7 +1,6 @@
 """Tests that no state of an incarnation applies to a later one of the same replica id."""
 
 import hashlib
-from dataclasses import replace
 from pathlib import Path
 
 import pytest
@@ -20,6 +19,7 @@
 from headcross_ports.published import Item, Listing, LoadedModel, Replica, Topic
 from headcross_ports.replicas import OrderRefused, OrderTaken, ReplicaReport
 from headcross_wire.peermessages import ReplicaLoad
+from msgspec.structs import replace
 
 from testing.machinecaller import ask
 from testing.machinelayout import MODEL_SERVICE
--- a/tests/test_machine_facts.py
+++ b/tests/test_machine_facts.py
@@ -14,15 +14,16 @@
 import trio.lowlevel
 import trio.testing
 from headcross_base.addresses import Address
-from headcross_base.clocks import PauseWatch, monotonic
+from headcross_base.clocks import PauseWatch
 from headcross_base.errors import Failure, Ok
+from headcross_base.monotonic import monotonic
+from headcross_facts.bounds import FactBounds
 from headcross_facts.facts import Facts
 from headcross_facts.following import (
     CHANGE_MARGIN_SECONDS,
     FIRST_RETRY_SECONDS,
     MIN_WATCH_SECONDS,
     RETRY_SPREAD,
-    FactBounds,
     Follower,
     PollingSettings,
     daemon_polling,
--- a/tests/test_machine_stopping.py
+++ b/tests/test_machine_stopping.py
@@ -5,7 +5,8 @@
 
 import pytest
 import trio
-from headcross_wire.httpclient import LinkLostError, connect
+from headcross_wire.httpclient import connect
+from headcross_wire.httpcodec import LinkLostError
 
 from testing.machinecaller import Reply, ask
 from testing.machinelayout import MODEL_SERVICE
--- a/tests/test_mirrors.py
+++ b/tests/test_mirrors.py
@@ -8,9 +8,9 @@
 import pytest
 import trio
 from headcross_base.addresses import Address
-from headcross_base.clocks import monotonic
 from headcross_base.errors import Ok
 from headcross_base.hashing import digest_of
+from headcross_base.monotonic import monotonic
 from headcross_base.units import KIB
 from headcross_facts.facts import Facts
 from headcross_native.hostlist import Host, HostList, Role
--- a/tests/test_news_after_outage.py
+++ b/tests/test_news_after_outage.py
@@ -12,7 +12,7 @@
 
 import pytest
 import trio
-from headcross_facts.following import FactBounds
+from headcross_facts.bounds import FactBounds
 
 from testing.machinecaller import ask
 from testing.machinelayout import PLAIN_SERVICE
--- a/tests/test_renewal_histories.py
+++ b/tests/test_renewal_histories.py
@@ -33,7 +33,7 @@
 from headcross_renewal.recovery import Recovery
 from headcross_renewal.renewer import Renewer
 from headcross_renewal.reporting import Reporter
-from headcross_renewal.sources import parse_weights_name
+from headcross_renewal.weightsname import parse_weights_name
 from headcross_weights.chunkstore import ChunkStore, StoredArtifact
 from headcross_wire.peermessages import PeerMessage, ReplicaLoad
 from hypothesis import given, settings
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -5,8 +5,8 @@
 import pytest
 import trio
 import trio.lowlevel
-from headcross_base.clocks import monotonic
 from headcross_base.errors import Failure, Ok
+from headcross_base.monotonic import monotonic
 from headcross_base.verdicts import MayHaveRun, NotRun
 from headcross_fleet.documents import DocumentRevisions
 from headcross_fleet.fleetfile import Pool, Team, parse_fleet_file
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -13,7 +13,7 @@
 import trio
 from headcross_base.addresses import Address
 from headcross_platform import names
-from headcross_wire.httpclient import Answer
+from headcross_wire.httpcodec import Answer
 
 from bench.soak.actions import ActionKind
 from bench.soak.badrequests import BadForm, BadRequest, compose
--- a/tests/test_suspension.py
+++ b/tests/test_suspension.py
@@ -5,7 +5,6 @@
 
 import time
 from collections.abc import Awaitable, Callable
-from pathlib import Path
 from types import SimpleNamespace
 from typing import TypeVar, cast
 from unittest.mock import Mock
@@ -13,11 +12,11 @@
 import pytest
 import trio
 from headcross_base.clocks import COMPARE_INTERVAL_SECONDS, SuspensionClock
-from headcross_base.errors import Ok
-from headcross_daemon import machinemain
+from headcross_base.earlylog import EarlyLog
+from headcross_daemon import machinerole
 from headcross_daemon import main as nativemain
+from headcross_daemon.machinesettings import MachineSettings
 from headcross_daemon.settings import Settings
-from headcross_ports.adapter import Adapter
 
 T = TypeVar("T")
 SUSPENSIONS = [1.0, 5.0, 30.0]
@@ -109,15 +108,9 @@
 def test_a_process_on_the_machines_uses_the_clock_that_counts_suspension(
     clocks: list[object], monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    settings = SimpleNamespace(
-        host="h",
-        log_level="error",
-        store=SimpleNamespace(address="127.0.0.1:1"),
-        replica_address=None,
-    )
-    monkeypatch.setattr(machinemain, "read_machine_settings", lambda path: Ok(settings))
-    monkeypatch.setattr(machinemain, "configure_line_log", lambda host, level: Mock())
-    machinemain.run(Path(), lambda store, replica: cast(Adapter, None))
+    settings = cast(MachineSettings, SimpleNamespace(host="h", log_level="error"))
+    monkeypatch.setattr(machinerole, "configure_line_log", lambda host, level: Mock())
+    machinerole.run_role(settings, Mock(), EarlyLog(), [])
     assert isinstance(clocks[0], SuspensionClock)
 
 
--- a/tests/test_version_choice.py
+++ b/tests/test_version_choice.py
@@ -4,7 +4,7 @@
 
 import pytest
 from headcross_base.addresses import Address
-from headcross_base.clocks import monotonic
+from headcross_base.monotonic import monotonic
 from headcross_facts.facts import Facts, VersionNotice
 from headcross_platform.store import MetadataStore
 from headcross_ports.configuration import CallerLimits, Configuration, Service, WeightsLayout
--- a/tests/test_version_news.py
+++ b/tests/test_version_news.py
@@ -1,7 +1,7 @@
 """Tests which named versions processes report to one another, and how reports are recorded."""
 
 from headcross_base.addresses import Address
-from headcross_base.clocks import monotonic
+from headcross_base.monotonic import monotonic
 from headcross_daemon.versionnews import (
     VERSION_NEWS_SECONDS,
     receive_version_news,
