--- a/libs/renewal/src/headcross_renewal/earlyrepair.py
+++ b/libs/renewal/src/headcross_renewal/earlyrepair.py
@@ -42,7 +42,6 @@
 # More mismatching chunks mean that the earlier process was staging the version, and had not
 # ordered it. They would also take much of the origin's narrow link.
 MAX_REPLACED_CHUNKS: Final = 4
-
 NEVER: Final = float("-inf")
 
 logger = logging.getLogger(__name__)
--- a/libs/wire/src/headcross_wire/blockinghttp.py
+++ b/libs/wire/src/headcross_wire/blockinghttp.py
@@ -49,12 +49,7 @@
         self._codec = ClientCodec(str(address))
 
     def exchange(
-        self,
-        method: str,
-        target: str,
-        body: bytes,
-        until: float,
-        max_bytes: int,
+        self, method: str, target: str, body: bytes, until: float, max_bytes: int
     ) -> WholeAnswer:
         """Send a request and return the complete answer; raise LinkLostError if it fails."""
         data = bytearray()
