A daemon lists the named versions once at its start again

Three failures, each traced: - test_daemons_that_receive_the_plan_from_an_entry_do_not_list_the_configuration: each daemon made three listings instead of two, since the early repair lists the named versions as well. Its listing is now handed to the follower, which begins to watch; the test is unchanged. - test_only_a_copy_that_may_be_fetched_delays_a_takeover (two cases): its fixture replaced the clock in headcross_base.clocks, and monotonic() moved to headcross_base.monotonic. The fixture replaces it there; checks unchanged.

--- a/libs/daemon/src/headcross_daemon/machinemain.py
+++ b/libs/daemon/src/headcross_daemon/machinemain.py
@@ -25,7 +25,7 @@
 
 if TYPE_CHECKING:
     from headcross_ports.adapter import Adapter
-    from headcross_renewal.earlyrepair import EarlyPuts, EarlyRepair
+    from headcross_renewal.earlyrepair import EarlyRepair, EarlyResults
     from headcross_wire.addressclaim import AddressClaim
 
 EXIT_SETTINGS: Final = 2
@@ -59,12 +59,12 @@
 
         make_entry = partial(GatewayRole, settings, path, adapter)
         return run_role(settings, make_entry, early_log, early_signals.received)
-    from headcross_renewal.earlyrepair import EarlyPuts
+    from headcross_renewal.earlyrepair import EarlyResults
 
     from headcross_daemon.renewalrole import RenewalRole
 
-    puts = early.end() if early is not None else EarlyPuts()
-    make_upstream = partial(RenewalRole, settings, path, adapter, puts)
+    early_results = early.end() if early is not None else EarlyResults()
+    make_upstream = partial(RenewalRole, settings, path, adapter, early_results)
     return run_role(settings, make_upstream, early_log, early_signals.received)
 
 
@@ -77,11 +77,11 @@
         repair.start()
         repair.wait_checked(FIRST_CHECK_SECONDS)
 
-    def end(self) -> "EarlyPuts":
-        """End the repair, free the address for the role, and return what was put."""
+    def end(self) -> "EarlyResults":
+        """End the repair, free the address for the role, and return the results."""
         self._repair.stop()
         self._claim.release()
-        return self._repair.puts
+        return self._repair.results
 
 
 def _start_early_phase(
--- a/libs/daemon/src/headcross_daemon/renewalrole.py
+++ b/libs/daemon/src/headcross_daemon/renewalrole.py
@@ -13,7 +13,7 @@
 from headcross_ports.published import LoadedModel, Replica, Topic
 from headcross_renewal.confirmation import LoadStatus
 from headcross_renewal.digestregistry import DigestRegistry
-from headcross_renewal.earlyrepair import EarlyPuts
+from headcross_renewal.earlyrepair import EarlyResults
 from headcross_renewal.fetching import DaemonLocation, Fetcher
 from headcross_renewal.goalchoice import GoalSelector
 from headcross_renewal.loading import Loading
@@ -83,9 +83,9 @@
         settings: MachineSettings,
         path: Path,
         adapter: Adapter,
-        early_puts: EarlyPuts,
+        early: EarlyResults,
     ) -> None:
-        """Create the role; `early_puts` are those that this process made before."""
+        """Create the role; `early` are the results of the early repair."""
         assert settings.replica is not None and adapter.replica is not None
         self.process = MachineProcess(
             settings,
@@ -96,6 +96,9 @@
             daemon_polling(settings.bounds.fact_bounds),
         )
         facts = self.process.facts
+        if early.versions is not None:
+            age = monotonic() - early.versions_read_at
+            self.process.follower.take_listing(Topic.VERSIONS, early.versions, age)
         address = parse_address(settings.replica.address)
         self._reporter = Reporter(address, adapter.replica, partial(recent_version_news, facts))
         self._store = ChunkStore(int(settings.limits.memory_bytes * WEIGHTS_MEMORY_SHARE))
@@ -136,7 +139,7 @@
             origin, self.process.node, self._daemons, settings.ip, self._daemons_for_digests
         )
         self._orders = Orders(str(address), facts, adapter.replica, self._reporter)
-        self._orders.in_doubt.record_early_puts(early_puts.last_at, early_puts.unanswered)
+        self._orders.in_doubt.record_early_puts(early.last_put_at, early.unanswered_puts)
         self._loading = Loading(
             str(address),
             settings.replica.service,
--- a/libs/facts/src/headcross_facts/following.py
+++ b/libs/facts/src/headcross_facts/following.py
@@ -20,7 +20,7 @@
 from headcross_base.clocks import PauseWatch
 from headcross_base.errors import Failure, Ok
 from headcross_base.monotonic import monotonic
-from headcross_ports.published import HistoryLost, PublishedStore, Topic
+from headcross_ports.published import HistoryLost, Listing, PublishedStore, Topic
 
 from headcross_facts.bounds import FactBounds
 from headcross_facts.facts import FROM_STORE, Facts
@@ -188,6 +188,7 @@
         # Scopes of the pauses after a change that are in progress.
         self._batch_delays: dict[Topic, trio.CancelScope] = {}
         self._urgent: set[Topic] = set()
+        self._listed_before: set[Topic] = set()
 
     async def run(self) -> None:
         """Follow all topics of the polling settings until cancelled."""
@@ -198,6 +199,11 @@
                 nursery.start_soon(self._follow_by_listing, topic)
             nursery.start_soon(self._reset_after_pauses)
 
+    def take_listing(self, topic: Topic, listing: Listing, age: float) -> None:
+        """Use a listing from before `run`, `age` seconds old; the topic is then only watched."""
+        self._facts.take_listing(topic, listing, age, FROM_STORE)
+        self._listed_before.add(topic)
+
     def reset(self) -> None:
         """Cancel every call in progress and make a new one at once."""
         for scope in self._scopes.values():
@@ -232,7 +238,7 @@
                 self._batch_delays[topic].cancel()
 
     async def _follow(self, topic: Topic) -> None:
-        listed = False
+        listed = topic in self._listed_before
         while True:
             with trio.CancelScope() as scope:
                 self._scopes[topic] = scope
--- a/libs/renewal/src/headcross_renewal/earlyrepair.py
+++ b/libs/renewal/src/headcross_renewal/earlyrepair.py
@@ -23,7 +23,7 @@
 from headcross_base.errors import Failure
 from headcross_base.monotonic import monotonic
 from headcross_ports.early import EarlyAdapter
-from headcross_ports.published import LoadedModel, NamedVersion, Topic
+from headcross_ports.published import Listing, LoadedModel, NamedVersion, Topic
 from headcross_ports.replicas import ChunkDigests, ReplicaReport
 from headcross_wire.blockinghttp import run_blocking
 
@@ -57,21 +57,24 @@
 
 
 @dataclass(slots=True)
-class EarlyPuts:
-    """The chunks that were put before the role; all times are `monotonic`."""
+class EarlyResults:
+    """What the role needs to know of the early repair; all times are `monotonic`."""
 
-    last_at: float = NEVER
+    last_put_at: float = NEVER
     # When a put of each version last had no answer; it may take effect later.
-    unanswered: dict[LoadedModel, float] = field(default_factory=dict)
+    unanswered_puts: dict[LoadedModel, float] = field(default_factory=dict)
+    # The listing of the named versions and when it was requested; None if it was not read.
+    versions: Listing | None = None
+    versions_read_at: float = NEVER
 
 
 class EarlyRepair:
     """Repairs the staged copy of one replica in a thread until it is stopped."""
 
-    puts: EarlyPuts  # complete after `stop`
+    results: EarlyResults  # complete after `stop`
 
     def __init__(self, adapter: EarlyAdapter, entries: Iterable[Address], source_ip: str) -> None:
-        self.puts = EarlyPuts()
+        self.results = EarlyResults()
         self._adapter = adapter
         self._entries = entries
         self._source_ip = source_ip
@@ -152,9 +155,11 @@
     async def _find_candidates(self, report: ReplicaReport) -> list[LoadedModel] | None:
         """Return the versions that an earlier process may have ordered, None if not known."""
         store = self._adapter.store
+        self.results.versions_read_at = monotonic()
         listing = await store.read(Topic.VERSIONS)
         if isinstance(listing, Failure):
             return None
+        self.results.versions = listing.value
         named: dict[str, list[int]] = {}
         for item in listing.value.items:
             fact = store.decode(item)
@@ -213,9 +218,9 @@
         if self._stopped.is_set():
             return False
         outcome = await self._adapter.replica.stage_chunk(goal.model, index, data)
-        self.puts.last_at = monotonic()
+        self.results.last_put_at = monotonic()
         if isinstance(outcome, Failure) and outcome.reason == LINK_LOST:
-            self.puts.unanswered[goal] = monotonic()
+            self.results.unanswered_puts[goal] = monotonic()
         return not isinstance(outcome, Failure)
 
 
--- a/tests/test_early_repair.py
+++ b/tests/test_early_repair.py
@@ -233,7 +233,7 @@
 
     beside.replica.drops_call = drop_put
     repair = await beside.repair_once()
-    assert [goal.version for goal in repair.puts.unanswered] == [2]
+    assert [goal.version for goal in repair.results.unanswered_puts] == [2]
 
 
 async def test_without_an_entry_nothing_is_done_and_the_thread_ends(beside: Beside) -> None:
--- a/tests/test_swarm_silence.py
+++ b/tests/test_swarm_silence.py
@@ -22,7 +22,7 @@
 def simulated_clock(monkeypatch: pytest.MonkeyPatch, autojump_clock: MockClock) -> MockClock:
     """Replace the product's clock by trio's, which jumps ahead while every task sleeps."""
     clock = SimpleNamespace(CLOCK_BOOTTIME=0, clock_gettime=lambda _: trio.current_time())
-    monkeypatch.setattr("headcross_base.clocks.time", clock)
+    monkeypatch.setattr("headcross_base.monotonic.time", clock)
     return autojump_clock
 
 
