The store's epoch is decoded and shown, with calls by topic

The platform's store may come back from an older copy of itself; it then states a higher number in the header Store-Era. No process read it, so a line 'older listing ignored' or 'history lost' did not tell whether the listing was late or the store had gone back, and neither the state page nor the metrics showed how many calls a topic makes.

The adapter decodes the header into a typed epoch of listings, changes and lost histories; the lines, the state page (epoch, calls) and the metrics (topic_epoch, store_calls_total) show it, and a listed replica's line the number of writes of its entry. Nothing decides by it yet.

--- a/libs/daemon/src/headcross_daemon/machineprocess.py
+++ b/libs/daemon/src/headcross_daemon/machineprocess.py
@@ -112,6 +112,8 @@
             "topics": {
                 topic.value: {
                     "revision": state.revision,
+                    "epoch": state.epoch,
+                    "calls": self.follower.calls[topic],
                     "age": round(min(state.age(), 1e9), 3),
                     "failing": self.follower.failing.get(topic, 0),
                     "call_seconds": round(self.follower.call_age(topic), 3),
@@ -137,6 +139,8 @@
         for topic in Topic:
             state = self.facts.topics[topic]
             samples[sample("topic_revision", topic=topic.value)] = state.revision
+            samples[sample("topic_epoch", topic=topic.value)] = state.epoch
+            samples[sample("store_calls_total", topic=topic.value)] = self.follower.calls[topic]
             samples[sample("topic_age_seconds", topic=topic.value)] = state.age()
             call_age = self.follower.call_age(topic)
             samples[sample("store_call_age_seconds", topic=topic.value)] = call_age
--- a/libs/facts/src/headcross_facts/facts.py
+++ b/libs/facts/src/headcross_facts/facts.py
@@ -7,7 +7,7 @@
 
 import logging
 from collections import Counter
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Final
 
 import trio
@@ -135,7 +135,7 @@
         if topic is not Topic.VERSIONS or not control.known or control.revision <= state.revision:
             return state
         items = {k: i for k, i in control.items.items() if self._store.covers(topic, k)}
-        return TopicState(topic, True, control.revision, control.fresh_at, items)
+        return replace(control, topic=topic, items=items)
 
     def note_failure(self, topic: Topic) -> None:
         """Record that a call to the store for a topic has just failed."""
@@ -149,8 +149,9 @@
         new_items = state.take_listing(listing, age)
         if new_items is None:
             self.counts["ignored"] += 1
-            fields = {"topic": topic.value, "revision": listing.revision, "held": state.revision}
-            logger.info("older listing ignored", extra={**fields, "source": source})
+            fields = {"topic": topic.value, "revision": listing.revision, "epoch": listing.epoch}
+            held = {"held": state.revision, "held_epoch": state.epoch}
+            logger.info("older listing ignored", extra={**fields, **held, "source": source})
             return False
         return self._take(topic, new_items, source, at_start=first)
 
@@ -256,6 +257,7 @@
                 "draining": replica.draining,
                 "loaded": {m.model: m.version for m in replica.loaded},
                 "started_ms": replica.started_ms,
+                "writes": replica.writes,
             }
             logger.info("replica listed", extra={**fields, **detail})
 
--- a/libs/facts/src/headcross_facts/following.py
+++ b/libs/facts/src/headcross_facts/following.py
@@ -13,6 +13,7 @@
 
 import logging
 import random
+from collections import Counter
 from dataclasses import dataclass
 from typing import Final
 
@@ -170,11 +171,14 @@
 
     # Topics whose last call to the store failed, with the number of consecutive failures.
     failing: dict[Topic, int]
+    # Number of calls to the store so far.
+    calls: Counter[Topic]
 
     def __init__(
         self, store: PublishedStore, facts: Facts, pauses: PauseWatch, polling: PollingSettings
     ) -> None:
         self.failing = {}
+        self.calls = Counter()
         self._store = store
         self._facts = facts
         self._pauses = pauses
@@ -268,6 +272,7 @@
     async def _make_call(self, topic: Topic, listed: bool) -> bool:
         """Make one call, a watch if `listed`; return whether the next one may be a watch."""
         self._called_at[topic] = monotonic()
+        self.calls[topic] += 1
         if not listed:
             listing = await self._store.read(topic)
             if isinstance(listing, Failure):
@@ -285,8 +290,9 @@
                 if self._facts.take_changes(topic, changes):
                     await self._delay_after_change(topic)
                 return True
-            case HistoryLost():
-                logger.info("history lost", extra={"topic": topic.value, "revision": revision})
+            case HistoryLost(epoch=epoch):
+                fields = {"topic": topic.value, "revision": revision, "epoch": epoch}
+                logger.info("history lost", extra=fields)
                 return False
             case Failure():
                 await self._pause_after_failure(topic, outcome)
--- a/libs/facts/src/headcross_facts/topicstate.py
+++ b/libs/facts/src/headcross_facts/topicstate.py
@@ -9,7 +9,7 @@
 from typing import Final
 
 from headcross_base.monotonic import monotonic
-from headcross_ports.published import Changes, Item, Listing, Topic
+from headcross_ports.published import UNKNOWN_EPOCH, Changes, Item, Listing, Topic
 
 # Lower than every revision: no listing has been taken yet.
 UNKNOWN_REVISION: Final = -1
@@ -22,6 +22,7 @@
     topic: Topic
     known: bool = False  # whether a complete listing has been taken
     revision: int = 0  # all changes up to and including this revision are applied
+    epoch: int = UNKNOWN_EPOCH  # of the store, as stated with the last answer that was applied
     fresh_at: float = float("-inf")  # monotonic; the latest time at which this was the newest
     items: dict[str, Item] = field(default_factory=dict)
 
@@ -44,10 +45,12 @@
             for key, held in self.items.items()
             if key not in listed and held.revision <= listing.revision
         ]
+        self.epoch = listing.epoch
         return self._take([*listing.items, *deleted], listing.revision, age, complete_revision)
 
     def take_changes(self, changes: Changes) -> list[Item]:
         """Apply the changes after this state's revision; return the new items."""
+        self.epoch = changes.epoch
         return self._take(changes.items, changes.revision, 0.0, self.revision)
 
     def _take(
--- a/libs/ports/src/headcross_ports/published.py
+++ b/libs/ports/src/headcross_ports/published.py
@@ -3,11 +3,15 @@
 Published items have a key, a value and a revision. Revisions come from one counter that increases
 with every change of any item. A topic is a group of items. Processes follow a topic by reading a
 listing and then watching for changes after its revision.
+
+A store may be restored from an older copy of itself. It then loses its newest items, and gives out
+their revisions again. Each restore begins a new epoch, and the store states the number of its epoch
+in its answers. Revisions can be compared only within one epoch.
 """
 
 from dataclasses import dataclass
 from enum import Enum
-from typing import TYPE_CHECKING, Protocol, Union
+from typing import TYPE_CHECKING, Final, Protocol, Union
 
 import msgspec
 from headcross_base.addresses import Address
@@ -18,6 +22,10 @@
     from headcross_ports.configuration import Configuration
 
 
+# The epoch of an answer that does not state one.
+UNKNOWN_EPOCH: Final = -1
+
+
 class Topic(Enum):
     """A group of published items."""
 
@@ -41,6 +49,7 @@
 
     items: tuple[Item, ...]
     revision: int  # the items may lack changes after this revision
+    epoch: int = UNKNOWN_EPOCH
 
 
 class Changes(msgspec.Struct, frozen=True):
@@ -48,11 +57,14 @@
 
     items: tuple[Item, ...]
     revision: int
+    epoch: int = UNKNOWN_EPOCH
 
 
 @dataclass(frozen=True, slots=True)
 class HistoryLost:
-    """The store no longer has the changes after a revision; the topic must be read again."""
+    """The store does not have the changes after a revision; the topic must be read again."""
+
+    epoch: int = UNKNOWN_EPOCH
 
 
 class NamedVersion(msgspec.Struct, frozen=True):
@@ -107,6 +119,7 @@
     draining: bool
     loaded: tuple[LoadedModel, ...] = ()
     started_ms: int | None = None  # Unix time of its start, None if not reported
+    writes: int = 0  # how often the incarnation had written its entry, this write included
 
     @property
     def incarnation(self) -> Incarnation:
