Failing tests: facts published after the store was restored

Callers were refused with 404 for routes of acknowledged configurations and reached leaving replicas after the store had come back from an older copy. The stand-in store can now be restored: it loses its newest writes, gives out their revisions again, states its era in all answers, and answers 410 to watches from revisions that it does not have. Replicas write their entries again some time later.

--- a/testing/machines.py
+++ b/testing/machines.py
@@ -72,6 +72,7 @@
     scope: trio.CancelScope = field(default_factory=trio.CancelScope)
     ended: trio.Event = field(default_factory=trio.Event)
     writes_entry: bool = True  # whether its entry in the list is kept current
+    writes: int = 0  # how often this incarnation has written its entry
 
     @property
     def address(self) -> Address:
@@ -102,6 +103,7 @@
     # `running_machines` runs proxies between them and the public addresses that clients use.
     private_block: str = ""
     listing_seconds: float = 0.01  # interval at which entries in the list are updated
+    rewrite_seconds: float = 0.3  # from a restore of the store until replicas write again
     _last_ip_number: int = 10  # last octet of the IP address assigned last
 
     # The platform.
@@ -162,6 +164,7 @@
         """Start the listener of a replica and keep its entry in the list current."""
         listed.scope = trio.CancelScope()
         listed.ended = trio.Event()
+        listed.writes = 0
         private = self.private(listed.address)
         listeners = await trio.open_tcp_listeners(private.port, host=private.ip)
 
@@ -181,6 +184,7 @@
     def list_replica(self, listed: ListedReplica) -> None:
         """Write a replica's entry to the store."""
         replica = listed.replica
+        listed.writes += 1
         loaded = [{"name": MODEL, "version": replica.version}] if replica.version else []
         entry = {
             "service": listed.service,
@@ -191,7 +195,7 @@
             "state": "draining" if replica.draining else "ready",
             names.SLOW_START_MS: 0,
             "models": loaded,
-            "seq": 1,
+            "seq": listed.writes,
         }
         if replica.reports_start:
             entry[names.STARTED_MS] = replica.started_ms
@@ -241,14 +245,21 @@
         self.store.remove(f"{names.REPLICA_PREFIX}{listed.replica.id}")
 
     async def _keep_listed(self, listed: ListedReplica) -> None:
-        """Complete due loads and write the entry whenever it changes, until cancelled."""
+        """Complete due loads and write the entry whenever it changes, until cancelled.
+
+        It is written again some time after the store was restored.
+        """
         listed_state: object = None
+        era, restored_at = self.store.era, float("inf")
         while True:
             listed.replica.complete_load()
             replica = listed.replica
             state = (replica.version, replica.draining, replica.started_ms)
-            if state != listed_state and listed.writes_entry:
-                listed_state = state
+            if self.store.era != era:
+                era, restored_at = self.store.era, trio.current_time()
+            is_due = trio.current_time() - restored_at >= self.rewrite_seconds
+            if (state != listed_state or is_due) and listed.writes_entry:
+                listed_state, restored_at = state, float("inf")
                 self.list_replica(listed)
             await trio.sleep(self.listing_seconds)
 
--- a/testing/platformstore.py
+++ b/testing/platformstore.py
@@ -1,6 +1,7 @@
 """A fake of the platform's metadata store: paged range reads, watches and fault injection.
 
-It follows the platform's specification. Tests publish items; processes read and watch them.
+It follows the platform's specification. Tests publish items; processes read and watch them. The
+store can be restored from an older copy of itself, which loses its newest writes.
 """
 
 import base64
@@ -25,7 +26,7 @@
     SILENT = "silent"  # never answers
 
 
-@dataclass
+@dataclass(frozen=True)
 class StoredItem:
     """A stored value with the revision of its last write."""
 
@@ -34,6 +35,16 @@
     made: int  # revision of its creation
 
 
+@dataclass(frozen=True)
+class Change:
+    """One change of an item."""
+
+    at: float  # trio's time
+    revision: int
+    key: str
+    item: StoredItem | None  # None if it was removed
+
+
 @dataclass
 class FakePlatformStore:
     """The store; it keeps its state in memory, and every write increments its revision."""
@@ -42,11 +53,14 @@
     items: dict[str, StoredItem] = field(default_factory=dict)
     revision: int = 0
     compacted_revision: int = 0  # the history up to this revision is discarded
+    era: int = 1  # the number of the current era; increases with every restore
+    # The era header of answers; None for `era`. An empty one is not sent.
+    era_header: str | None = None
     condition: StoreCondition = StoreCondition.WELL
     # Conditions that differ from `condition`, by the caller's IP address.
     condition_by_ip: dict[str, StoreCondition] = field(default_factory=dict)
     calls: Counter[str] = field(default_factory=Counter)  # by the caller's IP address and path
-    _log: list[tuple[int, str]] = field(default_factory=list)  # revision and key of each change
+    _log: list[Change] = field(default_factory=list)
     _changed: trio.Event = field(default_factory=trio.Event)
 
     def put(self, key: str, value: object) -> int:
@@ -69,6 +83,25 @@
         self.compacted_revision = self.revision
         self._wake()
 
+    def restore(self, revision: int) -> None:
+        """Go back to the copy taken at a revision; watches from later ones get status 410."""
+        self._log = [change for change in self._log if change.revision <= revision]
+        self.items = {}
+        for change in self._log:
+            if change.item is None:
+                self.items.pop(change.key, None)
+            else:
+                self.items[change.key] = change.item
+        self.revision = revision
+        self.compacted_revision = min(self.compacted_revision, revision)
+        self.era += 1
+        self._wake()
+
+    def revision_before(self, seconds: float) -> int:
+        """Return the revision that the store had some seconds ago."""
+        limit = trio.current_time() - seconds
+        return max((change.revision for change in self._log if change.at <= limit), default=0)
+
     def set_condition(self, condition: StoreCondition, ips: list[str] | None = None) -> None:
         """Set the condition that some callers see, or all if `ips` is None."""
         if ips is None:
@@ -87,11 +120,16 @@
         if not await self._check_condition(exchange, ip):
             return
         if path == names.STORE_RANGE:
-            await exchange.respond_json(200, self._range(query))
+            await self._respond(exchange, 200, self._range(query))
         elif path == names.STORE_WATCH:
             await self._watch(exchange, ip, query)
         else:
-            await exchange.respond_json(404, {"error": "no such call"})
+            await self._respond(exchange, 404, {"error": "no such call"})
+
+    async def _respond(self, exchange: Exchange, status: int, value: object) -> None:
+        era = str(self.era) if self.era_header is None else self.era_header
+        headers = [(names.STORE_ERA, era)] if era else []
+        await exchange.respond_json(status, value, headers)
 
     async def _check_condition(self, exchange: Exchange, ip: str) -> bool:
         """Return whether a call is answered normally; otherwise respond as the condition says."""
@@ -99,9 +137,9 @@
             case StoreCondition.WELL:
                 return True
             case StoreCondition.BUSY:
-                await exchange.respond_json(503, {"error": "busy"})
+                await self._respond(exchange, 503, {"error": "busy"})
             case StoreCondition.LIMITED:
-                await exchange.respond_json(429, {"error": "too many reads"})
+                await self._respond(exchange, 429, {"error": "too many reads"})
             case StoreCondition.RESET:
                 await exchange.abort()
             case StoreCondition.SILENT:
@@ -119,27 +157,33 @@
         with trio.move_on_after(int(query["wait_ms"]) / 1000):
             while True:
                 if (
-                    after < self.compacted_revision
+                    not self._has_history_since(after)
                     or self.condition_by_ip.get(ip, self.condition) is not StoreCondition.WELL
                 ):
                     break
-                if any(revision > after and key.startswith(prefix) for revision, key in self._log):
+                if self._changed_since(after, prefix):
                     break
                 await self._changed.wait()
         if self.condition_by_ip.get(ip, self.condition) is not StoreCondition.WELL:
             await self._check_condition(exchange, ip)
             return
-        if after < self.compacted_revision:
-            await exchange.respond_json(410, {"error": "history is gone"})
+        if not self._has_history_since(after):
+            await self._respond(exchange, 410, {"error": "history is gone"})
             return
-        changed = {key for revision, key in self._log if revision > after}
-        events = [self._show(key) for key in changed if key.startswith(prefix)]
-        await exchange.respond_json(200, {"events": events, "at": self.revision})
+        events = [self._show(key) for key in self._changed_since(after, prefix)]
+        await self._respond(exchange, 200, {"events": events, "at": self.revision})
+
+    def _has_history_since(self, revision: int) -> bool:
+        return self.compacted_revision <= revision <= self.revision
+
+    def _changed_since(self, revision: int, prefix: str) -> set[str]:
+        """Return the keys with a prefix that changed after a revision."""
+        return {c.key for c in self._log if c.revision > revision and c.key.startswith(prefix)}
 
     def _show(self, key: str) -> dict[str, object]:
         item = self.items.get(key)
         if item is None:
-            revision = max(revision for revision, changed in self._log if changed == key)
+            revision = max(change.revision for change in self._log if change.key == key)
             return {"key": key, "revision": revision, "gone": True}
         value = base64.b64encode(item.value).decode()
         return {
@@ -151,7 +195,7 @@
         }
 
     def _note(self, key: str) -> None:
-        self._log.append((self.revision, key))
+        self._log.append(Change(trio.current_time(), self.revision, key, self.items.get(key)))
         self._wake()
 
     def _wake(self) -> None:
