Facts are ordered by epoch and revision, so a restored store is followed

What callers saw: after the store had come back from an older copy, entries refused routes of acknowledged configurations with 404 and sent requests to replicas that had said that they leave, until the store's revisions had passed the newest one seen before the restore. What was published under a revision equal to that one was never seen.

Cause: the order of facts was the revision alone. A revision of the new history that is lower than one of the lost history was taken for a late answer, by listings, watches, peers and daemons alike.

Why this works: a position is (epoch, revision), compared in that order, and the store states its epoch in every answer. The first listing of a later epoch replaces a topic; a watch answered in another epoch leads to a listing; an answer of an earlier epoch or of none changes nothing and counts as a failed call; a listing whose pages differ in their epoch fails; peers state the epoch, and those of the release before, which do not, are before every epoch. An epoch is used once two answers state it, since a malformed answer may state any number. What is known does not go back to the copy: configurations and versions by their numbers, replicas by their incarnations and the writes of their entries (headcross_facts.order, without clock or input and output).

--- a/libs/facts/src/headcross_facts/facts.py
+++ b/libs/facts/src/headcross_facts/facts.py
@@ -1,8 +1,8 @@
 """What a process knows from the platform: configuration, named versions and replicas.
 
-Each topic has a revision and the time at which that was last known to be the newest. A
-configuration that cannot be decoded is reported once and the last valid one stays in force. The
-version of the configuration in force never decreases.
+Each topic has a position in the store's history and the time at which that was last known to be
+the newest. A configuration that cannot be decoded is reported once and the last valid one stays in
+force. The order of facts is decided in `order`; nothing goes back when the store does.
 """
 
 import logging
@@ -20,11 +20,21 @@
     Listing,
     LoadedModel,
     NamedVersion,
+    Position,
     PublishedStore,
     Replica,
     Topic,
 )
 
+from headcross_facts.order.positions import (
+    EpochWitness,
+    ListingVerdict,
+    WatchVerdict,
+    judge_watch,
+    supersedes,
+)
+from headcross_facts.order.replicahistory import ReplicaHistory
+from headcross_facts.order.topicitems import NewItems
 from headcross_facts.topicstate import TopicState
 
 FROM_STORE: Final = "store"
@@ -64,6 +74,10 @@
     # The named versions of each model, oldest first.
     versions: dict[str, list[VersionNotice]]
     topics: dict[Topic, TopicState]
+    # The epochs that the store and peers have stated.
+    epochs: EpochWitness
+    # What is known of replicas, listed or not.
+    history: ReplicaHistory
     # Number of items and listings by outcome: taken, rejected, ignored.
     counts: Counter[str]
 
@@ -73,7 +87,9 @@
         self.overwritten = {}
         self.lapsed_at = {}
         self.versions = {}
-        self.topics = {topic: TopicState(topic) for topic in Topic}
+        self.epochs = EpochWitness()
+        self.history = ReplicaHistory()
+        self.topics = {topic: TopicState(topic, epochs=self.epochs) for topic in Topic}
         self.counts = Counter()
         self._store = store
         # Why the newest list entry of a replica is invalid, by id.
@@ -128,11 +144,11 @@
         """Return the state of a topic.
 
         The named versions are also part of the control topic, and are taken from it if it is known
-        and its revision is newer.
+        and its position is later.
         """
         state = self.topics[topic]
         control = self.topics[Topic.CONTROL]
-        if topic is not Topic.VERSIONS or not control.known or control.revision <= state.revision:
+        if topic is not Topic.VERSIONS or not control.known or control.position <= state.position:
             return state
         items = {k: i for k, i in control.items.items() if self._store.covers(topic, k)}
         return replace(control, topic=topic, items=items)
@@ -142,36 +158,60 @@
         if topic is Topic.REPLICAS:
             self._list_failed_at = monotonic()
 
-    def take_listing(self, topic: Topic, listing: Listing, age: float, source: str) -> bool:
-        """Apply a listing that was the newest `age` seconds ago; return whether it is new."""
+    def take_listing(
+        self, topic: Topic, listing: Listing, age: float, source: str
+    ) -> ListingVerdict:
+        """Apply a listing that was the newest `age` seconds ago; return whether it was taken."""
+        if source == FROM_STORE:
+            self.epochs.note_answer(listing.epoch)
+        else:
+            self.epochs.note_peer(listing.epoch)
         state = self.topics[topic]
-        first = not state.known
-        new_items = state.take_listing(listing, age)
-        if new_items is None:
+        first, held = not state.known, state.position
+        taken = state.take_listing(listing, age)
+        fields = {"topic": topic.value, "revision": listing.revision, "epoch": listing.epoch}
+        known = {"held": held.revision, "held_epoch": held.epoch, "source": source}
+        if isinstance(taken, ListingVerdict):
             self.counts["ignored"] += 1
-            fields = {"topic": topic.value, "revision": listing.revision, "epoch": listing.epoch}
-            held = {"held": state.revision, "held_epoch": state.epoch}
-            logger.info("older listing ignored", extra={**fields, **held, "source": source})
-            return False
-        return self._take(topic, new_items, source, at_start=first)
+            message = (
+                "older listing ignored"
+                if taken is ListingVerdict.OUTDATED
+                else "listing of an unconfirmed epoch ignored"
+            )
+            logger.info(message, extra={**fields, **known})
+            return taken
+        if taken.restored:
+            logger.warning("store restored", extra={**fields, **known})
+        self._take(topic, taken, source, at_start=first)
+        return ListingVerdict.TAKE
+
+    def judge_watch(
+        self, topic: Topic, asked: Position, epoch: int, *, has_changes: bool
+    ) -> WatchVerdict:
+        """Judge the answer, stated in `epoch`, to a watch for the changes after `asked`."""
+        self.epochs.note_answer(epoch)
+        held = self.topics[topic].position
+        return judge_watch(held, asked, epoch, self.epochs, has_changes=has_changes)
 
     def take_changes(self, topic: Topic, changes: Changes) -> bool:
-        """Apply changes that were read from the store; return whether there were any new ones."""
+        """Apply changes after the known position; return whether there were any new ones."""
         new_items = self.topics[topic].take_changes(changes)
-        return self._take(topic, new_items, FROM_STORE, at_start=False)
+        self._take(topic, new_items, FROM_STORE, at_start=False)
+        return bool(new_items.items)
 
-    def _take(self, topic: Topic, new_items: list[Item], source: str, at_start: bool) -> bool:
-        for item in new_items:
-            self._take_item(topic, item, source, at_start)
-        if new_items or at_start:
+    def _take(self, topic: Topic, new: NewItems, source: str, at_start: bool) -> None:
+        for item in new.items:
+            self._take_item(topic, item, source, at_start, new.restored)
+        if new.items or at_start:
             self._changed.set()
             self._changed = trio.Event()
-        return bool(new_items)
 
-    def _take_item(self, topic: Topic, item: Item, source: str, at_start: bool) -> None:
+    def _take_item(
+        self, topic: Topic, item: Item, source: str, at_start: bool, restored: bool
+    ) -> None:
         fields = {"key": item.key, "revision": item.revision, "source": source}
         if item.value is None:
-            self._take_deletion(topic, item)
+            self._take_deletion(topic, item, restored)
             logger.info("fact gone", extra=fields)
             return
         outcome = self._store.decode(item)
@@ -189,12 +229,12 @@
             case NamedVersion() as named:
                 self._take_version(named, fields, at_start)
             case Replica() as replica:
-                self._take_replica(replica, fields)
+                self._take_replica(replica, fields, restored)
             case None:
                 return
         self.counts["taken"] += 1
 
-    def _take_deletion(self, topic: Topic, item: Item) -> None:
+    def _take_deletion(self, topic: Topic, item: Item, restored: bool) -> None:
         replica_id = self._store.replica_id(item.key) if topic is Topic.REPLICAS else None
         if replica_id is None:
             return
@@ -202,8 +242,11 @@
         self.overwritten.pop(replica_id, None)
         replica = self.replicas.pop(replica_id, None)
         now = monotonic()
-        during_outage = now - self._list_failed_at < LAPSE_SECONDS
-        if replica is not None and during_outage and not replica.draining:
+        # The copy of a restored store lacks the replicas that started after it was made.
+        may_have_lapsed = restored or now - self._list_failed_at < LAPSE_SECONDS
+        lapsed = replica is not None and may_have_lapsed and not replica.draining
+        self.history.note_unlisted(replica_id, lapsed=lapsed)
+        if lapsed:
             self.lapsed_at[replica_id] = now
 
     def _take_invalid_replica(
@@ -226,7 +269,7 @@
 
     def _take_configuration(self, configuration: Configuration, fields: dict[str, object]) -> None:
         held = self.configuration
-        if held is not None and configuration.version <= held.version:
+        if not supersedes(configuration.version, held.version if held is not None else None):
             logger.info("older configuration ignored", extra=fields)
             return
         self.configuration = configuration
@@ -236,15 +279,19 @@
         self, named: NamedVersion, fields: dict[str, object], at_start: bool
     ) -> None:
         notices = self.versions.setdefault(named.model, [])
-        if notices and named.version <= notices[-1].version:
+        if not supersedes(named.version, self.newest_version(named.model)):
             return
         notices.append(VersionNotice(named.version, monotonic(), at_start))
         logger.info(
             "version named", extra={**fields, "model": named.model, "version": named.version}
         )
 
-    def _take_replica(self, replica: Replica, fields: dict[str, object]) -> None:
-        held = self.replicas.get(replica.id)
+    def _take_replica(self, listed: Replica, fields: dict[str, object], restored: bool) -> None:
+        held = self.replicas.get(listed.id)
+        replica = self.history.admit(listed, restored=restored)
+        if replica is None:
+            logger.info("ended replica ignored", extra={**fields, "replica": listed.id})
+            return
         self.replicas[replica.id] = replica
         self.lapsed_at.pop(replica.id, None)
         self.overwritten.pop(replica.id, None)
--- a/libs/facts/src/headcross_facts/following.py
+++ b/libs/facts/src/headcross_facts/following.py
@@ -9,6 +9,9 @@
 a failed call (see `entry_polling`). A failed call is retried after a growing pause, and meanwhile
 peers are asked (see `peerfacts`). After the process was suspended the watch is cancelled, since
 its connection may be dead, and a new call is made at once.
+
+An answer that is not used, because the store is behind what is known or states no epoch, counts as
+a failed call.
 """
 
 import logging
@@ -19,12 +22,14 @@
 
 import trio
 from headcross_base.clocks import PauseWatch
+from headcross_base.errorcodes import SOURCE_FAILED
 from headcross_base.errors import Failure, Ok
 from headcross_base.monotonic import monotonic
-from headcross_ports.published import HistoryLost, Listing, PublishedStore, Topic
+from headcross_ports.published import Changes, Listing, PublishedStore, Topic
 
 from headcross_facts.bounds import FactBounds
 from headcross_facts.facts import FROM_STORE, Facts
+from headcross_facts.order.positions import ListingVerdict, WatchVerdict
 
 PAUSE_CHECK_SECONDS: Final = 0.2
 FIRST_RETRY_SECONDS: Final = 0.15
@@ -273,30 +278,47 @@
         """Make one call, a watch if `listed`; return whether the next one may be a watch."""
         self._called_at[topic] = monotonic()
         self.calls[topic] += 1
-        if not listed:
-            listing = await self._store.read(topic)
-            if isinstance(listing, Failure):
-                await self._pause_after_failure(topic, listing)
-                return False
+        return await (self._watch(topic) if listed else self._list(topic))
+
+    async def _list(self, topic: Topic) -> bool:
+        """List a topic; return whether the next call may be a watch."""
+        outcome = await self._store.read(topic)
+        if isinstance(outcome, Failure):
+            await self._pause_after_failure(topic, outcome)
+            return False
+        listing = outcome.value
+        verdict = self._facts.take_listing(topic, listing, 0.0, FROM_STORE)
+        if verdict is ListingVerdict.TAKE:
             self._note_recovery(topic)
-            self._facts.take_listing(topic, listing.value, 0.0, FROM_STORE)
             return True
-        revision = self._facts.topics[topic].revision
+        detail = f"{verdict.value} listing, {_describe(listing)}"
+        await self._pause_after_failure(topic, Failure(SOURCE_FAILED, detail))
+        return verdict is ListingVerdict.OUTDATED
+
+    async def _watch(self, topic: Topic) -> bool:
+        """Watch a topic from its known position; return whether the next call may be a watch."""
+        asked = self._facts.topics[topic].position
         limits = self._polling.watch_limits(topic, lost=topic in self.failing)
-        outcome = await self._store.watch(topic, revision, limits.wait, limits.answer)
-        match outcome:
-            case Ok(value=changes):
+        outcome = await self._store.watch(topic, asked.revision, limits.wait, limits.answer)
+        if isinstance(outcome, Failure):
+            await self._pause_after_failure(topic, outcome)
+            return True
+        answer = outcome.value if isinstance(outcome, Ok) else outcome
+        has_changes = isinstance(answer, Changes)
+        verdict = self._facts.judge_watch(topic, asked, answer.epoch, has_changes=has_changes)
+        match answer, verdict:
+            case Changes(), WatchVerdict.APPLY:
                 self._note_recovery(topic)
-                if self._facts.take_changes(topic, changes):
+                if self._facts.take_changes(topic, answer):
                     await self._delay_after_change(topic)
-                return True
-            case HistoryLost(epoch=epoch):
-                fields = {"topic": topic.value, "revision": revision, "epoch": epoch}
-                logger.info("history lost", extra=fields)
+            case _, WatchVerdict.LIST:
+                fields = {"topic": topic.value, "revision": asked.revision, "epoch": asked.epoch}
+                logger.info("history lost", extra={**fields, "answered_epoch": answer.epoch})
                 return False
-            case Failure():
-                await self._pause_after_failure(topic, outcome)
-                return True
+            case _, WatchVerdict.REJECT:
+                detail = f"answer of epoch {answer.epoch} to a watch in epoch {asked.epoch}"
+                await self._pause_after_failure(topic, Failure(SOURCE_FAILED, detail))
+        return True
 
     async def _pause_after_failure(self, topic: Topic, failure: Failure) -> None:
         failures = self.failing.get(topic, 0)
@@ -332,3 +354,7 @@
                 seconds = round(self._pauses.last_pause_seconds, 3)
                 logger.warning("process stood still", extra={"seconds": seconds})
                 self.reset()
+
+
+def _describe(listing: Listing) -> str:
+    return f"revision {listing.revision} of epoch {listing.epoch}"
--- a/libs/facts/src/headcross_facts/peerfacts.py
+++ b/libs/facts/src/headcross_facts/peerfacts.py
@@ -8,6 +8,9 @@
 without an answer it could not be distinguished from one whose answer is still in transit, and
 waiting for that kept an entry from asking peers that had the topic.
 
+Messages carry the epoch of their revision. Peers of releases that do not send it are taken to be
+before every epoch, so a process that knows an epoch takes nothing from them.
+
 Entries are asked first, since they follow every topic; one other process is asked in addition
 while the store does not answer any entry either. A process that lists a topic only on demand does
 not ask peers for it, and lists it when a peer asks for its revision. Nothing is pushed, so there
@@ -23,7 +26,7 @@
 import trio
 from headcross_base.addresses import Address
 from headcross_base.monotonic import monotonic
-from headcross_ports.published import Item, Listing, Topic
+from headcross_ports.published import UNKNOWN_EPOCH, Item, Listing, Position, Topic
 from headcross_wire.peermessages import (
     AskFacts,
     AskRevision,
@@ -35,7 +38,8 @@
 
 from headcross_facts.facts import Facts
 from headcross_facts.following import Follower
-from headcross_facts.topicstate import UNKNOWN_REVISION
+from headcross_facts.order.topicitems import UNKNOWN_REVISION
+from headcross_facts.topicstate import TopicState
 
 ASK_INTERVAL_SECONDS: Final = 0.3
 # Entries asked for their revision per round. In the worst outage observed three of four entries
@@ -56,6 +60,9 @@
 # its state is no older than this.
 FRESH_SECONDS: Final = 0.7
 
+# Earlier than the position of every listing.
+UNKNOWN_POSITION: Final = Position(UNKNOWN_EPOCH, UNKNOWN_REVISION)
+
 logger = logging.getLogger(__name__)
 
 
@@ -122,15 +129,20 @@
                 self._ask(topic)
 
     def answer_revision(self, question: AskRevision, reply: Reply) -> None:
-        """Answer a peer with the revision that this process has, even if it has none."""
+        """Answer a peer with the revision that this process has, even if it has none.
+
+        A revision of an epoch that is not confirmed is not reported, since peers could not tell if
+        the store's answer was malformed.
+        """
         topic = _parse_topic(question.topic)
         if topic is None:
             return
         state = self._facts.topic_state(topic)
         if state.age() > FRESH_SECONDS:
             self._follower.list_now(topic)
-        revision = state.revision if state.known else UNKNOWN_REVISION
-        reply(KnownRevision(question.topic, revision, state.age()), None)
+        position = _position_of(state) if self._is_reportable(state) else UNKNOWN_POSITION
+        answer = KnownRevision(question.topic, position.revision, state.age(), position.epoch)
+        reply(answer, None)
 
     def receive_revision(self, message: KnownRevision, reply: Reply) -> None:
         """Request the whole topic from a peer that has a newer revision.
@@ -144,58 +156,62 @@
         now = monotonic()
         if message.age <= STALE_SECONDS:
             fetch.fresh_at = now
-        held = self._revision_held(topic)
-        if message.revision <= held or now < fetch.transfer_until:
+        held = _position_of(self._facts.topics[topic])
+        offered = Position(message.epoch, message.revision)
+        if offered <= held or now < fetch.transfer_until:
             return
-        fields = {"topic": topic.value, "held": held}
+        fields = {"topic": topic.value, "held": held.revision, "held_epoch": held.epoch}
         if fetch.transferring:
             logger.info("facts not answered", extra=fields)
-        if reply(AskFacts(topic.value, held), None):
+        if reply(AskFacts(topic.value, held.revision, held.epoch), None):
             fetch.begin_transfer(now)
-            logger.info("facts asked", extra={**fields, "revision": message.revision})
+            detail = {"revision": message.revision, "epoch": message.epoch}
+            logger.info("facts asked", extra={**fields, **detail})
 
     def answer(self, question: AskFacts, reply: Reply) -> None:
-        """Answer a peer with the topic; without its items if the peer has the same revision.
+        """Answer a peer with the topic; without its items if the peer has the same position.
 
-        A peer that has a newer revision gets no answer.
+        A peer that has a later position gets no answer. Only the revision of a peer that does not
+        know its epoch is compared.
         """
         topic = _parse_topic(question.topic)
         if topic is None:
             return
         state = self._facts.topic_state(topic)
-        if not state.known or state.revision < question.revision:
+        known_epoch = question.epoch if question.epoch != UNKNOWN_EPOCH else state.epoch
+        asked = Position(known_epoch, question.revision)
+        if not self._is_reportable(state) or state.position < asked:
             return
         items: list[PublishedItem] = []
-        if state.revision > question.revision:
+        if state.position > asked:
             items = [
                 PublishedItem(item.key, item.revision, item.value or b"")
                 for item in state.items.values()
             ]
-        reply(TopicFacts(question.topic, state.revision, state.age(), items), None)
+        answer = TopicFacts(question.topic, state.revision, state.age(), items, state.epoch)
+        reply(answer, None)
 
     def receive(self, message: TopicFacts, sender: str) -> None:
-        """Apply a topic that a peer sent, if its revision is newer."""
+        """Apply a topic that a peer sent, if its position is later."""
         topic = _parse_topic(message.topic)
         if topic is None:
             return
         if topic in self._fetches:
             self._fetches[topic].end_transfer()
-        held = self._revision_held(topic)
-        fields = {"topic": topic.value, "revision": message.revision, "held": held}
-        logger.info("facts answered", extra={**fields, "age": round(min(message.age, 1e9), 3)})
-        if message.revision <= held:
+        held = _position_of(self._facts.topics[topic])
+        fields = {"topic": topic.value, "revision": message.revision, "epoch": message.epoch}
+        known = {"held": held.revision, "held_epoch": held.epoch}
+        age = round(min(message.age, 1e9), 3)
+        logger.info("facts answered", extra={**fields, **known, "age": age})
+        if Position(message.epoch, message.revision) <= held:
             return
         items = tuple(Item(item.key, item.revision, item.value) for item in message.items)
         self.taken += 1
-        self._facts.take_listing(topic, Listing(items, message.revision), message.age, sender)
+        listing = Listing(items, message.revision, message.epoch)
+        self._facts.take_listing(topic, listing, message.age, sender)
 
-    def _revision_held(self, topic: Topic) -> int:
-        """Return the known revision of a topic, which may be 0.
-
-        Returns `UNKNOWN_REVISION` if there is no listing yet.
-        """
-        state = self._facts.topics[topic]
-        return state.revision if state.known else UNKNOWN_REVISION
+    def _is_reportable(self, state: TopicState) -> bool:
+        return state.known and self._facts.epochs.is_confirmed(state.epoch)
 
     def _ask(self, topic: Topic) -> None:
         """Ask some peers for their revision, unless a requested topic may still arrive."""
@@ -222,6 +238,11 @@
         return asked
 
 
+def _position_of(state: TopicState) -> Position:
+    """Return the known position of a topic, `UNKNOWN_POSITION` if there is no listing yet."""
+    return state.position if state.known else UNKNOWN_POSITION
+
+
 def _parse_topic(name: str) -> Topic | None:
     """Return the topic that a message names, None if this release does not know it."""
     try:
--- a/libs/gateway/src/headcross_gateway/directory.py
+++ b/libs/gateway/src/headcross_gateway/directory.py
@@ -87,6 +87,8 @@
         """Remove a replica that is no longer listed."""
         state = self._states.pop(replica_id)
         state.replaced_or_unlisted = True
+        if state.backpressure.leaving:
+            self._facts.history.note_leaving(state.replica.incarnation)
         fields = {"draining": state.is_leaving(), "in_flight": state.in_flight}
         logger.info("replica not listed", extra={"replica": replica_id, **fields})
 
--- a/libs/ports/src/headcross_ports/published.py
+++ b/libs/ports/src/headcross_ports/published.py
@@ -5,8 +5,8 @@
 listing and then watching for changes after its revision.
 
 A store may be restored from an older copy of itself. It then loses its newest items, and gives out
-their revisions again. Each restore begins a new epoch, and the store states the number of its epoch
-in its answers. Revisions can be compared only within one epoch.
+their revisions again. Each restore begins a new epoch, and the store states the number of its
+epoch in its answers. Revisions can be compared only within one epoch.
 """
 
 from dataclasses import dataclass
@@ -26,6 +26,17 @@
 UNKNOWN_EPOCH: Final = -1
 
 
+class Position(msgspec.Struct, frozen=True, order=True):
+    """A point in the history of a store; later points compare as greater.
+
+    >>> Position(3, 90) < Position(4, 10) < Position(4, 11)
+    True
+    """
+
+    epoch: int
+    revision: int
+
+
 class Topic(Enum):
     """A group of published items."""
 
@@ -51,6 +62,11 @@
     revision: int  # the items may lack changes after this revision
     epoch: int = UNKNOWN_EPOCH
 
+    @property
+    def position(self) -> Position:
+        """The position whose items the listing contains."""
+        return Position(self.epoch, self.revision)
+
 
 class Changes(msgspec.Struct, frozen=True):
     """The items changed after a revision; empty if the wait ended without changes."""
--- a/libs/wire/src/headcross_wire/peermessages.py
+++ b/libs/wire/src/headcross_wire/peermessages.py
@@ -200,6 +200,7 @@
     topic: str
     revision: int  # -1 if the sender has no listing of the topic
     age: float  # seconds since the sender knew this to be the newest state
+    epoch: int = -1  # in which the revision was given out; -1 if unknown
 
 
 class AskFacts(_Message, frozen=True, tag=40):
@@ -207,6 +208,7 @@
 
     topic: str
     revision: int
+    epoch: int = -1  # of the revision; -1 if unknown
 
 
 class TopicFacts(_Message, frozen=True, tag=41):
@@ -216,6 +218,7 @@
     revision: int
     age: float  # seconds since the sender knew this to be the newest state
     items: list[PublishedItem]
+    epoch: int = -1  # of the revisions; -1 if unknown
 
 
 class MirrorLocation(_Message, frozen=True):
--- a/tests/test_machine_facts.py
+++ b/tests/test_machine_facts.py
@@ -29,6 +29,7 @@
     daemon_polling,
     entry_polling,
 )
+from headcross_facts.order.topicitems import UNKNOWN_REVISION
 from headcross_facts.peerfacts import (
     ASK_INTERVAL_SECONDS,
     ENTRIES_ASKED,
@@ -38,7 +39,7 @@
     STALE_SECONDS,
     PeerFacts,
 )
-from headcross_facts.topicstate import UNKNOWN_REVISION, TopicState
+from headcross_facts.topicstate import TopicState
 from headcross_gateway.weightsrules import WeightsRules
 from headcross_platform import names, store
 from headcross_platform.store import MetadataStore
