Calls to the store stay few whatever it answers

Cause: only failed calls were followed by a pause.

A successful call that brings nothing and did not wait is now followed by the same growing pause as a failed one, except after the first, since the listing after a lost history is urgent.

--- a/libs/facts/src/headcross_facts/following.py
+++ b/libs/facts/src/headcross_facts/following.py
@@ -11,7 +11,9 @@
 its connection may be dead, and a new call is made at once.
 
 An answer that is not used, because the store is behind what is known or states no epoch, counts as
-a failed call.
+a failed call. Calls that succeed without bringing anything, such as watches that are refused one
+after the other, are delayed like failed ones, so that their number stays bounded whatever the
+store answers.
 """
 
 import logging
@@ -39,6 +41,8 @@
 # A failed call that lasted longer is logged even during a known outage, since the store usually
 # answers within milliseconds.
 LONG_CALL_SECONDS: Final = 1.0
+# A watch without changes that is answered within this share of its wait was not a wait.
+EARLY_ANSWER_SHARE: Final = 0.5
 
 logger = logging.getLogger(__name__)
 
@@ -192,6 +196,8 @@
         # When the last call to the store began, and when its calls began to fail (monotonic).
         self._called_at: dict[Topic, float] = {}
         self._lost_at: dict[Topic, float] = {}
+        # Number of consecutive successful calls that brought nothing and did not wait either.
+        self._idle_calls: Counter[Topic] = Counter()
         # Set by `list_now`, for each topic that is not being listed.
         self._listing_requests: dict[Topic, trio.Event] = {}
         # Scopes of the pauses after a change that are in progress.
@@ -309,17 +315,35 @@
         match answer, verdict:
             case Changes(), WatchVerdict.APPLY:
                 self._note_recovery(topic)
-                if self._facts.take_changes(topic, answer):
-                    await self._delay_after_change(topic)
+                await self._apply_changes(topic, answer, limits)
             case _, WatchVerdict.LIST:
                 fields = {"topic": topic.value, "revision": asked.revision, "epoch": asked.epoch}
                 logger.info("history lost", extra={**fields, "answered_epoch": answer.epoch})
+                await self._pause_after_idle_call(topic)
                 return False
             case _, WatchVerdict.REJECT:
                 detail = f"answer of epoch {answer.epoch} to a watch in epoch {asked.epoch}"
                 await self._pause_after_failure(topic, Failure(SOURCE_FAILED, detail))
+            case _:
+                await self._pause_after_idle_call(topic)
         return True
 
+    async def _apply_changes(self, topic: Topic, changes: Changes, limits: WatchLimits) -> None:
+        if self._facts.take_changes(topic, changes):
+            self._idle_calls[topic] = 0
+            await self._delay_after_change(topic)
+        elif self.call_age(topic) < EARLY_ANSWER_SHARE * limits.wait:
+            await self._pause_after_idle_call(topic)
+        else:
+            self._idle_calls[topic] = 0
+
+    async def _pause_after_idle_call(self, topic: Topic) -> None:
+        """Pause after a successful call that brought nothing, except after the first one."""
+        idle_calls = self._idle_calls[topic]
+        self._idle_calls[topic] += 1
+        if idle_calls:
+            await trio.sleep(self._polling.pause_after(idle_calls - 1))
+
     async def _pause_after_failure(self, topic: Topic, failure: Failure) -> None:
         failures = self.failing.get(topic, 0)
         self.failing[topic] = failures + 1
