Tests of restores beside outages, freezes, restarts, cuts and bad epochs

The store is restored while it is never away, twice in a row, in a silent outage, beside a suspended or a restarted entry, for an entry that it does not answer or turns away from then on, with no, a malformed or a far too high epoch in its answers, and right after the first listing of a daemon that starts. Configurations, versions, replicas that leave and replicas that are gone do not go back to the copy; replicas that the copy lacks are used again once they have written.

--- a/testing/platformstore.py
+++ b/testing/platformstore.py
@@ -56,6 +56,8 @@
     era: int = 1  # the number of the current era; increases with every restore
     # The era header of answers; None for `era`. An empty one is not sent.
     era_header: str | None = None
+    # Era headers of the next answer to a caller, by its IP address.
+    wrong_eras: dict[str, str] = field(default_factory=dict)
     condition: StoreCondition = StoreCondition.WELL
     # Conditions that differ from `condition`, by the caller's IP address.
     condition_by_ip: dict[str, StoreCondition] = field(default_factory=dict)
@@ -128,6 +130,7 @@
 
     async def _respond(self, exchange: Exchange, status: int, value: object) -> None:
         era = str(self.era) if self.era_header is None else self.era_header
+        era = self.wrong_eras.pop(exchange.peer_ip, era)
         headers = [(names.STORE_ERA, era)] if era else []
         await exchange.respond_json(status, value, headers)
 
