Soak: the store is restored from an older copy

Half of the fault phases now have one or two restores: the store resets its callers, comes back from a copy that is 0.3 to 6 s old, and operator and replicas write again. The checks are as they were; a configuration that an entry loses again is a violation in any case, one that is published after the restore has its bound.

--- a/bench/soak/actionrunner.py
+++ b/bench/soak/actionrunner.py
@@ -9,6 +9,7 @@
 from bench.soak.processes import Processes
 from bench.soak.proxies import LinkFault, LinkKind
 from bench.soak.record import ReplicaLeaves, ReplicaLimit
+from bench.soak.restore import restore_store, unlist_ended_replicas
 from bench.soak.site import ReplicaHostState, Site
 from bench.soak.sizes import ReplicaHost, daemon_of
 from testing.machinelayout import MODEL_SERVICE
@@ -52,6 +53,7 @@
             ActionKind.REPLICA_LEAVES: self._announce_leaving,
             ActionKind.STORE_MOOD: self._set_store_condition,
             ActionKind.STORE_FORGET: self._forget_history,
+            ActionKind.STORE_RESTORE: self._restore_store,
             ActionKind.ORIGIN_DOWN: self._take_origin_down,
             ActionKind.ORIGIN_SLOW: self._slow_origin,
             ActionKind.ORIGIN_CORRUPT: self._corrupt_origin,
@@ -255,6 +257,13 @@
         self._site.machines.store.forget_history()
         disturbance.ended_at = trio.current_time()
 
+    async def _restore_store(self, action: Action) -> None:
+        disturbance = self._site.begin_disturbance(action.kind.value, frozenset())
+        await restore_store(self._site, action.seconds, copy_age=action.amount)
+        disturbance.ended_at = trio.current_time()
+        await trio.sleep(LISTING_EXPIRY_SECONDS)
+        unlist_ended_replicas(self._site)
+
     async def _take_origin_down(self, action: Action) -> None:
         self._site.machines.origin.down = True
         await trio.sleep(action.seconds)
--- a/bench/soak/actions.py
+++ b/bench/soak/actions.py
@@ -36,6 +36,7 @@
     # The platform.
     STORE_MOOD = "store mood"  # for the targets, or for all if there are none
     STORE_FORGET = "store forget"
+    STORE_RESTORE = "store restore"  # from a copy that is `amount` seconds old
     ORIGIN_DOWN = "origin down"
     ORIGIN_SLOW = "origin slow"
     ORIGIN_CORRUPT = "origin corrupt"
--- a/bench/soak/plan.py
+++ b/bench/soak/plan.py
@@ -50,6 +50,10 @@
 BACKPRESSURE_SECONDS: Final = 6.0
 LIMITS_PER_SECOND: Final = (0.2, 0.5, 1.0, 8.0)  # requests per second
 REST_SECONDS: Final = (0.8, 2.5)  # range of the rest that a replica asks for
+RESTORE_SHARE: Final = 0.5  # share of fault phases with restores of the store
+MAX_RESTORES: Final = 2  # in one fault phase
+RESTORE_SECONDS: Final = (0.7, 3.0)  # range of the time until all is written again
+COPY_AGE_SECONDS: Final = (0.3, 6.0)  # range of the age of the copy
 # Restarts on one host stay this far from other starts and ends there, so that none overlap.
 RESTART_MARGIN_SECONDS: Final = 6.0
 
@@ -83,6 +87,7 @@
     builder.draw_late_orders(random.Random(f"{seed} late orders"))
     builder.draw_restarts(random.Random(f"{seed} lives"))
     builder.draw_backpressure(random.Random(f"{seed} backpressure"))
+    builder.draw_restores(random.Random(f"{seed} restores"))
     actions = tuple(sorted(builder.actions, key=lambda action: action.at))
     return Plan(seed, seconds, sizes, replica_hosts, rate, actions, last_fault_phase_ends_at)
 
@@ -172,6 +177,17 @@
                 ):
                     self._add(at, kind, host_name, seconds=BACKPRESSURE_SECONDS, amount=amount)
 
+    def draw_restores(self, generator: random.Random) -> None:
+        """Draw restores of the store in fault phases."""
+        for since, until in self._fault_phases:
+            if generator.random() >= RESTORE_SHARE:
+                continue
+            for _ in range(generator.randint(1, MAX_RESTORES)):
+                seconds = generator.uniform(*RESTORE_SECONDS)
+                at = generator.uniform(since, until - seconds)
+                age = generator.uniform(*COPY_AGE_SECONDS)
+                self._add(at, ActionKind.STORE_RESTORE, seconds=seconds, amount=age)
+
     def _is_restarted_within(self, host_name: str, since: float, until: float) -> bool:
         """Return whether an action ends or starts the replica on a host between two times."""
         return any(
--- a/bench/soak/site.py
+++ b/bench/soak/site.py
@@ -129,6 +129,11 @@
         self.machines.change(routes=[*self.machines.configuration["routes"], route])
         self.record.configurations.append(ConfigurationPublished(version, trio.current_time()))
 
+    def publish_again(self) -> None:
+        """Write the newest configuration and the newest version again."""
+        self.machines.publish()
+        self.machines.name_version(self.newest_version)
+
     def name_version(self) -> None:
         """Name the next version of the weights."""
         self.newest_version += 1
