Soak: restores lose configurations that were known

Now some configurations are published right before each restore and known everywhere, the copy is older than they are, and only what it lacks is written again.

--- a/bench/soak/plan.py
+++ b/bench/soak/plan.py
@@ -53,7 +53,12 @@
 RESTORE_SHARE: Final = 0.5  # share of fault phases with restores of the store
 MAX_RESTORES: Final = 2  # in one fault phase
 RESTORE_SECONDS: Final = (0.7, 3.0)  # range of the time until all is written again
-COPY_AGE_SECONDS: Final = (0.3, 6.0)  # range of the age of the copy
+# The configurations published before a restore, which it loses. The last one is known everywhere
+# by then, and the copy is older than the first one.
+MAX_LOST_CONFIGURATIONS: Final = 6
+PUBLISH_GAP_SECONDS: Final = 0.1
+KNOWN_SECONDS: Final = 0.6
+COPY_AGE_SECONDS: Final = (0.1, 4.0)  # range of the age of the copy at the first one
 # Restarts on one host stay this far from other starts and ends there, so that none overlap.
 RESTART_MARGIN_SECONDS: Final = 6.0
 
@@ -184,8 +189,11 @@
                 continue
             for _ in range(generator.randint(1, MAX_RESTORES)):
                 seconds = generator.uniform(*RESTORE_SECONDS)
-                at = generator.uniform(since, until - seconds)
-                age = generator.uniform(*COPY_AGE_SECONDS)
+                count = generator.randint(1, MAX_LOST_CONFIGURATIONS)
+                lead = count * PUBLISH_GAP_SECONDS + KNOWN_SECONDS
+                at = generator.uniform(since + lead, until - seconds)
+                age = lead + generator.uniform(*COPY_AGE_SECONDS)
+                self._add(at - lead, ActionKind.PUBLISH, seconds=PUBLISH_GAP_SECONDS, amount=count)
                 self._add(at, ActionKind.STORE_RESTORE, seconds=seconds, amount=age)
 
     def _is_restarted_within(self, host_name: str, since: float, until: float) -> bool:
--- a/bench/soak/restore.py
+++ b/bench/soak/restore.py
@@ -13,14 +13,15 @@
 
 
 async def restore_store(site: Site, seconds: float, copy_age: float) -> None:
-    """Restore the store from a copy that is `copy_age` seconds old.
+    """Restore the store from a copy that is `copy_age` seconds old now.
 
     It resets its callers first. After `seconds`, everything that the copy lacks is written again.
     """
     store = site.machines.store
+    copied = store.revision_before(copy_age)
     store.set_condition(StoreCondition.RESET)
     await trio.sleep(max(0.1, seconds - REWRITE_SECONDS))
-    store.restore(store.revision_before(copy_age))
+    store.restore(copied)
     store.set_condition(StoreCondition.WELL)
     await trio.sleep(REWRITE_SECONDS)
     site.publish_again()
--- a/bench/soak/site.py
+++ b/bench/soak/site.py
@@ -130,9 +130,11 @@
         self.record.configurations.append(ConfigurationPublished(version, trio.current_time()))
 
     def publish_again(self) -> None:
-        """Write the newest configuration and the newest version again."""
-        self.machines.publish()
-        self.machines.name_version(self.newest_version)
+        """Write the newest configuration and the newest version again if the store lost them."""
+        if not self.machines.is_published():
+            self.machines.publish()
+        if not self.machines.is_named(self.newest_version):
+            self.machines.name_version(self.newest_version)
 
     def name_version(self) -> None:
         """Name the next version of the weights."""
--- a/testing/machines.py
+++ b/testing/machines.py
@@ -48,6 +48,7 @@
 from testing.platformstore import FakePlatformStore
 
 ROOT: Final = Path(__file__).resolve().parent.parent
+VERSION_KEY: Final = f"{names.VERSION_PREFIX}{MODEL}"
 
 
 @dataclass
@@ -103,7 +104,8 @@
     # `running_machines` runs proxies between them and the public addresses that clients use.
     private_block: str = ""
     listing_seconds: float = 0.01  # interval at which entries in the list are updated
-    rewrite_seconds: float = 0.3  # from a restore of the store until replicas write again
+    # From a restore of the store until replicas write again what it lost.
+    rewrite_seconds: float = 0.3
     _last_ip_number: int = 10  # last octet of the IP address assigned last
 
     # The platform.
@@ -134,6 +136,10 @@
         """Publish the current configuration; return the store's revision."""
         return self.store.put(names.CONFIGURATION_KEY, self.configuration)
 
+    def is_published(self) -> bool:
+        """Return whether the store has the current configuration."""
+        return self.store.holds(names.CONFIGURATION_KEY, self.configuration)
+
     def change(self, **changes: object) -> int:
         """Publish the next configuration version with changes; return the store's revision."""
         self.configuration = {**self.configuration, **changes}
@@ -145,7 +151,11 @@
         if version not in self.origin.versions:
             chunks = [random.randbytes(CHUNK_BYTES) for _ in range(CHUNKS)]
             self.origin.versions[version] = chunks
-        self.store.put(f"{names.VERSION_PREFIX}{MODEL}", {"model": MODEL, "version": version})
+        self.store.put(VERSION_KEY, {"model": MODEL, "version": version})
+
+    def is_named(self, version: int) -> bool:
+        """Return whether the store has a version as the one to serve."""
+        return self.store.holds(VERSION_KEY, {"model": MODEL, "version": version})
 
     async def add_replica(
         self, service: str, zone: str, *, ip: str = "", version: int = 0, slots: int = 8
@@ -183,8 +193,11 @@
 
     def list_replica(self, listed: ListedReplica) -> None:
         """Write a replica's entry to the store."""
-        replica = listed.replica
         listed.writes += 1
+        self.store.put(f"{names.REPLICA_PREFIX}{listed.replica.id}", self._entry_of(listed))
+
+    def _entry_of(self, listed: ListedReplica) -> dict[str, object]:
+        replica = listed.replica
         loaded = [{"name": MODEL, "version": replica.version}] if replica.version else []
         entry = {
             "service": listed.service,
@@ -199,7 +212,12 @@
         }
         if replica.reports_start:
             entry[names.STARTED_MS] = replica.started_ms
-        self.store.put(f"{names.REPLICA_PREFIX}{replica.id}", entry)
+        return entry
+
+    def _is_entry_lost(self, listed: ListedReplica) -> bool:
+        """Return whether the store does not have the entry as it was last written."""
+        key = f"{names.REPLICA_PREFIX}{listed.replica.id}"
+        return not self.store.holds(key, self._entry_of(listed))
 
     def crash_replica(self, listed: ListedReplica) -> None:
         """Stop a replica abruptly; its entry stays in the list."""
@@ -247,7 +265,7 @@
     async def _keep_listed(self, listed: ListedReplica) -> None:
         """Complete due loads and write the entry whenever it changes, until cancelled.
 
-        It is written again some time after the store was restored.
+        It is written again if the store was restored and has lost it.
         """
         listed_state: object = None
         era, restored_at = self.store.era, float("inf")
@@ -257,9 +275,11 @@
             state = (replica.version, replica.draining, replica.started_ms)
             if self.store.era != era:
                 era, restored_at = self.store.era, trio.current_time()
-            is_due = trio.current_time() - restored_at >= self.rewrite_seconds
-            if (state != listed_state or is_due) and listed.writes_entry:
-                listed_state, restored_at = state, float("inf")
+            is_lost = False
+            if trio.current_time() - restored_at >= self.rewrite_seconds:
+                restored_at, is_lost = float("inf"), self._is_entry_lost(listed)
+            if (state != listed_state or is_lost) and listed.writes_entry:
+                listed_state = state
                 self.list_replica(listed)
             await trio.sleep(self.listing_seconds)
 
--- a/testing/platformstore.py
+++ b/testing/platformstore.py
@@ -67,13 +67,18 @@
 
     def put(self, key: str, value: object) -> int:
         """Write an item, raw bytes as they are and all else as JSON; return the new revision."""
-        body = value if isinstance(value, bytes) else msgspec.json.encode(value)
+        body = encode_value(value)
         self.revision += 1
         made = self.items[key].made if key in self.items else self.revision
         self.items[key] = StoredItem(body, self.revision, made)
         self._note(key)
         return self.revision
 
+    def holds(self, key: str, value: object) -> bool:
+        """Return whether an item has a value."""
+        item = self.items.get(key)
+        return item is not None and item.value == encode_value(value)
+
     def remove(self, key: str) -> None:
         """Remove an item."""
         self.revision += 1
@@ -204,3 +209,8 @@
     def _wake(self) -> None:
         self._changed.set()
         self._changed = trio.Event()
+
+
+def encode_value(value: object) -> bytes:
+    """Return the bytes of a value: raw bytes as they are, all else as JSON."""
+    return value if isinstance(value, bytes) else msgspec.json.encode(value)
