A replica that renews the entry of a copy is used again

A replica that was gone and whose entry the store's copy lists is not used until it has written the entry again. One that had only lost the store, and finds in the copy what it wrote last, writes nothing: it would never be used again.

The store removes the entry of a silent replica within a few seconds, so an entry that a store that answers still lists 10 s after the restore is renewed.

--- a/libs/facts/src/headcross_facts/facts.py
+++ b/libs/facts/src/headcross_facts/facts.py
@@ -45,6 +45,9 @@
 # expired because the replica could not renew it either. Failed calls are retried after 1.2 s at
 # most.
 LAPSE_SECONDS: Final = 3.0
+# A store removes the entry of a silent replica within a few seconds. So a replica whose entry is
+# still listed this long after a restore renews it.
+RENEWED_SECONDS: Final = 10.0
 
 logger = logging.getLogger(__name__)
 
@@ -96,6 +99,8 @@
         self._invalid_reasons: dict[str, str] = {}
         self._changed = trio.Event()
         self._started_at = monotonic()
+        # Replicas that a copy lists although they were gone, and since when (monotonic), by id.
+        self._ignored: dict[str, tuple[Replica, float]] = {}
         # When a call for the list of replicas last failed (monotonic).
         self._list_failed_at = float("-inf")
 
@@ -182,6 +187,8 @@
             return taken
         if taken.restored:
             logger.warning("store restored", extra={**fields, **known})
+            now = monotonic()
+            self._ignored = {key: (replica, now) for key, (replica, _) in self._ignored.items()}
         self._take(topic, taken, source, at_start=first)
         return ListingVerdict.TAKE
 
@@ -240,6 +247,7 @@
             return
         self._invalid_reasons.pop(replica_id, None)
         self.overwritten.pop(replica_id, None)
+        self._ignored.pop(replica_id, None)
         replica = self.replicas.pop(replica_id, None)
         now = monotonic()
         # The copy of a restored store lacks the replicas that started after it was made.
@@ -291,11 +299,9 @@
         replica = self.history.admit(listed, restored=restored)
         if replica is None:
             logger.info("ended replica ignored", extra={**fields, "replica": listed.id})
+            self._ignored.setdefault(listed.id, (listed, monotonic()))
             return
-        self.replicas[replica.id] = replica
-        self.lapsed_at.pop(replica.id, None)
-        self.overwritten.pop(replica.id, None)
-        self._invalid_reasons.pop(replica.id, None)
+        self._list_replica(replica)
         if held is None or _logged_state(held) != _logged_state(replica):
             detail = {
                 "replica": replica.id,
@@ -308,6 +314,24 @@
             }
             logger.info("replica listed", extra={**fields, **detail})
 
+    def _list_replica(self, replica: Replica) -> None:
+        self.replicas[replica.id] = replica
+        self.lapsed_at.pop(replica.id, None)
+        self.overwritten.pop(replica.id, None)
+        self._invalid_reasons.pop(replica.id, None)
+        self._ignored.pop(replica.id, None)
+
+    def readmit_renewed(self) -> None:
+        """Use replicas that were gone, but have renewed the entries that a copy lists."""
+        fresh_at = self.topics[Topic.REPLICAS].fresh_at
+        renewed = [r for r, since in self._ignored.values() if fresh_at - since >= RENEWED_SECONDS]
+        for replica in renewed:
+            self._list_replica(self.history.readmit(replica))
+            logger.info("replica listed again", extra={"replica": replica.id})
+        if renewed:
+            self._changed.set()
+            self._changed = trio.Event()
+
 
 def _logged_state(replica: Replica) -> tuple[bool, tuple[LoadedModel, ...], int | None]:
     """Return the parts of a list entry whose changes are logged."""
--- a/libs/facts/src/headcross_facts/following.py
+++ b/libs/facts/src/headcross_facts/following.py
@@ -284,6 +284,7 @@
         """Make one call, a watch if `listed`; return whether the next one may be a watch."""
         self._called_at[topic] = monotonic()
         self.calls[topic] += 1
+        self._facts.readmit_renewed()
         return await (self._watch(topic) if listed else self._list(topic))
 
     async def _list(self, topic: Topic) -> bool:
--- a/libs/facts/src/headcross_facts/order/replicahistory.py
+++ b/libs/facts/src/headcross_facts/order/replicahistory.py
@@ -55,6 +55,12 @@
         draining = replica.draining or known.newest.draining
         return self._list(known, msgspec.structs.replace(replica, draining=draining))
 
+    def readmit(self, replica: Replica) -> Replica:
+        """Return the entry to use for a replica that turned out to keep its entry listed."""
+        known = self._known.setdefault(replica.id, _KnownReplica(replica))
+        draining = replica.draining or known.newest.draining
+        return self._list(known, msgspec.structs.replace(replica, draining=draining))
+
     def note_leaving(self, incarnation: Incarnation) -> None:
         """Record that an incarnation has announced otherwise than in the list that it leaves."""
         known = self._known.get(incarnation.id)
--- a/tests/test_fact_order.py
+++ b/tests/test_fact_order.py
@@ -6,7 +6,7 @@
 import pytest
 from headcross_base.addresses import Address
 from headcross_base.errors import Ok
-from headcross_facts.facts import FROM_STORE, Facts
+from headcross_facts.facts import FROM_STORE, RENEWED_SECONDS, Facts
 from headcross_facts.order.positions import (
     EpochWitness,
     ListingVerdict,
@@ -324,6 +324,25 @@
     assert listed_again is not None and listed_again.is_leaving()
 
 
+def test_a_replica_that_was_gone_and_renews_the_entry_of_the_copy_is_used_again(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Its entry is as it was, so it does not write it again."""
+    now = 100.0
+    for module in ("facts", "topicstate"):
+        monkeypatch.setattr(f"headcross_facts.{module}.monotonic", lambda: now)
+    facts = new_facts()
+    take(facts, Position(3, 7), entry(5, seq=4))
+    facts.take_changes(Topic.REPLICAS, Changes((Item(f"{names.REPLICA_PREFIX}i-1", 8, None),), 8))
+    take(facts, Position(4, 6), entry(5, seq=4))
+    now += RENEWED_SECONDS
+    facts.readmit_renewed()
+    assert not facts.replicas  # the store has not answered since
+    facts.take_changes(Topic.REPLICAS, Changes((), 6, 4))
+    facts.readmit_renewed()
+    assert set(facts.replicas) == {"i-1"}
+
+
 def test_a_listing_of_a_restored_store_leaves_unchanged_entries_as_they_are() -> None:
     facts = new_facts()
     take(facts, Position(3, 7), entry(5, seq=4))
--- a/tests/test_renewal_histories.py
+++ b/tests/test_renewal_histories.py
@@ -2,7 +2,8 @@
 
 The real renewal code, from the choice of the version to the order, runs in virtual time against a
 model of a replica that loses calls, executes them late, restarts, and corrupts chunks, while
-versions are named in quick succession and the daemon process restarts.
+versions are named in quick succession, the store that names them is restored from older copies,
+and the daemon process restarts.
 """
 
 import random
@@ -19,8 +20,9 @@
 from headcross_base.hashing import digest_of
 from headcross_facts.facts import Facts
 from headcross_fleet.fleetfile import Artifact
+from headcross_platform import names
 from headcross_platform.store import MetadataStore
-from headcross_ports.published import Listing, LoadedModel, Replica, Topic
+from headcross_ports.published import Changes, Item, Listing, LoadedModel, Replica, Topic
 from headcross_ports.replicas import ChunkDigests
 from headcross_renewal import indoubt
 from headcross_renewal.confirmation import Confirmation
@@ -46,6 +48,7 @@
 CHUNK_BYTES = len(chunk_of(1, 0))
 BOUND_SECONDS = 8.0
 FAULT_PHASE_SECONDS = 40.0
+RESTORE_SHARE = 0.3  # of the namings, those that a restore of the store precedes
 RESTARTS_PER_SECOND = 0.1  # of the daemon's process
 # After the last fault: time for late calls to take effect, for a process to wait for them before
 # its order, and for a version to be fetched.
@@ -207,6 +210,38 @@
     return facts
 
 
+@dataclass
+class NamingStore:
+    """Names versions to a process; it may be restored from an older copy."""
+
+    facts: Facts
+    generator: random.Random
+    epoch: int = 1
+    revision: int = 10
+
+    def name(self, version: int) -> None:
+        """Name a version, after a restore that loses up to three earlier ones, or without one."""
+        if self.generator.random() < RESTORE_SHARE:
+            self._restore(max(1, version - self.generator.randint(1, 3)))
+        self.revision += 1
+        changes = Changes((self._item(version),), self.revision, self.epoch)
+        self.facts.take_changes(Topic.VERSIONS, changes)
+        # As entries and other daemons report it.
+        self.facts.record_named_version(MODEL, version, 0.0)
+
+    def _restore(self, version: int) -> None:
+        self.epoch += 1
+        self.revision = max(1, self.revision - self.generator.randint(1, 8))
+        listing = Listing((self._item(version),), self.revision, self.epoch)
+        self.facts.take_listing(Topic.VERSIONS, listing, 0.0, "peer")
+        newest = self.facts.newest_version(MODEL)
+        assert newest is None or newest >= version
+
+    def _item(self, version: int) -> Item:
+        value = f'{{"model":"{MODEL}","version":{version}}}'.encode()
+        return Item(f"{names.VERSION_PREFIX}{MODEL}", self.revision, value)
+
+
 def draw_fault_rates(generator: random.Random) -> FaultRates:
     """Draw the rate of each kind of fault; about half of the rates are zero."""
 
@@ -244,6 +279,8 @@
     generator = random.Random(seed)
     facts = facts_of_one_replica()
     newest_version = 1
+    # A separate generator keeps the rest of the history of a known seed unchanged.
+    store = NamingStore(facts, random.Random(f"{seed} restores"))
     async with trio.open_nursery() as nursery:
         fault_rates = history.fault_rates or draw_fault_rates(generator)
         restarts_per_second = history.restarts_per_second or generator.choice(
@@ -268,7 +305,7 @@
         while trio.current_time() < FAULT_PHASE_SECONDS:
             await trio.sleep(generator.uniform(0.5, 8.0))
             newest_version += 1
-            facts.record_named_version(MODEL, newest_version, 0.0)
+            store.name(newest_version)
         replica.fault_rates = FaultRates()
         with trio.move_on_after(RECOVERY_SECONDS if history.ends_with_newest else 0):
             while replica.loaded != newest_version:
