An epoch that the store keeps stating is believed in the end

Two successive answers with a wrong, too high epoch bound a process to it until its next start: every later answer was of an earlier epoch and counted as failed, so no configuration was in force any more. The same would have held for a store that no longer states its epoch.

An earlier epoch, or none, is now believed after 12 successive answers (some seconds of the retries); what is known does not go back then either, by the same rules as for a restore. A single late answer, or one of each topic, changes nothing.

--- a/libs/facts/src/headcross_facts/facts.py
+++ b/libs/facts/src/headcross_facts/facts.py
@@ -48,6 +48,10 @@
 # A store removes the entry of a silent replica within a few seconds. So a replica whose entry is
 # still listed this long after a restore renews it.
 RENEWED_SECONDS: Final = 10.0
+IGNORED_MESSAGES: Final = {
+    ListingVerdict.OUTDATED: "older listing ignored",
+    ListingVerdict.UNCONFIRMED: "listing of an unconfirmed epoch ignored",
+}
 
 logger = logging.getLogger(__name__)
 
@@ -79,7 +83,7 @@
     topics: dict[Topic, TopicState]
     # The epochs that the store and peers have stated.
     epochs: EpochWitness
-    # What is known of replicas, listed or not.
+    # The newest entries of replicas, listed or not.
     history: ReplicaHistory
     # Number of items and listings by outcome: taken, rejected, ignored.
     counts: Counter[str]
@@ -99,7 +103,8 @@
         self._invalid_reasons: dict[str, str] = {}
         self._changed = trio.Event()
         self._started_at = monotonic()
-        # Replicas that a copy lists although they were gone, and since when (monotonic), by id.
+        # Replicas that are not used, since the copy of a restored store lists them although they
+        # were gone, and since when (monotonic), by id.
         self._ignored: dict[str, tuple[Replica, float]] = {}
         # When a call for the list of replicas last failed (monotonic).
         self._list_failed_at = float("-inf")
@@ -166,7 +171,7 @@
     def take_listing(
         self, topic: Topic, listing: Listing, age: float, source: str
     ) -> ListingVerdict:
-        """Apply a listing that was the newest `age` seconds ago; return whether it was taken."""
+        """Apply a listing that was the newest `age` seconds ago, if it is judged TAKE."""
         if source == FROM_STORE:
             self.epochs.note_answer(listing.epoch)
         else:
@@ -178,12 +183,7 @@
         known = {"held": held.revision, "held_epoch": held.epoch, "source": source}
         if isinstance(taken, ListingVerdict):
             self.counts["ignored"] += 1
-            message = (
-                "older listing ignored"
-                if taken is ListingVerdict.OUTDATED
-                else "listing of an unconfirmed epoch ignored"
-            )
-            logger.info(message, extra={**fields, **known})
+            logger.info(IGNORED_MESSAGES[taken], extra={**fields, **known})
             return taken
         if taken.restored:
             logger.warning("store restored", extra={**fields, **known})
@@ -298,7 +298,7 @@
         held = self.replicas.get(listed.id)
         replica = self.history.admit(listed, restored=restored)
         if replica is None:
-            logger.info("ended replica ignored", extra={**fields, "replica": listed.id})
+            logger.info("replica that was gone ignored", extra={**fields, "replica": listed.id})
             self._ignored.setdefault(listed.id, (listed, monotonic()))
             return
         self._list_replica(replica)
@@ -322,7 +322,7 @@
         self._ignored.pop(replica.id, None)
 
     def readmit_renewed(self) -> None:
-        """Use replicas that were gone, but have renewed the entries that a copy lists."""
+        """Use the ignored replicas that have renewed their entries since the restore."""
         fresh_at = self.topics[Topic.REPLICAS].fresh_at
         renewed = [r for r, since in self._ignored.values() if fresh_at - since >= RENEWED_SECONDS]
         for replica in renewed:
--- a/libs/facts/src/headcross_facts/order/positions.py
+++ b/libs/facts/src/headcross_facts/order/positions.py
@@ -2,9 +2,16 @@
 
 from dataclasses import dataclass
 from enum import Enum
+from typing import Final
 
 from headcross_ports.published import UNKNOWN_EPOCH, Position
 
+# Successive answers that have to state an epoch before it is used.
+ANSWERS_TO_ADVANCE: Final = 2
+# The same for an epoch before the confirmed one, or for none. Late answers of connections from
+# before a restore are fewer.
+ANSWERS_TO_GO_BACK: Final = 12
+
 
 class ListingVerdict(Enum):
     """What to do with a listing."""
@@ -27,33 +34,42 @@
 class EpochWitness:
     """The epochs that the answers of a store state.
 
-    A malformed answer may state any number. So an epoch is confirmed once two successive answers,
-    of any topic, state it, or a peer reports it as confirmed.
+    A malformed answer may state any number. So an epoch is confirmed once successive answers, of
+    any topic, state it, or a peer reports it as confirmed. A store that keeps stating an earlier
+    epoch, or none, is believed after more answers: otherwise, a process that had confirmed a wrong
+    number would not follow the store again.
     """
 
-    confirmed: int = UNKNOWN_EPOCH  # the latest epoch that is confirmed
-    _last: int = UNKNOWN_EPOCH
+    confirmed: int | None = None  # the epoch of the store; None if none is confirmed
+    _last: int | None = None
+    _repeats: int = 0
 
     def note_answer(self, epoch: int) -> None:
         """Record the epoch that an answer of the store states.
 
         >>> epochs = EpochWitness()
-        >>> epochs.note_answer(3), epochs.confirmed
-        (None, -1)
-        >>> epochs.note_answer(3), epochs.confirmed
-        (None, 3)
+        >>> epochs.note_answer(3)
+        >>> epochs.confirmed
+        >>> epochs.note_answer(3)
+        >>> epochs.confirmed
+        3
         """
-        if epoch == self._last:
-            self.confirmed = max(self.confirmed, epoch)
+        self._repeats = self._repeats + 1 if epoch == self._last else 1
         self._last = epoch
+        advances = self.confirmed is None or epoch > self.confirmed
+        if self._repeats >= (ANSWERS_TO_ADVANCE if advances else ANSWERS_TO_GO_BACK):
+            self.confirmed = epoch
 
     def note_peer(self, epoch: int) -> None:
         """Record an epoch that a peer reports; peers report only confirmed ones."""
-        self.confirmed = max(self.confirmed, epoch)
+        if epoch != UNKNOWN_EPOCH and (self.confirmed is None or epoch > self.confirmed):
+            self.confirmed = epoch
 
     def is_confirmed(self, epoch: int) -> bool:
-        """Return whether an epoch is confirmed, as the unknown one always is."""
-        return epoch <= self.confirmed
+        """Return whether the store has reached an epoch, as it always has the unknown one."""
+        if epoch == UNKNOWN_EPOCH:
+            return True
+        return self.confirmed is not None and epoch <= self.confirmed
 
 
 def judge_listing(held: Position | None, listed: Position, epochs: EpochWitness) -> ListingVerdict:
@@ -72,9 +88,8 @@
     if listed.epoch > held.epoch:
         is_usable = held.epoch == UNKNOWN_EPOCH or epochs.is_confirmed(listed.epoch)
         return ListingVerdict.TAKE if is_usable else ListingVerdict.UNCONFIRMED
-    # The epoch of the known items was stated only once and differs from the confirmed one.
+    # The store states an earlier epoch than that of the known items, which was a mistake.
     is_mistaken = not epochs.is_confirmed(held.epoch) and listed.epoch == epochs.confirmed
-    is_mistaken = is_mistaken and listed.epoch != UNKNOWN_EPOCH
     return ListingVerdict.TAKE if is_mistaken else ListingVerdict.OUTDATED
 
 
--- a/libs/facts/src/headcross_facts/order/replicahistory.py
+++ b/libs/facts/src/headcross_facts/order/replicahistory.py
@@ -1,10 +1,11 @@
 """Keeps what replicas have announced, and which have ended, from going back to a store's copy.
 
 The list of a restored store may show a replica as it was before: ready though it leaves, listed
-though it is gone, or in an earlier incarnation. Replicas number the writes of their entries, which
-tells an entry of the copy from one that was written since.
+though it is gone, or in an earlier incarnation. Replicas count the writes of their entries; the
+count distinguishes an entry of the copy from one that was written after the restore.
 """
 
+from collections import deque
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import Final
@@ -15,20 +16,22 @@
 # Replicas that are not listed are forgotten beyond this number, the earliest first. The copy of a
 # store is some seconds old, while fleets replace a few replicas per second at most.
 MAX_UNLISTED: Final = 4096
+# How many earlier incarnations of one replica are remembered.
+MAX_ENDED_STARTS: Final = 16
 
 
 class _Status(Enum):
     LISTED = "listed"
-    LAPSED = "lapsed"  # not listed for a reason that does not show that it has ended
-    GONE = "gone"
+    LAPSED = "lapsed"  # not listed, for a reason that does not show whether it still runs
+    GONE = "gone"  # not listed, and taken to have ended
 
 
 @dataclass(slots=True)
 class _KnownReplica:
     newest: Replica  # its newest entry
     status: _Status = _Status.LISTED
-    # Starts of the incarnations that others have replaced.
-    ended_starts: set[int | None] = field(default_factory=set)
+    # Start times of the incarnations that later ones have replaced.
+    ended_starts: deque[int | None] = field(default_factory=lambda: deque(maxlen=MAX_ENDED_STARTS))
 
 
 class ReplicaHistory:
@@ -49,26 +52,26 @@
         if restored and _is_of_copy(replica, known):
             return None if known.status is _Status.GONE else self._list(known, known.newest)
         if replica.incarnation.differs_from(known.newest.incarnation):
-            known.ended_starts.add(known.newest.started_ms)
+            known.ended_starts.append(known.newest.started_ms)
             return self._list(known, replica)
-        # An incarnation that leaves does not stay after all.
+        # Leaving is final for an incarnation.
         draining = replica.draining or known.newest.draining
         return self._list(known, msgspec.structs.replace(replica, draining=draining))
 
     def readmit(self, replica: Replica) -> Replica:
-        """Return the entry to use for a replica that turned out to keep its entry listed."""
+        """Return the entry to use for a replica that `admit` rejected, and that still runs."""
         known = self._known.setdefault(replica.id, _KnownReplica(replica))
         draining = replica.draining or known.newest.draining
         return self._list(known, msgspec.structs.replace(replica, draining=draining))
 
     def note_leaving(self, incarnation: Incarnation) -> None:
-        """Record that an incarnation has announced otherwise than in the list that it leaves."""
+        """Record that an incarnation leaves, as announced by other means than the list."""
         known = self._known.get(incarnation.id)
         if known is not None and not incarnation.differs_from(known.newest.incarnation):
             known.newest = msgspec.structs.replace(known.newest, draining=True)
 
     def note_unlisted(self, replica_id: str, *, lapsed: bool) -> None:
-        """Record that a replica is not listed any more; `lapsed` if it may have not ended."""
+        """Record that a replica is not listed any more; `lapsed` if it may still run."""
         known = self._known.pop(replica_id, None)
         if known is None:
             return
--- a/tests/test_fact_order.py
+++ b/tests/test_fact_order.py
@@ -8,6 +8,7 @@
 from headcross_base.errors import Ok
 from headcross_facts.facts import FROM_STORE, RENEWED_SECONDS, Facts
 from headcross_facts.order.positions import (
+    ANSWERS_TO_GO_BACK,
     EpochWitness,
     ListingVerdict,
     WatchVerdict,
@@ -74,6 +75,35 @@
     assert judge_listing(held, Position(3, 5), witness) is ListingVerdict.TAKE
 
 
+def test_a_wrong_epoch_that_several_answers_state_is_given_up_in_the_end() -> None:
+    """A process must not be bound to a number until it starts again."""
+    witness = witness_of(3, 3, 900, 900)
+    held = Position(900, 9)
+    for answers in range(1, ANSWERS_TO_GO_BACK):
+        witness.note_answer(3)
+        verdict = judge_watch(held, held, 3, witness, has_changes=True)
+        assert verdict is WatchVerdict.REJECT, answers
+    witness.note_answer(3)
+    assert judge_watch(held, held, 3, witness, has_changes=True) is WatchVerdict.LIST
+    assert judge_listing(held, Position(3, 5), witness) is ListingVerdict.TAKE
+
+
+def test_a_store_that_no_longer_states_its_epoch_is_followed_in_the_end() -> None:
+    witness = witness_of(3, 3, *[UNKNOWN_EPOCH] * ANSWERS_TO_GO_BACK)
+    held, unknown = Position(3, 9), Position(UNKNOWN_EPOCH, 12)
+    assert judge_listing(held, unknown, witness) is ListingVerdict.TAKE
+    witness.note_answer(4)
+    assert judge_listing(unknown, Position(4, 2), witness) is ListingVerdict.TAKE
+
+
+def test_a_peer_does_not_lead_back_to_an_earlier_epoch() -> None:
+    witness = witness_of(4, 4)
+    for epoch in (3, UNKNOWN_EPOCH):
+        for _ in range(2 * ANSWERS_TO_GO_BACK):
+            witness.note_peer(epoch)
+    assert witness.confirmed == 4
+
+
 def test_an_answer_without_an_epoch_changes_nothing_that_has_one() -> None:
     witness = witness_of(3, 3)
     held, unknown = Position(3, 9), Position(UNKNOWN_EPOCH, 99)
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -28,6 +28,9 @@
 LOST_WRITES = 6
 ENTRIES = ("entry0", "entry1")
 ADDED_ROUTE = {"name": "new", "path_prefix": "/new/"}
+# Within this time, a process has enough answers to believe a store that goes on stating an earlier
+# epoch, or none.
+BELIEVED_SECONDS = 8.0
 # Calls of one process to the store in the seconds after a restore: listings and watches of two
 # topics, some changes, and retries.
 COUNTED_SECONDS = 4.0
@@ -311,6 +314,26 @@
         assert leaving.arrivals == before
 
 
+@pytest.mark.parametrize("header", ["900", ""])
+async def test_a_wrong_epoch_in_all_answers_of_a_second_does_not_hide_what_follows(
+    tmp_path: Path, header: str
+) -> None:
+    """All processes believe the wrong number, since several answers state it."""
+    async with small_site(tmp_path, models=0, entries=2) as site:
+        site.store.restore(site.store.revision_before(1.0))
+        site.store.era_header = header
+        await publish_route(site, "/lost/")
+        await trio.sleep(1.0 if header else BELIEVED_SECONDS)
+        if header:
+            site.store.era_header = None
+            await trio.sleep(BELIEVED_SECONDS)
+        await publish_route(site, "/new/")
+        await trio.sleep(BOUNDS.configuration)
+        for name in ENTRIES:
+            for path in ("/new/x", "/lost/x"):
+                assert (await ask(site.callers(name), path)).status == 200
+
+
 async def test_a_daemon_that_starts_around_a_restore_loads_the_version_named_after_it(
     tmp_path: Path,
 ) -> None:
