--- a/libs/facts/src/headcross_facts/order/replicahistory.py
+++ b/libs/facts/src/headcross_facts/order/replicahistory.py
@@ -5,8 +5,7 @@
 count distinguishes an entry of the copy from one that was written after the restore.
 """
 
-from collections import deque
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from enum import Enum
 from typing import Final
 
@@ -15,7 +14,7 @@
 
 # Replicas that are not listed are forgotten beyond this number, the earliest first. The copy of a
 # store is some seconds old, while fleets replace a few replicas per second at most.
-MAX_UNLISTED: Final = 4096
+MAX_UNLISTED: Final = 1024
 # How many earlier incarnations of one replica are remembered.
 MAX_ENDED_STARTS: Final = 16
 
@@ -31,7 +30,7 @@
     newest: Replica  # its newest entry
     status: _Status = _Status.LISTED
     # Start times of the incarnations that later ones have replaced.
-    ended_starts: deque[int | None] = field(default_factory=lambda: deque(maxlen=MAX_ENDED_STARTS))
+    ended_starts: tuple[int | None, ...] = ()
 
 
 class ReplicaHistory:
@@ -52,7 +51,8 @@
         if restored and _is_of_copy(replica, known):
             return None if known.status is _Status.GONE else self._list(known, known.newest)
         if replica.incarnation.differs_from(known.newest.incarnation):
-            known.ended_starts.append(known.newest.started_ms)
+            ended_starts = (known.newest.started_ms, *known.ended_starts)
+            known.ended_starts = ended_starts[:MAX_ENDED_STARTS]
             return self._list(known, replica)
         # Leaving is final for an incarnation.
         draining = replica.draining or known.newest.draining
