Facts: the replica list and the polling settings in modules of their own

No rule changes; one line's logger does.

Tests: the wait for daemons to know a revision was 10 s, while a daemon's watch without changes takes up to 8.7 s: 3 of 10 red at a load of 17, in that wait, before any check (traced with ten at once). It is 30 s now; the checks and their bounds are unchanged.

--- a/libs/daemon/src/headcross_daemon/gatewayrole.py
+++ b/libs/daemon/src/headcross_daemon/gatewayrole.py
@@ -13,7 +13,7 @@
 from headcross_base.addresses import Address, parse_address
 from headcross_base.clocks import now_ms
 from headcross_base.monotonic import monotonic
-from headcross_facts.following import entry_polling
+from headcross_facts.polling import entry_polling
 from headcross_gateway.admission import Admission
 from headcross_gateway.budget import RetryBudget
 from headcross_gateway.containment import Containment
--- a/libs/daemon/src/headcross_daemon/machineprocess.py
+++ b/libs/daemon/src/headcross_daemon/machineprocess.py
@@ -11,8 +11,9 @@
 from headcross_base.clocks import PauseWatch
 from headcross_base.errors import Failure
 from headcross_facts.facts import Facts
-from headcross_facts.following import Follower, PollingSettings
+from headcross_facts.following import Follower
 from headcross_facts.peerfacts import PeerFacts
+from headcross_facts.polling import PollingSettings
 from headcross_ports.adapter import Adapter
 from headcross_ports.published import Topic
 from headcross_wire.httpserver import Exchange, HttpServer, ServerLimits
--- a/libs/daemon/src/headcross_daemon/renewalrole.py
+++ b/libs/daemon/src/headcross_daemon/renewalrole.py
@@ -8,7 +8,7 @@
 import trio
 from headcross_base.addresses import Address, parse_address
 from headcross_base.monotonic import monotonic
-from headcross_facts.following import daemon_polling
+from headcross_facts.polling import daemon_polling
 from headcross_ports.adapter import Adapter
 from headcross_ports.published import LoadedModel, Replica, Topic
 from headcross_renewal.confirmation import LoadStatus
--- a/libs/facts/src/headcross_facts/facts.py
+++ b/libs/facts/src/headcross_facts/facts.py
@@ -18,7 +18,6 @@
     Changes,
     Item,
     Listing,
-    LoadedModel,
     NamedVersion,
     Position,
     PublishedStore,
@@ -33,21 +32,14 @@
     judge_watch,
     supersedes,
 )
-from headcross_facts.order.replicahistory import ReplicaHistory
 from headcross_facts.order.topicitems import NewItems
+from headcross_facts.replicalist import ReplicaList
 from headcross_facts.topicstate import TopicState
 
 FROM_STORE: Final = "store"
 # A peer's time for a known version replaces the local one only if it is earlier by more than this;
 # smaller differences are message latency.
 NAMING_TIME_TOLERANCE_SECONDS: Final = 0.05
-# A replica's list entry that disappears within this time of a failed call to the store may have
-# expired because the replica could not renew it either. Failed calls are retried after 1.2 s at
-# most.
-LAPSE_SECONDS: Final = 3.0
-# A store removes the entry of a silent replica within a few seconds. So a replica whose entry is
-# still listed this long after a restore renews it.
-RENEWED_SECONDS: Final = 10.0
 IGNORED_MESSAGES: Final = {
     ListingVerdict.OUTDATED: "older listing ignored",
     ListingVerdict.UNCONFIRMED: "listing of an unconfirmed epoch ignored",
@@ -69,45 +61,32 @@
     """The newest known configuration, named versions and replicas of the platform."""
 
     configuration: Configuration | None
-    # Listed replicas by id.
+    # Parts of `replica_list`.
     replicas: dict[str, Replica]
-    # Replicas whose valid list entry another writer has overwritten with an invalid one, by id, as
-    # they were last listed. They get no new requests and no orders until a valid entry is back.
     overwritten: dict[str, Replica]
-    # When list entries of replicas expired around an outage of the store (monotonic), by id.
-    # Replicas that still run are listed again about two seconds after the store is back, as the
-    # platform documents it.
     lapsed_at: dict[str, float]
+    replica_list: ReplicaList
     # The named versions of each model, oldest first.
     versions: dict[str, list[VersionNotice]]
     topics: dict[Topic, TopicState]
     # The epochs that the store and peers have stated.
     epochs: EpochWitness
-    # The newest entries of replicas, listed or not.
-    history: ReplicaHistory
     # Number of items and listings by outcome: taken, rejected, ignored.
     counts: Counter[str]
 
     def __init__(self, store: PublishedStore) -> None:
         self.configuration = None
-        self.replicas = {}
-        self.overwritten = {}
-        self.lapsed_at = {}
+        self.replica_list = ReplicaList()
+        self.replicas = self.replica_list.replicas
+        self.overwritten = self.replica_list.overwritten
+        self.lapsed_at = self.replica_list.lapsed_at
         self.versions = {}
         self.epochs = EpochWitness()
-        self.history = ReplicaHistory()
         self.topics = {topic: TopicState(topic, epochs=self.epochs) for topic in Topic}
         self.counts = Counter()
         self._store = store
-        # Why the newest list entry of a replica is invalid, by id.
-        self._invalid_reasons: dict[str, str] = {}
         self._changed = trio.Event()
         self._started_at = monotonic()
-        # Replicas that are not used, since the copy of a restored store lists them although they
-        # were gone, and since when (monotonic), by id.
-        self._ignored: dict[str, tuple[Replica, float]] = {}
-        # When a call for the list of replicas last failed (monotonic).
-        self._list_failed_at = float("-inf")
 
     @property
     def complete(self) -> bool:
@@ -166,7 +145,7 @@
     def note_failure(self, topic: Topic) -> None:
         """Record that a call to the store for a topic has just failed."""
         if topic is Topic.REPLICAS:
-            self._list_failed_at = monotonic()
+            self.replica_list.note_failure()
 
     def take_listing(
         self, topic: Topic, listing: Listing, age: float, source: str
@@ -187,8 +166,8 @@
             return taken
         if taken.restored:
             logger.warning("store restored", extra={**fields, **known})
-            now = monotonic()
-            self._ignored = {key: (replica, now) for key, (replica, _) in self._ignored.items()}
+            if topic is Topic.REPLICAS:
+                self.replica_list.note_restored()
         self._take(topic, taken, source, at_start=first)
         return ListingVerdict.TAKE
 
@@ -217,16 +196,17 @@
         self, topic: Topic, item: Item, source: str, at_start: bool, restored: bool
     ) -> None:
         fields = {"key": item.key, "revision": item.revision, "source": source}
+        replica_id = self._store.replica_id(item.key) if topic is Topic.REPLICAS else None
         if item.value is None:
-            self._take_deletion(topic, item, restored)
+            if replica_id is not None:
+                self.replica_list.take_deletion(replica_id, restored=restored)
             logger.info("fact gone", extra=fields)
             return
         outcome = self._store.decode(item)
         if isinstance(outcome, Failure):
             self.counts["rejected"] += 1
-            replica_id = self._store.replica_id(item.key) if topic is Topic.REPLICAS else None
             if replica_id is not None:
-                self._take_invalid_replica(replica_id, outcome.detail, fields)
+                self.replica_list.take_invalid(replica_id, outcome.detail, fields)
             else:
                 logger.error("fact rejected", extra={**fields, "reason": outcome.detail})
             return
@@ -236,45 +216,11 @@
             case NamedVersion() as named:
                 self._take_version(named, fields, at_start)
             case Replica() as replica:
-                self._take_replica(replica, fields, restored)
+                self.replica_list.take(replica, fields, restored=restored)
             case None:
                 return
         self.counts["taken"] += 1
 
-    def _take_deletion(self, topic: Topic, item: Item, restored: bool) -> None:
-        replica_id = self._store.replica_id(item.key) if topic is Topic.REPLICAS else None
-        if replica_id is None:
-            return
-        self._invalid_reasons.pop(replica_id, None)
-        self.overwritten.pop(replica_id, None)
-        self._ignored.pop(replica_id, None)
-        replica = self.replicas.pop(replica_id, None)
-        now = monotonic()
-        # The copy of a restored store lacks the replicas that started after it was made.
-        may_have_lapsed = restored or now - self._list_failed_at < LAPSE_SECONDS
-        lapsed = replica is not None and may_have_lapsed and not replica.draining
-        self.history.note_unlisted(replica_id, lapsed=lapsed)
-        if lapsed:
-            self.lapsed_at[replica_id] = now
-
-    def _take_invalid_replica(
-        self, replica_id: str, reason: str, fields: dict[str, object]
-    ) -> None:
-        """Remove a replica whose list entry another writer has overwritten with an invalid one.
-
-        Requests in flight there continue. A line is logged only when the reason changes, since
-        such an entry may be written again with every heartbeat.
-        """
-        if self._invalid_reasons.get(replica_id) == reason:
-            return
-        self._invalid_reasons[replica_id] = reason
-        replica = self.replicas.pop(replica_id, None)
-        self.lapsed_at.pop(replica_id, None)
-        if replica is not None:
-            self.overwritten[replica_id] = replica
-        detail = {"replica": replica_id, "was_listed": replica is not None, "reason": reason}
-        logger.error("fact rejected", extra={**fields, **detail})
-
     def _take_configuration(self, configuration: Configuration, fields: dict[str, object]) -> None:
         held = self.configuration
         if not supersedes(configuration.version, held.version if held is not None else None):
@@ -294,45 +240,8 @@
             "version named", extra={**fields, "model": named.model, "version": named.version}
         )
 
-    def _take_replica(self, listed: Replica, fields: dict[str, object], restored: bool) -> None:
-        held = self.replicas.get(listed.id)
-        replica = self.history.admit(listed, restored=restored)
-        if replica is None:
-            logger.info("replica that was gone ignored", extra={**fields, "replica": listed.id})
-            self._ignored.setdefault(listed.id, (listed, monotonic()))
-            return
-        self._list_replica(replica)
-        if held is None or _logged_state(held) != _logged_state(replica):
-            detail = {
-                "replica": replica.id,
-                "service": replica.service,
-                "address": str(replica.address),
-                "draining": replica.draining,
-                "loaded": {m.model: m.version for m in replica.loaded},
-                "started_ms": replica.started_ms,
-                "writes": replica.writes,
-            }
-            logger.info("replica listed", extra={**fields, **detail})
-
-    def _list_replica(self, replica: Replica) -> None:
-        self.replicas[replica.id] = replica
-        self.lapsed_at.pop(replica.id, None)
-        self.overwritten.pop(replica.id, None)
-        self._invalid_reasons.pop(replica.id, None)
-        self._ignored.pop(replica.id, None)
-
     def readmit_renewed(self) -> None:
         """Use the ignored replicas that have renewed their entries since the restore."""
-        fresh_at = self.topics[Topic.REPLICAS].fresh_at
-        renewed = [r for r, since in self._ignored.values() if fresh_at - since >= RENEWED_SECONDS]
-        for replica in renewed:
-            self._list_replica(self.history.readmit(replica))
-            logger.info("replica listed again", extra={"replica": replica.id})
-        if renewed:
+        if self.replica_list.readmit_renewed(self.topics[Topic.REPLICAS].fresh_at):
             self._changed.set()
             self._changed = trio.Event()
-
-
-def _logged_state(replica: Replica) -> tuple[bool, tuple[LoadedModel, ...], int | None]:
-    """Return the parts of a list entry whose changes are logged."""
-    return replica.draining, replica.loaded, replica.started_ms
--- a/libs/gateway/src/headcross_gateway/directory.py
+++ b/libs/gateway/src/headcross_gateway/directory.py
@@ -88,7 +88,7 @@
         state = self._states.pop(replica_id)
         state.replaced_or_unlisted = True
         if state.backpressure.leaving:
-            self._facts.history.note_leaving(state.replica.incarnation)
+            self._facts.replica_list.history.note_leaving(state.replica.incarnation)
         fields = {"draining": state.is_leaving(), "in_flight": state.in_flight}
         logger.info("replica not listed", extra={"replica": replica_id, **fields})
 
--- a/tests/test_fact_order.py
+++ b/tests/test_fact_order.py
@@ -6,7 +6,7 @@
 import pytest
 from headcross_base.addresses import Address
 from headcross_base.errors import Ok
-from headcross_facts.facts import FROM_STORE, RENEWED_SECONDS, Facts
+from headcross_facts.facts import FROM_STORE, Facts
 from headcross_facts.order.positions import (
     ANSWERS_TO_GO_BACK,
     EpochWitness,
@@ -17,6 +17,7 @@
 )
 from headcross_facts.order.replicahistory import MAX_UNLISTED, ReplicaHistory
 from headcross_facts.order.topicitems import TopicItems
+from headcross_facts.replicalist import RENEWED_SECONDS
 from headcross_gateway.directory import Directory
 from headcross_platform import names
 from headcross_platform.store import MetadataStore
@@ -354,12 +355,35 @@
     assert listed_again is not None and listed_again.is_leaving()
 
 
+def test_a_replica_that_the_copy_lacks_may_still_run() -> None:
+    facts = new_facts()
+    take(facts, Position(3, 7), entry(5, seq=4))
+    take(facts, Position(4, 4))
+    assert not facts.replicas and set(facts.lapsed_at) == {"i-1"}
+    take(facts, Position(5, 6), entry(5, seq=4))
+    assert set(facts.replicas) == {"i-1"} and not facts.lapsed_at
+
+
+def test_numbers_of_the_operators_do_not_go_back() -> None:
+    facts = new_facts()
+    key = f"{names.VERSION_PREFIX}m"
+
+    def named(revision: int, version: int) -> Item:
+        return Item(key, revision, f'{{"model":"m","version":{version}}}'.encode())
+
+    for epoch, revision, version in ((3, 9, 4), (4, 5, 2), (4, 6, 3), (4, 7, 5)):
+        facts.epochs.note_peer(epoch)
+        listing = Listing((named(revision, version),), revision, epoch)
+        facts.take_listing(Topic.VERSIONS, listing, 0.0, FROM_STORE)
+        assert facts.newest_version("m") == max(4, version)
+
+
 def test_a_replica_that_was_gone_and_renews_the_entry_of_the_copy_is_used_again(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Its entry is as it was, so it does not write it again."""
     now = 100.0
-    for module in ("facts", "topicstate"):
+    for module in ("replicalist", "topicstate"):
         monkeypatch.setattr(f"headcross_facts.{module}.monotonic", lambda: now)
     facts = new_facts()
     take(facts, Position(3, 7), entry(5, seq=4))
--- a/tests/test_gateway_lapsed.py
+++ b/tests/test_gateway_lapsed.py
@@ -6,7 +6,8 @@
 import trio
 from headcross_base.addresses import Address
 from headcross_base.monotonic import monotonic
-from headcross_facts.facts import LAPSE_SECONDS, Facts
+from headcross_facts.facts import Facts
+from headcross_facts.replicalist import LAPSE_SECONDS
 from headcross_gateway.directory import LAPSED_USE_SHARE, Directory
 from headcross_gateway.replicastate import ReplicaState
 from headcross_platform import names
@@ -31,7 +32,12 @@
 
     def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
         self.now = monotonic()
-        for module in ("facts.facts", "facts.topicstate", "gateway.directory", "gateway.health"):
+        for module in (
+            "facts.replicalist",
+            "facts.topicstate",
+            "gateway.directory",
+            "gateway.health",
+        ):
             monkeypatch.setattr(f"headcross_{module}.monotonic", lambda: self.now)
         monkeypatch.setattr("headcross_gateway.replicastate.monotonic", lambda: self.now)
 
--- a/tests/test_machine_facts.py
+++ b/tests/test_machine_facts.py
@@ -19,16 +19,7 @@
 from headcross_base.monotonic import monotonic
 from headcross_facts.bounds import FactBounds
 from headcross_facts.facts import Facts
-from headcross_facts.following import (
-    CHANGE_MARGIN_SECONDS,
-    FIRST_RETRY_SECONDS,
-    MIN_WATCH_SECONDS,
-    RETRY_SPREAD,
-    Follower,
-    PollingSettings,
-    daemon_polling,
-    entry_polling,
-)
+from headcross_facts.following import Follower
 from headcross_facts.order.topicitems import UNKNOWN_REVISION
 from headcross_facts.peerfacts import (
     ASK_INTERVAL_SECONDS,
@@ -39,6 +30,15 @@
     STALE_SECONDS,
     PeerFacts,
 )
+from headcross_facts.polling import (
+    CHANGE_MARGIN_SECONDS,
+    FIRST_RETRY_SECONDS,
+    MIN_WATCH_SECONDS,
+    RETRY_SPREAD,
+    PollingSettings,
+    daemon_polling,
+    entry_polling,
+)
 from headcross_facts.topicstate import TopicState
 from headcross_gateway.weightsrules import WeightsRules
 from headcross_platform import names, store
--- a/tests/test_peer_epochs.py
+++ b/tests/test_peer_epochs.py
@@ -7,9 +7,10 @@
 from headcross_base.clocks import PauseWatch
 from headcross_facts.bounds import FactBounds
 from headcross_facts.facts import FROM_STORE, Facts
-from headcross_facts.following import Follower, entry_polling
+from headcross_facts.following import Follower
 from headcross_facts.order.topicitems import UNKNOWN_REVISION
 from headcross_facts.peerfacts import PeerFacts
+from headcross_facts.polling import entry_polling
 from headcross_ports.published import Item, Listing, Position, Topic
 from headcross_wire.peermessages import (
     AskFacts,
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -28,6 +28,8 @@
 LOST_WRITES = 6
 ENTRIES = ("entry0", "entry1")
 ADDED_ROUTE = {"name": "new", "path_prefix": "/new/"}
+# A daemon knows a revision of other topics when its watch ends without changes, after up to 8.7 s.
+KNOWN_SECONDS = 30.0
 # Within this time, a process has enough answers to believe a store that goes on stating an earlier
 # epoch, or none.
 BELIEVED_SECONDS = 8.0
@@ -53,7 +55,7 @@
 
 async def wait_known_revision(site: Machines, revision: int) -> None:
     """Wait until all processes know a revision of all topics that they watch."""
-    with trio.fail_after(10):
+    with trio.fail_after(KNOWN_SECONDS):
         for name in site.machines:
             while True:
                 topics = (await site.state(name))["topics"].values()
--- a/tests/test_store_calls.py
+++ b/tests/test_store_calls.py
@@ -12,7 +12,8 @@
 from headcross_base.errors import Failure, Ok
 from headcross_facts.bounds import FactBounds
 from headcross_facts.facts import Facts
-from headcross_facts.following import Follower, PollingSettings, daemon_polling, entry_polling
+from headcross_facts.following import Follower
+from headcross_facts.polling import PollingSettings, daemon_polling, entry_polling
 from headcross_platform import names, store
 from headcross_platform.store import MetadataStore
 from headcross_ports.published import UNKNOWN_EPOCH, Changes, HistoryLost, Item, Listing, Topic
@@ -148,6 +149,7 @@
     paged = PagedStore(page)
     outcome = await MetadataStore(Address("127.0.0.1", 1), paged).read(Topic.CONTROL)
     assert isinstance(outcome, Failure)
+    assert paged.calls <= (MAX_PAGE_CALLS if page is PAGES["pages without end"] else 3)
 
 
 @given(st.text() | st.integers().map(str) | st.floats().map(str))
