The class that tracks the store's epoch is named for that

EpochWitness needed its docstring to be understood; it is EpochTracker. Two comments say what their fields hold.

--- a/libs/facts/src/headcross_facts/facts.py
+++ b/libs/facts/src/headcross_facts/facts.py
@@ -26,7 +26,7 @@
 )
 
 from headcross_facts.order.positions import (
-    EpochWitness,
+    EpochTracker,
     ListingVerdict,
     WatchVerdict,
     judge_watch,
@@ -61,7 +61,7 @@
     """The newest known configuration, named versions and replicas of the platform."""
 
     configuration: Configuration | None
-    # Parts of `replica_list`.
+    # The next three are those of `replica_list`.
     replicas: dict[str, Replica]
     overwritten: dict[str, Replica]
     lapsed_at: dict[str, float]
@@ -69,8 +69,7 @@
     # The named versions of each model, oldest first.
     versions: dict[str, list[VersionNotice]]
     topics: dict[Topic, TopicState]
-    # The epochs that the store and peers have stated.
-    epochs: EpochWitness
+    epochs: EpochTracker
     # Number of items and listings by outcome: taken, rejected, ignored.
     counts: Counter[str]
 
@@ -81,7 +80,7 @@
         self.overwritten = self.replica_list.overwritten
         self.lapsed_at = self.replica_list.lapsed_at
         self.versions = {}
-        self.epochs = EpochWitness()
+        self.epochs = EpochTracker()
         self.topics = {topic: TopicState(topic, epochs=self.epochs) for topic in Topic}
         self.counts = Counter()
         self._store = store
--- a/libs/facts/src/headcross_facts/order/positions.py
+++ b/libs/facts/src/headcross_facts/order/positions.py
@@ -31,23 +31,23 @@
 
 
 @dataclass(slots=True)
-class EpochWitness:
-    """The epochs that the answers of a store state.
+class EpochTracker:
+    """Tracks the epoch of a store by its answers.
 
     A malformed answer may state any number. So an epoch is confirmed once successive answers, of
-    any topic, state it, or a peer reports it as confirmed. A store that keeps stating an earlier
-    epoch, or none, is believed after more answers: otherwise, a process that had confirmed a wrong
-    number would not follow the store again.
+    any topic, state it, or a peer reports it as confirmed. If the store keeps stating an earlier
+    epoch, or none, that is confirmed after more answers: otherwise, a process that had confirmed a
+    wrong number would not follow the store again.
     """
 
     confirmed: int | None = None  # the epoch of the store; None if none is confirmed
-    _last: int | None = None
-    _repeats: int = 0
+    _last: int | None = None  # the epoch in the last answer
+    _repeats: int = 0  # number of successive answers that stated it
 
     def note_answer(self, epoch: int) -> None:
         """Record the epoch that an answer of the store states.
 
-        >>> epochs = EpochWitness()
+        >>> epochs = EpochTracker()
         >>> epochs.note_answer(3)
         >>> epochs.confirmed
         >>> epochs.note_answer(3)
@@ -72,10 +72,10 @@
         return self.confirmed is not None and epoch <= self.confirmed
 
 
-def judge_listing(held: Position | None, listed: Position, epochs: EpochWitness) -> ListingVerdict:
+def judge_listing(held: Position | None, listed: Position, epochs: EpochTracker) -> ListingVerdict:
     """Judge a listing; `held` is the known position, None if the topic is not known.
 
-    >>> epochs = EpochWitness(confirmed=4)
+    >>> epochs = EpochTracker(confirmed=4)
     >>> judge_listing(Position(3, 90), Position(4, 10), epochs)
     <ListingVerdict.TAKE: 'take'>
     >>> judge_listing(Position(4, 90), Position(4, 10), epochs)
@@ -94,7 +94,7 @@
 
 
 def judge_watch(
-    held: Position, asked: Position, epoch: int, epochs: EpochWitness, *, has_changes: bool
+    held: Position, asked: Position, epoch: int, epochs: EpochTracker, *, has_changes: bool
 ) -> WatchVerdict:
     """Judge the answer, stated in `epoch`, to a watch for the changes after `asked`.
 
--- a/libs/facts/src/headcross_facts/order/topicitems.py
+++ b/libs/facts/src/headcross_facts/order/topicitems.py
@@ -10,7 +10,7 @@
 
 from headcross_ports.published import UNKNOWN_EPOCH, Changes, Item, Listing, Position, Topic
 
-from headcross_facts.order.positions import EpochWitness, ListingVerdict, judge_listing
+from headcross_facts.order.positions import EpochTracker, ListingVerdict, judge_listing
 
 # Lower than every revision: no listing has been taken yet.
 UNKNOWN_REVISION: Final = -1
@@ -34,7 +34,7 @@
     revision: int = 0  # all changes up to and including this revision are applied
     epoch: int = UNKNOWN_EPOCH
     items: dict[str, Item] = field(default_factory=dict)
-    epochs: EpochWitness = field(default_factory=EpochWitness)
+    epochs: EpochTracker = field(default_factory=EpochTracker)
 
     @property
     def position(self) -> Position:
--- a/tests/test_fact_order.py
+++ b/tests/test_fact_order.py
@@ -9,7 +9,7 @@
 from headcross_facts.facts import FROM_STORE, Facts
 from headcross_facts.order.positions import (
     ANSWERS_TO_GO_BACK,
-    EpochWitness,
+    EpochTracker,
     ListingVerdict,
     WatchVerdict,
     judge_listing,
@@ -37,12 +37,12 @@
 from tests.test_foreign_entries import list_entry
 
 
-def witness_of(*epochs: int) -> EpochWitness:
-    """Return a witness of answers that state some epochs."""
-    witness = EpochWitness()
+def tracker_of(*epochs: int) -> EpochTracker:
+    """Return a tracker that has seen answers with some epochs."""
+    tracker = EpochTracker()
     for epoch in epochs:
-        witness.note_answer(epoch)
-    return witness
+        tracker.note_answer(epoch)
+    return tracker
 
 
 # Positions and verdicts.
@@ -50,89 +50,89 @@
 
 @pytest.mark.parametrize("revision", [10, 90, 170])
 def test_a_later_epoch_outranks_an_earlier_one_whatever_the_revision(revision: int) -> None:
-    witness = witness_of(3, 3, 4, 4)
-    assert judge_listing(Position(3, 90), Position(4, revision), witness) is ListingVerdict.TAKE
+    tracker = tracker_of(3, 3, 4, 4)
+    assert judge_listing(Position(3, 90), Position(4, revision), tracker) is ListingVerdict.TAKE
     assert (
-        judge_listing(Position(4, 90), Position(3, revision), witness) is ListingVerdict.OUTDATED
+        judge_listing(Position(4, 90), Position(3, revision), tracker) is ListingVerdict.OUTDATED
     )
 
 
 def test_an_epoch_that_one_answer_states_is_not_taken_for_a_restore() -> None:
-    witness = witness_of(3, 3, 900)
-    assert judge_listing(Position(3, 9), Position(900, 9), witness) is ListingVerdict.UNCONFIRMED
-    witness.note_answer(3)
-    assert witness.confirmed == 3
-    assert judge_listing(Position(3, 9), Position(3, 10), witness) is ListingVerdict.TAKE
+    tracker = tracker_of(3, 3, 900)
+    assert judge_listing(Position(3, 9), Position(900, 9), tracker) is ListingVerdict.UNCONFIRMED
+    tracker.note_answer(3)
+    assert tracker.confirmed == 3
+    assert judge_listing(Position(3, 9), Position(3, 10), tracker) is ListingVerdict.TAKE
 
 
 def test_a_first_epoch_that_no_other_answer_states_is_given_up() -> None:
     """A process that starts takes what it gets, and must not be bound to a malformed number."""
-    witness = witness_of(900)
-    assert judge_listing(None, Position(900, 9), witness) is ListingVerdict.TAKE
+    tracker = tracker_of(900)
+    assert judge_listing(None, Position(900, 9), tracker) is ListingVerdict.TAKE
     held = Position(900, 9)
-    witness.note_answer(3)
-    assert judge_watch(held, held, 3, witness, has_changes=True) is WatchVerdict.LIST
-    witness.note_answer(3)
-    assert judge_listing(held, Position(3, 5), witness) is ListingVerdict.TAKE
+    tracker.note_answer(3)
+    assert judge_watch(held, held, 3, tracker, has_changes=True) is WatchVerdict.LIST
+    tracker.note_answer(3)
+    assert judge_listing(held, Position(3, 5), tracker) is ListingVerdict.TAKE
 
 
 def test_a_wrong_epoch_that_several_answers_state_is_given_up_in_the_end() -> None:
     """A process must not be bound to a number until it starts again."""
-    witness = witness_of(3, 3, 900, 900)
+    tracker = tracker_of(3, 3, 900, 900)
     held = Position(900, 9)
     for answers in range(1, ANSWERS_TO_GO_BACK):
-        witness.note_answer(3)
-        verdict = judge_watch(held, held, 3, witness, has_changes=True)
+        tracker.note_answer(3)
+        verdict = judge_watch(held, held, 3, tracker, has_changes=True)
         assert verdict is WatchVerdict.REJECT, answers
-    witness.note_answer(3)
-    assert judge_watch(held, held, 3, witness, has_changes=True) is WatchVerdict.LIST
-    assert judge_listing(held, Position(3, 5), witness) is ListingVerdict.TAKE
+    tracker.note_answer(3)
+    assert judge_watch(held, held, 3, tracker, has_changes=True) is WatchVerdict.LIST
+    assert judge_listing(held, Position(3, 5), tracker) is ListingVerdict.TAKE
 
 
 def test_a_store_that_no_longer_states_its_epoch_is_followed_in_the_end() -> None:
-    witness = witness_of(3, 3, *[UNKNOWN_EPOCH] * ANSWERS_TO_GO_BACK)
+    tracker = tracker_of(3, 3, *[UNKNOWN_EPOCH] * ANSWERS_TO_GO_BACK)
     held, unknown = Position(3, 9), Position(UNKNOWN_EPOCH, 12)
-    assert judge_listing(held, unknown, witness) is ListingVerdict.TAKE
-    witness.note_answer(4)
-    assert judge_listing(unknown, Position(4, 2), witness) is ListingVerdict.TAKE
+    assert judge_listing(held, unknown, tracker) is ListingVerdict.TAKE
+    tracker.note_answer(4)
+    assert judge_listing(unknown, Position(4, 2), tracker) is ListingVerdict.TAKE
 
 
 def test_a_peer_does_not_lead_back_to_an_earlier_epoch() -> None:
-    witness = witness_of(4, 4)
+    tracker = tracker_of(4, 4)
     for epoch in (3, UNKNOWN_EPOCH):
         for _ in range(2 * ANSWERS_TO_GO_BACK):
-            witness.note_peer(epoch)
-    assert witness.confirmed == 4
+            tracker.note_peer(epoch)
+    assert tracker.confirmed == 4
 
 
 def test_an_answer_without_an_epoch_changes_nothing_that_has_one() -> None:
-    witness = witness_of(3, 3)
+    tracker = tracker_of(3, 3)
     held, unknown = Position(3, 9), Position(UNKNOWN_EPOCH, 99)
-    assert judge_listing(held, unknown, witness) is ListingVerdict.OUTDATED
-    verdict = judge_watch(held, held, UNKNOWN_EPOCH, witness, has_changes=True)
+    assert judge_listing(held, unknown, tracker) is ListingVerdict.OUTDATED
+    verdict = judge_watch(held, held, UNKNOWN_EPOCH, tracker, has_changes=True)
     assert verdict is WatchVerdict.REJECT
 
 
 def test_a_store_that_states_no_epoch_is_followed_by_revision() -> None:
-    witness = witness_of(UNKNOWN_EPOCH)
+    tracker = tracker_of(UNKNOWN_EPOCH)
     held = Position(UNKNOWN_EPOCH, 9)
-    assert judge_listing(None, held, witness) is ListingVerdict.TAKE
+    assert judge_listing(None, held, tracker) is ListingVerdict.TAKE
     newer, older = Position(UNKNOWN_EPOCH, 10), Position(UNKNOWN_EPOCH, 8)
-    assert judge_listing(held, newer, witness) is ListingVerdict.TAKE
-    assert judge_listing(held, older, witness) is ListingVerdict.OUTDATED
-    apply = judge_watch(held, held, UNKNOWN_EPOCH, witness, has_changes=True)
+    assert judge_listing(held, newer, tracker) is ListingVerdict.TAKE
+    assert judge_listing(held, older, tracker) is ListingVerdict.OUTDATED
+    apply = judge_watch(held, held, UNKNOWN_EPOCH, tracker, has_changes=True)
     assert apply is WatchVerdict.APPLY
-    assert judge_listing(held, Position(0, 1), witness) is ListingVerdict.TAKE
+    assert judge_listing(held, Position(0, 1), tracker) is ListingVerdict.TAKE
 
 
 def test_an_answer_to_a_watch_in_an_earlier_epoch_is_not_applied() -> None:
     """A peer has sent a listing of the next epoch while the watch was under way."""
-    witness = witness_of(3, 3)
-    witness.note_peer(4)
+    tracker = tracker_of(3, 3)
+    tracker.note_peer(4)
     for epoch in (3, 4, UNKNOWN_EPOCH):
         for has_changes in (True, False):
             verdict = judge_watch(
-                Position(4, 5), Position(3, 90), epoch, witness, has_changes=has_changes
+                Position(4, 5), Position(3, 90), epoch, tracker, has_changes=has_changes
             )
             assert verdict is WatchVerdict.REPEAT
 
