A stopping process answers everyone who could connect

What callers saw: connections to a process that stops as planned were reset, or closed without an answer. A caller cannot know then that its request did not run, and must not repeat one that may run once. Entries of both protocols, and the upstream daemon towards entries.

Cause, three that add up: 1. The listener was closed with connections in its backlog, which the kernel then resets. 2. A connection without a first byte was closed 0.5 s after that, whether its caller was late or this process was. The daemon cut everybody off 0.1 s after its notice. 3. The stop counted open connections before those just accepted were counted, and ended the process. Beside it: connections beyond the limit were reset; an idle timeout noticed late closed a connection whose bytes had arrived; a deadline between head and body cut an answer that was there whole.

No connection is closed while the process lives; late requests are run for 3 s (the first of a connection) or 0.5 s, then refused as not run; what is not read when time is up is refused; running requests get their verdict.

--- a/bench/baselinehost.py
+++ b/bench/baselinehost.py
@@ -12,7 +12,8 @@
 from headcross_base.addresses import Address, parse_address
 from headcross_base.errors import Ok
 from headcross_wire.httpclient import SOURCE_IP, call
-from headcross_wire.httpserver import Exchange, HttpServer, ServerLimits
+from headcross_wire.httprequest import ServerLimits
+from headcross_wire.httpserver import Exchange, HttpServer
 from headcross_wire.linkrate import LinkRate
 
 MAX_CONCURRENT_FETCHES = 4
--- a/libs/base/src/headcross_base/errorcodes.py
+++ b/libs/base/src/headcross_base/errorcodes.py
@@ -99,6 +99,12 @@
 DRAINING: Final = _define(
     "draining", 503, "This process is stopping.", "A planned stop of an entry or a daemon."
 )
+TOO_MANY_CONNECTIONS: Final = _define(
+    "too-many-connections",
+    503,
+    "This process has too many connections.",
+    "Callers keep more connections than limits.max_connections; add entries or raise it.",
+)
 NOT_READY: Final = _define(
     "not-ready", 503, "This process has no settled configuration yet.", "Starting; see its dump."
 )
--- a/libs/daemon/src/headcross_daemon/entry.py
+++ b/libs/daemon/src/headcross_daemon/entry.py
@@ -15,9 +15,11 @@
 from headcross_routing.entryhandler import EntryHandler
 from headcross_routing.picking import Picker
 from headcross_routing.requestmeta import RequestMeta
-from headcross_wire.httpserver import HttpServer, ServerLimits
+from headcross_wire.httprequest import ServerLimits
+from headcross_wire.httpserver import HttpServer
 from headcross_wire.peermessages import AskTurn, ShutdownNotice, Status
 from headcross_wire.peernode import IncomingMessage
+from headcross_wire.plannedstop import LAST_REFUSALS_SECONDS, stop_server
 from prometheus_client import Histogram
 
 from headcross_daemon.admin import MAX_ADMIN_BODY_BYTES, AdminApi
@@ -73,28 +75,26 @@
         )
         async with trio.open_nursery() as nursery:
             admin_limits = ServerLimits(max_body_bytes=MAX_ADMIN_BODY_BYTES)
-            await serve_http(nursery, self._admin.handle, settings.listen.admin, admin_limits)
-            server, http_address, scope = await serve_http(
-                nursery, self.handler.handle, settings.listen.http, limits
-            )
+            admin = HttpServer(self._admin.handle, admin_limits)
+            await serve_http(nursery, admin, settings.listen.admin)
+            server = HttpServer(self.handler.handle, limits, self.handler.refuse)
+            http_address = await serve_http(nursery, server, settings.listen.http)
             nursery.start_soon(self.process.run)
             nursery.start_soon(self.process.on_change, self._remove_absent)
             _log_listening(http_address)
             await stop.wait()
-            await self._drain(server, scope)
+            await self._drain(server)
             nursery.cancel_scope.cancel()
 
-    async def _drain(self, server: HttpServer, scope: trio.CancelScope) -> None:
+    async def _drain(self, server: HttpServer) -> None:
         """Report unhealthy, stop accepting after the notice, then wait for running requests."""
         stop = self.process.settings.stop
+        now = trio.current_time()
         self.process.unhealthy_reason = "draining"
         logger.info("draining", extra={"in_flight": self.handler.in_flight})
-        with trio.move_on_after(stop.limit_seconds):
-            await trio.sleep(stop.notice_seconds)
-            # Stops accepting connections; those already accepted are still served.
-            scope.cancel()
-            server.close_idle()
-            await server.wait_closed()
+        end = now + stop.limit_seconds
+        self.handler.end_requests_at(end - LAST_REFUSALS_SECONDS)
+        await stop_server(server, accept_until=now + stop.notice_seconds, end=end)
         logger.info("drained", extra={"in_flight": self.handler.in_flight})
 
     def dump(self) -> dict[str, object]:
--- a/libs/daemon/src/headcross_daemon/gatewayrole.py
+++ b/libs/daemon/src/headcross_daemon/gatewayrole.py
@@ -28,7 +28,8 @@
 from headcross_ports.published import LoadedModel
 from headcross_renewal.mirrors import replicas_in_region_of, replicas_with_digests
 from headcross_renewal.plan import plan_of
-from headcross_wire.httpserver import Exchange, HttpServer, ServerLimits
+from headcross_wire.httprequest import ServerLimits
+from headcross_wire.httpserver import Exchange, HttpServer
 from headcross_wire.peermessages import (
     AskPlan,
     KnownPlan,
@@ -40,6 +41,7 @@
     WeightsPlan,
 )
 from headcross_wire.peernode import IncomingMessage
+from headcross_wire.plannedstop import LAST_REFUSALS_SECONDS, stop_server
 from prometheus_client import Histogram
 
 from headcross_daemon.entrynews import EntryNews
@@ -74,10 +76,10 @@
 # How long connections are accepted after a stop signal. The platform checks readiness once a
 # second and needs two answers before it stops sending callers.
 ACCEPT_AFTER_STOP_SECONDS: Final = 4.0
-# For this long after a stop signal, requests are accepted even if their deadline is after the exit
-# of the process. Later such requests are refused as not run, since the exit could cut them off.
+# For this long after a stop signal, requests are accepted even if their deadline is after the end
+# of the stop. Later such requests are refused as not run, since the end could cut them off.
 ACCEPT_ALL_AFTER_STOP_SECONDS: Final = 2.6
-# The process exits this long before the platform would kill it.
+# Requests end this long before the platform would kill the process.
 STOP_MARGIN_SECONDS: Final = 0.5
 # Added to the idle timeout of the configuration, which callers know, so that they stop using an
 # idle connection before the entry closes it.
@@ -147,7 +149,7 @@
             buckets=LATENCY_BUCKETS_SECONDS,
             registry=self._pages.metrics.registry,
         )
-        self._server = HttpServer(self._path.handle, self._limits())
+        self._server = HttpServer(self._path.handle, self._limits(), self._path.refuse)
         self._readiness = Readiness(
             lambda: self.process.facts.complete, self._directory.has_most_reports
         )
@@ -178,11 +180,10 @@
             nursery.start_soon(self._path.unbegun.run)
             if self._mirror is not None:
                 nursery.start_soon(self._mirror.run)
-            accepting = trio.CancelScope()
-            nursery.start_soon(self._accept, caller_listeners, nursery, accepting)
+            nursery.start_soon(self._server.serve, caller_listeners)
             logger.info("listening", extra={"callers": settings.listen.callers})
             await stop.wait()
-            await self._drain(accepting)
+            await self._drain()
             nursery.cancel_scope.cancel()
 
     def dump(self) -> dict[str, object]:
@@ -238,15 +239,6 @@
 
     # Callers.
 
-    async def _accept(
-        self,
-        listeners: list[trio.SocketListener],
-        nursery: trio.Nursery,
-        scope: trio.CancelScope,
-    ) -> None:
-        with scope:
-            await self._server.serve(listeners, nursery)
-
     async def _answer_readiness(self, exchange: Exchange) -> None:
         ready = self._is_ready()
         await exchange.respond_json(200 if ready else 503, {"ready": ready})
@@ -272,27 +264,30 @@
             cancel_on_eof=True,
         )
 
-    async def _drain(self, accepting: trio.CancelScope) -> None:
+    async def _drain(self) -> None:
         """Report not ready, serve requests that still arrive, then wait for running ones."""
         self._readiness.stop()
-        self._server.sends_connection_close = True
+        now = trio.current_time()
         logger.info("stopping", extra={"in_flight": self._path.in_flight})
         limit = self.process.settings.bounds.stop_seconds - STOP_MARGIN_SECONDS
-        started_at = trio.current_time()
-        with trio.move_on_after(limit):
-            # At first all requests are accepted: callers still arrive, and most requests
-            # are short.
-            await trio.sleep(min(ACCEPT_ALL_AFTER_STOP_SECONDS, limit / 3))
-            self._path.refuse_ending_after(started_at + limit)
-            await trio.sleep(
-                min(ACCEPT_AFTER_STOP_SECONDS, limit / 2)
-                - min(ACCEPT_ALL_AFTER_STOP_SECONDS, limit / 3)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._refuse_long_requests, now, limit)
+            await stop_server(
+                self._server,
+                accept_until=now + min(ACCEPT_AFTER_STOP_SECONDS, limit / 2),
+                end=now + limit + LAST_REFUSALS_SECONDS,
             )
-            accepting.cancel()
-            self._server.close_idle()
-            await self._server.wait_closed()
+            nursery.cancel_scope.cancel()
         logger.info("stopped", extra={"in_flight": self._path.in_flight})
 
+    async def _refuse_long_requests(self, stop_began: float, limit: float) -> None:
+        """Refuse requests that may outlast the stop, after a time in which all are accepted.
+
+        Callers still arrive in that time, and most requests are short.
+        """
+        await trio.sleep_until(stop_began + min(ACCEPT_ALL_AFTER_STOP_SECONDS, limit / 3))
+        self._path.refuse_ending_after(stop_began + limit)
+
     # Facts.
 
     def _apply_facts(self) -> None:
--- a/libs/daemon/src/headcross_daemon/machinerole.py
+++ b/libs/daemon/src/headcross_daemon/machinerole.py
@@ -15,7 +15,7 @@
 from headcross_base.linelog import LineLog, configure_line_log
 from headcross_base.version import VERSION
 from headcross_wire.httpclient import SOURCE_IP
-from headcross_wire.httpserver import BindError
+from headcross_wire.listening import BindError
 
 from headcross_daemon.machineprocess import MachineProcess
 from headcross_daemon.machinesettings import MachineSettings
--- a/libs/daemon/src/headcross_daemon/main.py
+++ b/libs/daemon/src/headcross_daemon/main.py
@@ -29,7 +29,7 @@
 from headcross_base.logs import configure_logging
 from headcross_base.version import VERSION
 from headcross_wire.httpclient import SOURCE_IP
-from headcross_wire.httpserver import BindError
+from headcross_wire.listening import BindError
 
 from headcross_daemon.settings import Settings, read_settings
 
--- a/libs/daemon/src/headcross_daemon/process.py
+++ b/libs/daemon/src/headcross_daemon/process.py
@@ -11,7 +11,7 @@
 from headcross_fleet.documents import Documents
 from headcross_fleet.following import ConfigFollower
 from headcross_native.configservice import FLEET_KEY, HOSTS_KEY, ConfigService
-from headcross_wire.httpserver import HttpHandler, HttpServer, ServerLimits
+from headcross_wire.httpserver import HttpServer
 from headcross_wire.peernode import Handler, IncomingMessage, PeerNode
 
 from headcross_daemon.settings import Settings
@@ -116,24 +116,11 @@
             self._handle_other(incoming)
 
 
-async def serve_http(
-    nursery: trio.Nursery, handler: HttpHandler, address: str, limits: ServerLimits
-) -> tuple[HttpServer, Address, trio.CancelScope]:
-    """Listen at `address` and serve in the background.
-
-    Returns the server, the bound address, and a scope whose cancellation stops accepting
-    connections; those already accepted are still served.
-    """
-    server = HttpServer(handler, limits)
+async def serve_http(nursery: trio.Nursery, server: HttpServer, address: str) -> Address:
+    """Listen at `address` and serve in the background; return the bound address."""
     listeners, bound = await server.listen(parse_address(address))
-    scope = trio.CancelScope()
-
-    async def serve() -> None:
-        with scope:
-            await server.serve(listeners, nursery)
-
-    nursery.start_soon(serve)
-    return server, bound, scope
+    nursery.start_soon(server.serve, listeners)
+    return bound
 
 
 def _rounded(seconds: float) -> float | None:
--- a/libs/daemon/src/headcross_daemon/upstream.py
+++ b/libs/daemon/src/headcross_daemon/upstream.py
@@ -4,6 +4,7 @@
 """
 
 import logging
+from typing import Final
 
 import trio
 from headcross_base.addresses import parse_address
@@ -21,10 +22,12 @@
 from headcross_weights.chunkstore import ChunkStore
 from headcross_weights.imports import Importer
 from headcross_weights.swarm import Swarm
-from headcross_wire.httpserver import HttpServer, ServerLimits
+from headcross_wire.httprequest import ServerLimits
+from headcross_wire.httpserver import HttpServer
 from headcross_wire.linkrate import LinkRate
 from headcross_wire.peermessages import TurnAnswer, UpstreamStatus
 from headcross_wire.peernode import IncomingMessage
+from headcross_wire.plannedstop import stop_server
 
 from headcross_daemon.admin import MAX_ADMIN_BODY_BYTES, AdminApi
 from headcross_daemon.heartbeats import Heartbeats
@@ -35,6 +38,9 @@
 from headcross_daemon.settings import Settings, Upstream
 from headcross_daemon.weightsserver import WeightsServer
 
+# How long connections are accepted after the notice that this daemon shuts down.
+SHUTDOWN_NOTICE_SECONDS: Final = 0.1
+
 logger = logging.getLogger(__name__)
 
 
@@ -88,14 +94,13 @@
         )
         async with trio.open_nursery() as nursery:
             # Bound first: prevents a second daemon with the same settings from starting.
-            server, http_address, _ = await serve_http(
-                nursery, self.handler.handle, settings.listen.http, limits
-            )
-            _, weights_address, _ = await serve_http(
-                nursery, WeightsServer(self.store).handle, settings.listen.weights, ServerLimits()
-            )
+            server = HttpServer(self.handler.handle, limits, self.handler.refuse)
+            http_address = await serve_http(nursery, server, settings.listen.http)
+            weights = HttpServer(WeightsServer(self.store).handle, ServerLimits())
+            weights_address = await serve_http(nursery, weights, settings.listen.weights)
             admin_limits = ServerLimits(max_body_bytes=MAX_ADMIN_BODY_BYTES)
-            await serve_http(nursery, self._admin.handle, settings.listen.admin, admin_limits)
+            admin = HttpServer(self._admin.handle, admin_limits)
+            await serve_http(nursery, admin, settings.listen.admin)
             nursery.start_soon(self.process.run)
             nursery.start_soon(self.swarm.run)
             nursery.start_soon(self.process.on_change, self._apply_hosts)
@@ -151,13 +156,15 @@
         Resumable streams that still run after the drain time are handed off to other upstreams.
         """
         stop = self.process.settings.stop
+        end = trio.current_time() + stop.limit_seconds
         self.process.unhealthy_reason = "draining"
         gates = [local.gate for local in self.local_upstreams.values()]
         for gate in gates:
             gate.stop()
         self.heartbeats.send()
+        server.announce_close()
         logger.info("draining", extra={"in_flight": sum(gate.in_flight for gate in gates)})
-        with trio.move_on_after(stop.limit_seconds):
+        with trio.move_on_at(end):
             with trio.move_on_after(stop.drain_seconds):
                 for gate in gates:
                     await gate.wait_idle()
@@ -167,10 +174,10 @@
                 await gate.wait_idle()
             # Entries that do not know of the stop yet get a "not run" answer during this time.
             await trio.sleep(stop.notice_seconds)
-            server.close_idle()
         self.heartbeats.send_shutdown_notice()
-        # Leaves time for the shutdown notices to be transmitted.
-        await trio.sleep(0.1)
+        # Entries that received the notice send nothing more; they receive it in this time.
+        accept_until = trio.current_time() + SHUTDOWN_NOTICE_SECONDS
+        await stop_server(server, accept_until=accept_until, end=end)
         logger.info("drained", extra={"in_flight": sum(gate.in_flight for gate in gates)})
 
     def dump(self) -> dict[str, object]:
--- a/libs/gateway/src/headcross_gateway/attempts.py
+++ b/libs/gateway/src/headcross_gateway/attempts.py
@@ -33,7 +33,7 @@
 from headcross_ports.requests import AnswerFacts, HandOver, RequestDialect, RequestFacts
 from headcross_wire.httpclient import HttpConnection
 from headcross_wire.httpcodec import Answer, ConnectError, LinkLostError
-from headcross_wire.httpserver import Request
+from headcross_wire.httprequest import Request
 
 from headcross_gateway.connections import ReplicaConnections
 from headcross_gateway.eventstream import EventTooLongError
--- a/libs/gateway/src/headcross_gateway/requestidentity.py
+++ b/libs/gateway/src/headcross_gateway/requestidentity.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass
 from typing import Final
 
-from headcross_wire.httpserver import Request
+from headcross_wire.httprequest import Request
 
 PART_BYTES: Final = 8
 IDENTITY_BYTES: Final = 3 * PART_BYTES
--- a/libs/gateway/src/headcross_gateway/requestpath.py
+++ b/libs/gateway/src/headcross_gateway/requestpath.py
@@ -15,7 +15,6 @@
 from headcross_base.errorcodes import (
     BAD_REQUEST,
     DEADLINE,
-    DRAINING,
     NO_REPLICA,
     NO_ROOM,
     NO_ROUTE,
@@ -34,7 +33,8 @@
 )
 from headcross_facts.facts import Facts
 from headcross_ports.requests import HandOver, RequestDialect, RequestFacts, RequestProblem
-from headcross_wire.httpserver import Exchange, Request
+from headcross_wire.httprequest import Request
+from headcross_wire.httpserver import STOPPING, Exchange
 
 from headcross_gateway.admission import Admission, QueueOrder
 from headcross_gateway.admitted import Admitted, NotAdmitted
@@ -66,8 +66,6 @@
 
 # Queue priority of a request that may have run: ahead of all others.
 RERUN_PRIORITY: Final = -1
-# Retry-After value that a draining entry sends; another entry will serve the caller.
-DRAINING_RETRY_AFTER_SECONDS: Final = 0.02
 
 # Called with the service, the name of the verdict and the seconds since the request arrived.
 VerdictObserver = Callable[[str, str, float], None]
@@ -101,6 +99,7 @@
         self.unbegun = UnbegunAttempts(rules)
         self.attempts = Attempts(dialect, self.unbegun, LinkProofs(rules, dialect))
         self._drain_deadline: float | None = None
+        self._running: set[trio.CancelScope] = set()  # one for each request being served
         self._facts = facts
         self._dialect = dialect
         self._admission = admission
@@ -114,13 +113,13 @@
         """Serve one request: answer it, or refuse it with a reason."""
         request = self._admit(exchange)
         if not isinstance(request, Admitted):
-            self._count_refused(request.refusal)
-            log_refused(request.refusal, request.request_id)
-            await send_refusal(exchange, self._dialect, request.refusal, request.request_id)
+            await self._refuse(exchange, request.refusal, request.request_id)
             return
         self.in_flight += 1
+        scope = trio.CancelScope(deadline=request.deadline)
+        self._running.add(scope)
         try:
-            with trio.move_on_at(request.deadline) as scope:
+            with scope:
                 verdict = await self._serve(request)
             if scope.cancelled_caught:
                 verdict = _deadline_verdict(request)
@@ -130,11 +129,29 @@
             log_caller_gone(request)
             raise
         finally:
+            self._running.discard(scope)
             self.in_flight -= 1
 
+    async def refuse(self, exchange: Exchange, refusal: NotRun) -> None:
+        """Refuse a request that the server does not hand to `handle`."""
+        facts = self._dialect.read_request(exchange.request.headers)
+        request_id = facts.id if isinstance(facts, RequestFacts) else None
+        await self._refuse(exchange, refusal, request_id)
+
     def refuse_ending_after(self, moment: float) -> None:
-        """Refuse new requests whose deadline is after `moment` (trio's clock)."""
+        """Refuse new requests whose deadline is after `moment` (trio's clock).
+
+        Running requests get their verdict by then.
+        """
         self._drain_deadline = moment
+        for scope in self._running:
+            scope.deadline = min(scope.deadline, moment)
+
+    async def _refuse(self, exchange: Exchange, refusal: Refusal, request_id: str | None) -> None:
+        """Refuse a request that was not admitted."""
+        self._count_refused(refusal)
+        log_refused(refusal, request_id)
+        await send_refusal(exchange, self._dialect, refusal, request_id)
 
     # Admission.
 
@@ -159,8 +176,7 @@
         if facts.deadline_seconds is not None:
             seconds = min(seconds, facts.deadline_seconds)
         if self._drain_deadline is not None and now + seconds > self._drain_deadline:
-            refusal = NotRun(DRAINING, "this entry stops", DRAINING_RETRY_AFTER_SECONDS)
-            return NotAdmitted(refusal, facts.id)
+            return NotAdmitted(STOPPING, facts.id)
         relay = StreamRelay(exchange, facts.resume_after) if route.repetition.is_stream else None
         service = route.pick_service()
         fingerprint = _fingerprint_of(request, facts)
--- a/libs/routing/src/headcross_routing/answerrelay.py
+++ b/libs/routing/src/headcross_routing/answerrelay.py
@@ -26,10 +26,13 @@
     events: EventSplitter | None
     # Digest of the weights that produce the answer; only the same weights may resume it.
     digest: str
+    # Whether an attempt was made, so that the request may have run.
+    was_attempted: bool
 
     def __init__(self, exchange: Exchange) -> None:
         self.events = None
         self.digest = ""
+        self.was_attempted = False
         self._exchange = exchange
         self._answer: Answer | None = None
         self._buffered = bytearray()
--- a/libs/routing/src/headcross_routing/entryhandler.py
+++ b/libs/routing/src/headcross_routing/entryhandler.py
@@ -7,6 +7,7 @@
 """
 
 import logging
+import math
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -15,6 +16,7 @@
 import trio
 from headcross_base.errorcodes import (
     BAD_REQUEST,
+    DEADLINE,
     NO_REPLICA,
     NO_ROUTE,
     NOT_READY,
@@ -34,7 +36,7 @@
 from headcross_fleet.documents import Documents
 from headcross_fleet.membership import StatusTable
 from headcross_wire.httpcodec import Headers
-from headcross_wire.httpserver import Exchange
+from headcross_wire.httpserver import STOPPING, Exchange
 from headcross_wire.replies import send_refusal
 
 from headcross_routing.answerrelay import AnswerRelay
@@ -97,6 +99,8 @@
         self._settled = settled
         self._observe = observe
         self._attempts = Attempts(documents, statuses, picker)
+        self._end_at = math.inf  # trio's clock
+        self._running: set[trio.CancelScope] = set()  # one for each request being handled
 
     @property
     def attempts(self) -> int:
@@ -115,8 +119,14 @@
             return
         self.in_flight += 1
         relay = AnswerRelay(exchange)
+        scope = trio.CancelScope(deadline=self._end_at)
+        self._running.add(scope)
         try:
-            verdict = await self._admit_and_run(meta, relay)
+            verdict: Verdict = STOPPING
+            with scope:
+                verdict = await self._admit_and_run(meta, relay)
+            if scope.cancelled_caught and relay.was_attempted:
+                verdict = MayHaveRun(DEADLINE, "this process stops")
             self._observe(meta, verdict, monotonic() - started_at)
             if isinstance(verdict, Completed):
                 self.counts[COMPLETED] += 1
@@ -126,8 +136,19 @@
             else:
                 await self._refuse(exchange, verdict, meta.id)
         finally:
+            self._running.discard(scope)
             self.in_flight -= 1
 
+    async def refuse(self, exchange: Exchange, refusal: NotRun) -> None:
+        """Refuse a request that the server does not hand to `handle`."""
+        await self._refuse(exchange, refusal, "")
+
+    def end_requests_at(self, moment: float) -> None:
+        """Give requests that still run at `moment` (trio's clock) their verdict."""
+        self._end_at = moment
+        for scope in self._running:
+            scope.deadline = moment
+
     async def _refuse(self, exchange: Exchange, refusal: Refusal, request: str) -> None:
         self._count_and_log(refusal, request)
         headers: Headers = [("Headcross-Request", request)] if request else []
@@ -168,6 +189,7 @@
             if candidate is None:
                 return last or NotRun(NO_REPLICA, meta.target, 1.0)
             progress.attempts += 1
+            progress.relay.was_attempted = True
             progress.tried.add(candidate.upstream)
             verdict = await self._attempts.make(meta, progress.relay, candidate)
             if isinstance(verdict, Completed):
--- a/libs/routing/src/headcross_routing/requestmeta.py
+++ b/libs/routing/src/headcross_routing/requestmeta.py
@@ -14,7 +14,7 @@
 from headcross_base.verdicts import NotRun
 from headcross_fleet.fleetfile import FleetFile, Route
 from headcross_wire.httpcodec import Headers
-from headcross_wire.httpserver import Request
+from headcross_wire.httprequest import Request
 
 # Set by callers.
 TEAM_HEADER: Final = "headcross-team"
--- a/libs/routing/src/headcross_routing/upstreamhandler.py
+++ b/libs/routing/src/headcross_routing/upstreamhandler.py
@@ -35,6 +35,7 @@
     Completed,
     MayHaveRun,
     NotRun,
+    Refusal,
     Verdict,
     verdict_name,
 )
@@ -50,7 +51,8 @@
 )
 from headcross_wire.httpclient import HttpConnection, closing, connect
 from headcross_wire.httpcodec import Answer, ConnectError, Headers, LinkLostError
-from headcross_wire.httpserver import CallerGone, Exchange, Request
+from headcross_wire.httprequest import Request
+from headcross_wire.httpserver import CallerGone, Exchange
 from headcross_wire.replies import send_refusal
 
 from headcross_routing.fairqueue import FairQueue
@@ -146,6 +148,13 @@
         else:
             await self._handle_request(exchange)
 
+    async def refuse(self, exchange: Exchange, refusal: NotRun) -> None:
+        """Refuse a request that the server does not hand to `handle`."""
+        request_id = exchange.request.header(REQUEST_HEADER) or ""
+        self.counts[f"{verdict_name(refusal)} {refusal.reason.code}"] += 1
+        _log_refused(refusal, request_id)
+        await send_refusal(exchange, refusal, [])
+
     async def _handle_revocation(self, exchange: Exchange) -> None:
         path = exchange.request.path.removeprefix(REVOCATIONS_PATH)
         incarnation, _, request = path.partition("/")
@@ -184,8 +193,7 @@
         reason = "" if isinstance(verdict, Completed) else verdict.reason.code
         self.counts[f"{verdict_name(verdict)} {reason}".strip()] += 1
         if not isinstance(verdict, Completed):
-            fields = {"request": forwarded.id, "reason": reason, "detail": verdict.detail}
-            logger.info("request refused", extra=fields)
+            _log_refused(verdict, forwarded.id)
             if exchange.started:
                 # The answer is incomplete; closing without the body's end signals that.
                 raise CallerGone(reason)
@@ -257,6 +265,11 @@
         return Completed(answer.status)
 
 
+def _log_refused(refusal: Refusal, request: str) -> None:
+    fields = {"request": request, "reason": refusal.reason.code, "detail": refusal.detail}
+    logger.info("request refused", extra=fields)
+
+
 def _check_gate(gate: UpstreamGate, forwarded: _ForwardedRequest) -> NotRun | None:
     """Return why the upstream does not take a request now, or None if it does."""
     if gate.stopping:
--- a/libs/wire/src/headcross_wire/httpserver.py
+++ b/libs/wire/src/headcross_wire/httpserver.py
@@ -7,6 +7,9 @@
 The first write that fails after a caller disconnected raises `CallerGone` in the handler. With
 `ServerLimits.cancel_on_eof` the handler is also cancelled as soon as the caller closes its sending
 half; without it such a caller still gets its answer.
+
+A server stops in steps (see `plannedstop`). While the process lives, whoever could connect gets an
+answer: a whole one, or a refusal that says that the request has not run.
 """
 
 import logging
@@ -18,66 +21,42 @@
 import msgspec
 import trio
 from headcross_base.addresses import Address
-from headcross_base.errorcodes import (
-    BAD_REQUEST,
-    BODY_TOO_LARGE,
-    HEADERS_TOO_LARGE,
-    REQUEST_TIMEOUT,
-    ErrorCode,
-)
-from headcross_base.verdicts import NOT_RUN, VERDICT_HEADER
+from headcross_base.errorcodes import DRAINING, TOO_MANY_CONNECTIONS
+from headcross_base.verdicts import NOT_RUN, VERDICT_HEADER, NotRun
 
 from headcross_wire.httpcodec import RECEIVE_BYTES, Headers
+from headcross_wire.httprequest import (
+    Request,
+    RequestRefused,
+    ServerLimits,
+    read_request,
+    wait_disconnect,
+)
+from headcross_wire.latearrivals import ConnectionFacts, is_expected, may_run
+from headcross_wire.listening import (
+    accept_until_cancelled,
+    accept_waiting_and_close,
+    open_listener,
+)
 
-MAX_HEADER_BYTES: Final = 32 * 1024
-ACCEPT_BACKLOG: Final = 512
-# How long a connection without a request stays open while the server closes.
-CLOSING_IDLE_SECONDS: Final = 0.5
+# How long a closed connection is read for the caller's end of it. Closing with unread bytes would
+# reset it, which could discard an answer before the caller reads it.
+CLOSE_SECONDS: Final = 1.0
+# Connections beyond the limit that are refused at once; further ones wait to be accepted.
+MAX_EXCESS_CONNECTIONS: Final = 128
+# How often a stopping server checks whether a request is still to come.
+QUIET_CHECK_SECONDS: Final = 0.05
+# A refused caller may come back soon, since another process can serve it.
+RETRY_AFTER_SECONDS: Final = 0.02
+STOPPING: Final = NotRun(DRAINING, "this process stops", RETRY_AFTER_SECONDS)
 
 logger = logging.getLogger(__name__)
 
 
-class BindError(Exception):
-    """An address cannot be bound, most likely because another process uses it."""
-
-
 class CallerGone(Exception):
     """The caller's connection broke or stalled while the answer was written."""
 
 
-@dataclass(frozen=True, slots=True)
-class ServerLimits:
-    """Limits of one listener."""
-
-    max_body_bytes: int = 8 * 1024 * 1024
-    receive_seconds: float = 20.0  # for the body, once the headers are read
-    idle_seconds: float = 75.0  # between two requests
-    write_seconds: float = 30.0  # for one write of the answer
-    max_connections: int = 4096
-    max_header_bytes: int = MAX_HEADER_BYTES
-    header_seconds: float = 20.0  # for the headers of a request, from its first byte
-    cancel_on_eof: bool = False  # treat a half-closed connection as a disconnect
-
-
-@dataclass(frozen=True, slots=True)
-class Request:
-    """One complete request."""
-
-    method: str
-    target: str  # path and query as sent by the caller
-    headers: Headers  # names in lower case
-    body: bytes
-
-    @property
-    def path(self) -> str:
-        """Target without the query."""
-        return self.target.partition("?")[0]
-
-    def header(self, name: str) -> str | None:
-        """Return the first header of that name (lower case), or None."""
-        return next((value for key, value in self.headers if key == name), None)
-
-
 @dataclass(slots=True)
 class Exchange:
     """A request and the methods that answer it."""
@@ -86,15 +65,17 @@
     _connection: h11.Connection
     _stream: trio.abc.Stream
     _limits: ServerLimits
-    _closes_connection: bool = False  # the connection is closed after the answer
+    # Returns whether the connection is closed after the answer, when the answer begins.
+    _closes_connection: Callable[[], bool] = lambda: False
     started: bool = field(default=False)  # whether the status line was sent
 
     async def respond(self, status: int, headers: Headers, body: bytes) -> None:
-        """Send a complete answer."""
-        await self.start(status, [*headers, ("content-length", str(len(body)))])
-        if body:
-            await self.send(body)
-        await self.finish()
+        """Send a complete answer; if cancelled before it begins, nothing of it is sent."""
+        await trio.lowlevel.checkpoint_if_cancelled()
+        head = self._encode_head(status, [*headers, ("content-length", str(len(body)))])
+        data = self._connection.send(h11.Data(data=body)) if body else b""
+        end = self._connection.send(h11.EndOfMessage())
+        await self._write(b"".join(part for part in (head, data, end) if part))
 
     async def respond_json(
         self, status: int, value: object, headers: Headers | None = None
@@ -105,18 +86,15 @@
 
     async def start(self, status: int, headers: Headers) -> None:
         """Send the status line and headers of an answer."""
-        self.started = True
-        if self._closes_connection:
-            headers = [*headers, ("connection", "close")]
-        await self._write(h11.Response(status_code=status, headers=_encode(headers)))
+        await self._write(self._encode_head(status, headers))
 
     async def send(self, data: bytes) -> None:
         """Send a piece of the body."""
-        await self._write(h11.Data(data=data))
+        await self._write(self._connection.send(h11.Data(data=data)))
 
     async def finish(self) -> None:
         """End the answer."""
-        await self._write(h11.EndOfMessage())
+        await self._write(self._connection.send(h11.EndOfMessage()))
 
     @property
     def peer_ip(self) -> str:
@@ -129,8 +107,13 @@
         """Close the connection at once, so that the caller sees a truncated answer."""
         await trio.aclose_forcefully(self._stream)
 
-    async def _write(self, event: h11.Response | h11.Data | h11.EndOfMessage) -> None:
-        data = self._connection.send(event)
+    def _encode_head(self, status: int, headers: Headers) -> bytes | None:
+        self.started = True
+        if self._closes_connection():
+            headers = [*headers, ("connection", "close")]
+        return self._connection.send(h11.Response(status_code=status, headers=_encode(headers)))
+
+    async def _write(self, data: bytes | None) -> None:
         if not data:
             return
         try:
@@ -141,80 +124,189 @@
 
 
 HttpHandler = Callable[[Exchange], Awaitable[None]]
+# Answers a request that the server itself refuses; it has not run.
+RefusalSender = Callable[[Exchange, NotRun], Awaitable[None]]
+
+
+async def send_plain_refusal(exchange: Exchange, refusal: NotRun) -> None:
+    """Answer with a refusal's code, text and verdict."""
+    reason = refusal.reason
+    body = {"code": reason.code, "text": reason.text, "detail": refusal.detail, "verdict": NOT_RUN}
+    await exchange.respond_json(reason.status, body, [(VERDICT_HEADER, NOT_RUN)])
+
+
+@dataclass(eq=False, slots=True)
+class _Connection:
+    """One connection of a caller."""
+
+    stream: trio.SocketStream
+    codec: h11.Connection
+    had_request: bool = False  # a request was read from it completely
+    is_waiting: bool = True  # for the first byte of a request
+    # Cancelled if the server stops before a request is read; None while none is read or awaited.
+    reading: trio.CancelScope | None = None
+    # Set once all answers were sent and the connection is only closed.
+    closing: trio.Event = field(default_factory=trio.Event)
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether it had a request and waits for the next one."""
+        return self.had_request and self.is_waiting
+
+    @property
+    def facts(self) -> ConnectionFacts:
+        """What decides whether a stopping server waits for this connection."""
+        is_waiting = self.is_waiting and not self.closing.is_set()
+        return ConnectionFacts(self.had_request, is_waiting, is_waiting and self.has_input())
+
+    def has_input(self) -> bool:
+        """Return whether bytes have arrived that were not read yet."""
+        return bool(self.codec.trailing_data[0]) or self.stream.socket.is_readable()
 
 
 class HttpServer:
     """Serves HTTP on one listener."""
 
-    # Number of open connections.
-    connections: int
     # Number of requests refused because they violate the standard or a limit.
     malformed: int
     # Number of requests whose handler raised an unexpected exception.
     faults: int
+    # Number of connections refused because there were too many.
+    refused_connections: int
+    # Number of requests refused because they came after the server had stopped accepting.
+    refused_late: int
     # Limits for requests; new ones apply to requests that are read after they are set.
     limits: ServerLimits
-    # Whether every answer has `Connection: close`.
-    sends_connection_close: bool
 
-    def __init__(self, handler: HttpHandler, limits: ServerLimits) -> None:
-        self.connections = 0
+    def __init__(
+        self,
+        handler: HttpHandler,
+        limits: ServerLimits,
+        send_refusal: RefusalSender = send_plain_refusal,
+    ) -> None:
         self.malformed = 0
         self.faults = 0
+        self.refused_connections = 0
+        self.refused_late = 0
         self.limits = limits
-        self.sends_connection_close = False
         self._handler = handler
-        self._closing = False
-        self._all_closed = trio.Event()
-        self._idle_scopes: set[trio.CancelScope] = set()
+        self._send_refusal = send_refusal
+        self._connections: set[_Connection] = set()
+        # Connections beyond the limit, which are being refused.
+        self._excess_connections: set[_Connection] = set()
+        self._acceptors: list[_Acceptor] = []
+        self._accept_ended_at: float | None = None
+        # Set, and replaced, when a connection is closed.
+        self._connection_closed = trio.Event()
+        self._announces_close = False
+
+    @property
+    def connections(self) -> int:
+        """Number of open connections that are served."""
+        return len(self._connections)
 
     async def listen(self, address: Address) -> tuple[list[trio.SocketListener], Address]:
         """Bind; return the listeners and the address with the assigned port.
 
         Raises BindError if the address cannot be bound.
         """
-        try:
-            listeners = await trio.open_tcp_listeners(
-                address.port, host=address.ip, backlog=ACCEPT_BACKLOG
-            )
-        except OSError as error:
-            raise BindError(f"{address}: {error}") from None
-        return listeners, Address(address.ip, listeners[0].socket.getsockname()[1])
+        listener = await open_listener(address)
+        return [listener], Address(address.ip, listener.socket.getsockname()[1])
 
     async def serve(
         self, listeners: Sequence[trio.SocketListener], nursery: trio.Nursery | None = None
     ) -> None:
-        """Accept connections until cancelled; open ones continue if they run in `nursery`."""
-        await trio.serve_listeners(
-            self._serve_connection, list(listeners), handler_nursery=nursery
-        )
+        """Accept connections until `stop_accepting`; open ones continue if they run in `nursery`.
+
+        Without `nursery` this returns once all of them are closed.
+        """
+        async with trio.open_nursery() as own_nursery:
+            for listener in listeners:
+                own_nursery.start_soon(self._accept, listener, nursery or own_nursery)
+
+    # Steps of a stop; `plannedstop` takes them in this order.
+
+    def announce_close(self) -> None:
+        """Tell callers, with each answer that begins from now on, to reuse no connection."""
+        self._announces_close = True
 
-    def close_idle(self) -> None:
-        """Close idle connections within CLOSING_IDLE_SECONDS, and others after their answer.
+    async def stop_accepting(self) -> int:
+        """Close the listeners once all established connections are accepted.
 
-        The delay allows for requests that are in transit when this is called: they are served.
+        Returns the number of those that were waiting to be accepted.
         """
-        self._closing = True
-        for scope in self._idle_scopes:
-            scope.deadline = min(scope.deadline, trio.current_time() + CLOSING_IDLE_SECONDS)
-
-    async def wait_closed(self) -> None:
-        """Wait until no connection is open."""
-        while self.connections:
-            self._all_closed = trio.Event()
-            await self._all_closed.wait()
-
-    async def _serve_connection(self, stream: trio.SocketStream) -> None:
-        if self.connections >= self.limits.max_connections:
-            await trio.aclose_forcefully(stream)
-            return
-        self.connections += 1
-        connection = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=self.limits.max_header_bytes
-        )
+        waiting = 0
+        try:
+            for acceptor in self._acceptors:
+                acceptor.scope.cancel()
+                await acceptor.ended.wait()
+                waiting += acceptor.waiting
+        finally:
+            self._accept_ended_at = trio.current_time()
+        return waiting
+
+    async def wait_quiet(self) -> None:
+        """Wait until no request is read or answered, and none is to come that would be run."""
+        while not self._is_quiet():
+            with trio.move_on_after(QUIET_CHECK_SECONDS):
+                await self._connection_closed.wait()
+
+    async def refuse_unread(self) -> int:
+        """Refuse all requests that were not read completely; return their number.
+
+        A connection that had no request yet gets a refusal too, as its request may be under way.
+        One that had a request and is idle stays open until the process ends.
+        """
+        unread = [c for c in self._connections if c.reading is not None and not c.is_idle]
+        for connection in unread:
+            assert connection.reading is not None
+            connection.reading.cancel()
+        for connection in unread:
+            await connection.closing.wait()
+        return len(unread)
+
+    def _is_quiet(self) -> bool:
+        assert self._accept_ended_at is not None
+        now, ended_at = trio.current_time(), self._accept_ended_at
+        expected = any(is_expected(c.facts, now, ended_at) for c in self._connections)
+        return not expected and not self._excess_connections
+
+    # Connections.
+
+    async def _accept(self, listener: trio.SocketListener, nursery: trio.Nursery) -> None:
+        acceptor = _Acceptor()
+        self._acceptors.append(acceptor)
+
+        def accepted(stream: trio.SocketStream) -> None:
+            self._start_connection(stream, nursery)
+
+        async with listener:
+            with acceptor.scope:
+                await accept_until_cancelled(listener, accepted, self._wait_refusals)
+            acceptor.waiting = await accept_waiting_and_close(listener, accepted)
+        acceptor.ended.set()
+
+    def _start_connection(self, stream: trio.SocketStream, nursery: trio.Nursery) -> None:
+        codec = h11.Connection(h11.SERVER, max_incomplete_event_size=self.limits.max_header_bytes)
+        connection = _Connection(stream, codec)
+        if len(self._connections) < self.limits.max_connections:
+            self._connections.add(connection)
+            nursery.start_soon(self._run_connection, connection, self._serve_requests)
+        else:
+            self.refused_connections += 1
+            self._excess_connections.add(connection)
+            nursery.start_soon(self._run_connection, connection, self._refuse_excess)
+
+    async def _wait_refusals(self) -> None:
+        """Wait until not too many connections beyond the limit are being refused."""
+        while len(self._excess_connections) >= MAX_EXCESS_CONNECTIONS:
+            await self._connection_closed.wait()
+
+    async def _run_connection(
+        self, connection: _Connection, serve: Callable[[_Connection], Awaitable[None]]
+    ) -> None:
         try:
-            while await self._serve_request(connection, stream):
-                connection.start_next_cycle()
+            await serve(connection)
         except CallerGone:
             pass
         except Exception:
@@ -222,152 +314,130 @@
             self.faults += 1
             logger.exception("handler failed")
         finally:
-            await _close_gracefully(stream)
-            self.connections -= 1
-            if not self.connections:
-                self._all_closed.set()
-
-    async def _serve_request(self, connection: h11.Connection, stream: trio.SocketStream) -> bool:
+            connection.closing.set()
+            await _close_gracefully(connection.stream)
+            self._connections.discard(connection)
+            self._excess_connections.discard(connection)
+            self._connection_closed.set()
+            self._connection_closed = trio.Event()
+
+    async def _refuse_excess(self, connection: _Connection) -> None:
+        """Refuse the request of a connection beyond the limit without reading it."""
+        await self._refuse(connection, NotRun(TOO_MANY_CONNECTIONS, "", RETRY_AFTER_SECONDS))
+
+    async def _serve_requests(self, connection: _Connection) -> None:
+        while await self._serve_request(connection):
+            connection.codec.start_next_cycle()
+
+    async def _serve_request(self, connection: _Connection) -> bool:
         """Serve one request; return whether the connection can be reused."""
+        arrival: _Arrival | None = None
         try:
-            request = await self._read_request(connection, stream)
-        except h11.RemoteProtocolError as error:
-            kind = HEADERS_TOO_LARGE if error.error_status_hint == 431 else BAD_REQUEST
-            await self._refuse(connection, stream, kind, str(error))
+            with trio.CancelScope() as reading:
+                connection.reading = reading
+                arrival = await self._receive(connection)
+        except RequestRefused as error:
+            self.malformed += 1
+            await self._refuse(connection, NotRun(error.kind, error.detail))
             return False
-        except _RefusedError as error:
-            await self._refuse(connection, stream, error.kind, error.detail)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
             return False
-        except trio.TooSlowError:
-            await self._refuse(connection, stream, REQUEST_TIMEOUT, "")
+        finally:
+            connection.reading = None
+        if reading.cancelled_caught:
+            await self._refuse(connection, STOPPING)
             return False
-        except (trio.BrokenResourceError, trio.ClosedResourceError):
+        if arrival is None:
             return False
-        if request is None:
+        connection.had_request = True
+        if not arrival.may_run:
+            self.refused_late += 1
+            await self._refuse(connection, STOPPING, arrival.request)
             return False
-        closes_connection = self._closing or self.sends_connection_close
-        exchange = Exchange(request, connection, stream, self.limits, closes_connection)
+        return await self._answer(connection, arrival.request)
+
+    async def _answer(self, connection: _Connection, request: Request) -> bool:
+        """Have the handler answer a request; return whether the connection can be reused."""
+        codec = connection.codec
+        exchange = Exchange(
+            request, codec, connection.stream, self.limits, lambda: self._announces_close
+        )
         if self.limits.cancel_on_eof:
-            await self._handle_until_eof(exchange, connection, stream)
+            await self._handle_until_eof(exchange, connection)
         else:
             await self._handler(exchange)
-        done = connection.our_state is h11.DONE and connection.their_state is h11.DONE
-        return done and not self._closing
+        return codec.our_state is h11.DONE and codec.their_state is h11.DONE
 
-    async def _handle_until_eof(
-        self, exchange: Exchange, connection: h11.Connection, stream: trio.SocketStream
-    ) -> None:
+    async def _handle_until_eof(self, exchange: Exchange, connection: _Connection) -> None:
         """Run the handler; cancel it if the caller disconnects."""
         async with trio.open_nursery() as nursery:
 
             async def watch() -> None:
-                await _wait_disconnect(connection, stream)
+                await wait_disconnect(connection.codec, connection.stream)
                 nursery.cancel_scope.cancel()
 
             nursery.start_soon(watch)
             await self._handler(exchange)
             nursery.cancel_scope.cancel()
 
-    async def _read_request(
-        self, connection: h11.Connection, stream: trio.SocketStream
-    ) -> Request | None:
-        if not connection.trailing_data[0] and not await self._wait_first_byte(connection, stream):
-            return None
-        with trio.fail_after(self.limits.header_seconds):
-            head = await _read_event(connection, stream)
-        if not isinstance(head, h11.Request):
+    async def _receive(self, connection: _Connection) -> "_Arrival | None":
+        """Read the next request; return None if the caller sends none."""
+        connection.is_waiting = True
+        if not await self._wait_first_byte(connection):
             return None
-        _check_head(head, self.limits)
-        body = bytearray()
-        with trio.fail_after(self.limits.receive_seconds):
-            while True:
-                event = await _read_event(connection, stream)
-                if isinstance(event, h11.Data):
-                    body += event.data
-                    if len(body) > self.limits.max_body_bytes:
-                        raise _RefusedError(BODY_TOO_LARGE)
-                elif isinstance(event, h11.EndOfMessage):
-                    return _make_request(head, bytes(body))
-                else:
-                    return None
-
-    async def _wait_first_byte(
-        self, connection: h11.Connection, stream: trio.SocketStream
-    ) -> bool:
-        seconds = CLOSING_IDLE_SECONDS if self._closing else self.limits.idle_seconds
-        with trio.move_on_after(seconds) as scope:
-            self._idle_scopes.add(scope)
-            try:
-                data = await stream.receive_some(RECEIVE_BYTES)
-            finally:
-                self._idle_scopes.discard(scope)
-        if scope.cancelled_caught or not data:
+        connection.is_waiting = False
+        runs = may_run(
+            trio.current_time(), self._accept_ended_at, had_request=connection.had_request
+        )
+        request = await read_request(connection.codec, connection.stream, self.limits)
+        return None if request is None else _Arrival(request, runs)
+
+    async def _wait_first_byte(self, connection: _Connection) -> bool:
+        """Wait for a request to begin; return whether it did before the idle timeout."""
+        if connection.codec.trailing_data[0]:
+            return True
+        data = b""
+        with trio.move_on_after(self.limits.idle_seconds) as scope:
+            data = await connection.stream.receive_some(RECEIVE_BYTES)
+        if scope.cancelled_caught and connection.has_input():
+            # Bytes arrived in time; this process looked late.
+            data = await connection.stream.receive_some(RECEIVE_BYTES)
+        if not data:
             return False
-        connection.receive_data(data)
+        connection.codec.receive_data(data)
         return True
 
     async def _refuse(
-        self, connection: h11.Connection, stream: trio.SocketStream, kind: ErrorCode, detail: str
+        self, connection: _Connection, refusal: NotRun, request: Request | None = None
     ) -> None:
-        self.malformed += 1
-        if connection.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+        """Refuse a request as not run; without `request`, one that was not read completely."""
+        if connection.codec.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
-        exchange = Exchange(Request("", "", [], b""), connection, stream, self.limits)
-        body = {"code": kind.code, "text": kind.text, "detail": detail, "verdict": NOT_RUN}
-        headers = [(VERDICT_HEADER, NOT_RUN), ("connection", "close")]
-        await exchange.respond_json(kind.status, body, headers)
-
-
-class _RefusedError(Exception):
-    """A request is refused before it is read completely."""
-
-    kind: ErrorCode
-    detail: str
-
-    def __init__(self, kind: ErrorCode, detail: str = "") -> None:
-        super().__init__(kind.code)
-        self.kind = kind
-        self.detail = detail
-
-
-async def _read_event(connection: h11.Connection, stream: trio.SocketStream) -> object:
-    """Return the next event of a request, reading from the stream as needed."""
-    while True:
-        event = connection.next_event()
-        if event is not h11.NEED_DATA:
-            return event
-        if connection.they_are_waiting_for_100_continue:
-            reply = h11.InformationalResponse(status_code=100, headers=[])
-            await stream.send_all(connection.send(reply))
-        connection.receive_data(await stream.receive_some(RECEIVE_BYTES))
+        exchange = Exchange(
+            request or Request("", "", [], b""),
+            connection.codec,
+            connection.stream,
+            self.limits,
+            lambda: True,
+        )
+        await self._send_refusal(exchange, refusal)
 
 
-async def _wait_disconnect(connection: h11.Connection, stream: trio.SocketStream) -> None:
-    """Return when the caller disconnects; buffer up to RECEIVE_BYTES of pipelined input."""
-    while len(connection.trailing_data[0]) < RECEIVE_BYTES:
-        try:
-            data = await stream.receive_some(RECEIVE_BYTES)
-        except (trio.BrokenResourceError, trio.ClosedResourceError):
-            return
-        if not data:
-            return
-        connection.receive_data(data)
-    await trio.sleep_forever()
+@dataclass(frozen=True, slots=True)
+class _Arrival:
+    """A request that was read."""
 
+    request: Request
+    may_run: bool  # it arrived before the server had stopped for long
 
-def _check_head(head: h11.Request, limits: ServerLimits) -> None:
-    """Refuse headers that are too long or that allow request smuggling by two body lengths."""
-    size = sum(len(name) + len(value) + 4 for name, value in head.headers) + len(head.target)
-    if size > limits.max_header_bytes:
-        raise _RefusedError(HEADERS_TOO_LARGE, f"{size} bytes")
-    names = [name for name, _ in head.headers]
-    if b"transfer-encoding" in names and b"content-length" in names:
-        raise _RefusedError(BAD_REQUEST, "both a length and a transfer encoding")
 
+@dataclass(slots=True)
+class _Acceptor:
+    """The task that accepts connections of one listener."""
 
-def _make_request(head: h11.Request, body: bytes) -> Request:
-    headers = [(name.decode("latin-1"), value.decode("latin-1")) for name, value in head.headers]
-    return Request(head.method.decode("ascii"), head.target.decode("latin-1"), headers, body)
+    scope: trio.CancelScope = field(default_factory=trio.CancelScope)  # of accepting
+    ended: trio.Event = field(default_factory=trio.Event)  # the listener is closed
+    waiting: int = 0  # connections that were accepted as the listener was closed
 
 
 def _encode(headers: Headers) -> list[tuple[bytes, bytes]]:
@@ -376,12 +446,12 @@
 
 async def _close_gracefully(stream: trio.SocketStream) -> None:
     """Close without a reset, which could discard an error answer before the caller reads it."""
-    with trio.move_on_after(1.0) as scope:
-        scope.shield = True
-        try:
+    try:
+        with trio.move_on_after(CLOSE_SECONDS):
             await stream.send_eof()
             while await stream.receive_some(RECEIVE_BYTES):
                 pass
-        except (trio.BrokenResourceError, trio.ClosedResourceError):
-            pass
-    await trio.aclose_forcefully(stream)
+    except (trio.BrokenResourceError, trio.ClosedResourceError):
+        pass
+    finally:
+        await trio.aclose_forcefully(stream)
--- a/libs/wire/src/headcross_wire/peernode.py
+++ b/libs/wire/src/headcross_wire/peernode.py
@@ -13,7 +13,7 @@
 from headcross_base.addresses import Address, parse_address
 
 from headcross_wire.httpclient import SOURCE_IP
-from headcross_wire.httpserver import BindError
+from headcross_wire.listening import BindError
 from headcross_wire.peermessages import MAX_MESSAGE_BYTES, PeerMessage, decode, encode
 from headcross_wire.zmqsocket import ZmqSocket
 
--- a/testing/fleet.py
+++ b/testing/fleet.py
@@ -22,7 +22,8 @@
 from headcross_base.addresses import Address
 from headcross_base.errors import Failure
 from headcross_wire.httpclient import SOURCE_IP, call
-from headcross_wire.httpserver import HttpHandler, HttpServer, ServerLimits
+from headcross_wire.httprequest import ServerLimits
+from headcross_wire.httpserver import HttpHandler, HttpServer
 
 from testing.configservice import FakeConfigService
 from testing.engine import FakeEngine
--- a/testing/machines.py
+++ b/testing/machines.py
@@ -21,7 +21,8 @@
 from headcross_base.errors import Failure
 from headcross_platform import names
 from headcross_wire.httpclient import SOURCE_IP, call
-from headcross_wire.httpserver import HttpServer, ServerLimits
+from headcross_wire.httprequest import ServerLimits
+from headcross_wire.httpserver import HttpServer
 
 from deploy.start import SETTINGS_VARIABLE
 from testing.machinelayout import (
--- a/tests/test_gateway_streams.py
+++ b/tests/test_gateway_streams.py
@@ -17,7 +17,7 @@
 from headcross_ports.published import Replica
 from headcross_ports.requests import HandOver, RequestFacts
 from headcross_wire.httpcodec import Answer, Headers
-from headcross_wire.httpserver import Request
+from headcross_wire.httprequest import Request
 from hypothesis import given
 from hypothesis import strategies as st
 
--- a/tests/test_gateway_unbegun.py
+++ b/tests/test_gateway_unbegun.py
@@ -16,7 +16,7 @@
 from headcross_ports.published import LoadedModel, Replica
 from headcross_ports.requests import HandOver, RequestFacts
 from headcross_wire.httpcodec import Answer, Headers
-from headcross_wire.httpserver import Request
+from headcross_wire.httprequest import Request
 from headcross_wire.peermessages import ReplicaLoad
 from msgspec.structs import replace
 
