A repeated stop request does not end a process by a signal

What was seen: a process that had stopped as planned ended with code -15 or -2 instead of 0 if SIGTERM or SIGINT came again in the last hundredths of a second. It was cut off before it wrote its last log lines.

Cause: the interpreter resets signal handlers to the default action as it ends.

Why this works: an ignored signal stays ignored while the interpreter ends.

--- a/libs/daemon/src/headcross_daemon/machinemain.py
+++ b/libs/daemon/src/headcross_daemon/machinemain.py
@@ -58,14 +58,14 @@
         from headcross_daemon.gatewayrole import GatewayRole
 
         make_entry = partial(GatewayRole, settings, path, adapter)
-        return run_role(settings, make_entry, early_log, early_signals.received)
+        return run_role(settings, make_entry, early_log, early_signals)
     from headcross_renewal.earlyrepair import EarlyResults
 
     from headcross_daemon.renewalrole import RenewalRole
 
     early_results = early.end() if early is not None else EarlyResults()
     make_upstream = partial(RenewalRole, settings, path, adapter, early_results)
-    return run_role(settings, make_upstream, early_log, early_signals.received)
+    return run_role(settings, make_upstream, early_log, early_signals)
 
 
 class _EarlyPhase:
--- a/libs/daemon/src/headcross_daemon/machinerole.py
+++ b/libs/daemon/src/headcross_daemon/machinerole.py
@@ -12,6 +12,7 @@
 import trio
 from headcross_base.clocks import SuspensionClock
 from headcross_base.earlylog import EarlyLog
+from headcross_base.earlysignals import EarlySignals
 from headcross_base.linelog import LineLog, configure_line_log
 from headcross_base.version import VERSION
 from headcross_wire.httpclient import SOURCE_IP
@@ -43,24 +44,30 @@
     settings: MachineSettings,
     make_role: MakeRole,
     early_log: EarlyLog,
-    early_signals: Sequence[int],
+    early_signals: EarlySignals,
 ) -> int:
     """Run the role until a stop is requested; return the exit code.
 
-    The records of `early_log` are the first lines of the log. `early_signals` are the signals
-    received before.
+    The records of `early_log` are the first lines of the log; signals that `early_signals`
+    received are handled first.
     """
     log = configure_line_log(settings.host, settings.log_level)
     early_log.hand_over()
     code = EXIT_STOPPED
     try:
         trio.run(
-            _run_until_stopped, settings, make_role, log, early_signals, clock=SuspensionClock()
+            _run_until_stopped,
+            settings,
+            make_role,
+            log,
+            early_signals.received,
+            clock=SuspensionClock(),
         )
     except* BindError as errors:
         logger.error("cannot listen", extra={"detail": str(errors.exceptions)})
         code = EXIT_BIND
     finally:
+        early_signals.ignore()
         log.flush()
     return code
 
--- a/tests/test_suspension.py
+++ b/tests/test_suspension.py
@@ -101,7 +101,7 @@
 def test_an_upstream_or_entry_daemon_uses_the_clock_that_counts_suspension(
     clocks: list[object],
 ) -> None:
-    nativemain.run(cast(Settings, None))
+    nativemain.run(cast(Settings, None), Mock())
     assert isinstance(clocks[0], SuspensionClock)
 
 
@@ -110,7 +110,7 @@
 ) -> None:
     settings = cast(MachineSettings, SimpleNamespace(host="h", log_level="error"))
     monkeypatch.setattr(machinerole, "configure_line_log", lambda host, level: Mock())
-    machinerole.run_role(settings, Mock(), EarlyLog(), [])
+    machinerole.run_role(settings, Mock(), EarlyLog(), Mock())
     assert isinstance(clocks[0], SuspensionClock)
 
 
