HTTP: the exchange with a caller in a module of its own

No rule changed. Entries show how many connections they refused beyond their limit in their state dump. Tests of stops, callers, requests and headcross_wire pass.

--- a/bench/baselinehost.py
+++ b/bench/baselinehost.py
@@ -12,8 +12,9 @@
 from headcross_base.addresses import Address, parse_address
 from headcross_base.errors import Ok
 from headcross_wire.httpclient import SOURCE_IP, call
+from headcross_wire.httpexchange import Exchange
 from headcross_wire.httprequest import ServerLimits
-from headcross_wire.httpserver import Exchange, HttpServer
+from headcross_wire.httpserver import HttpServer
 from headcross_wire.linkrate import LinkRate
 
 MAX_CONCURRENT_FETCHES = 4
--- a/libs/daemon/src/headcross_daemon/admin.py
+++ b/libs/daemon/src/headcross_daemon/admin.py
@@ -12,7 +12,7 @@
 import msgspec
 from headcross_base.version import ADMIN_API, VERSION
 from headcross_native.configservice import FLEET_KEY, HOSTS_KEY
-from headcross_wire.httpserver import Exchange
+from headcross_wire.httpexchange import Exchange
 
 from headcross_daemon.process import Process
 
--- a/libs/daemon/src/headcross_daemon/gatewayrole.py
+++ b/libs/daemon/src/headcross_daemon/gatewayrole.py
@@ -28,8 +28,9 @@
 from headcross_ports.published import LoadedModel
 from headcross_renewal.mirrors import replicas_in_region_of, replicas_with_digests
 from headcross_renewal.plan import plan_of
+from headcross_wire.httpexchange import Exchange
 from headcross_wire.httprequest import ServerLimits
-from headcross_wire.httpserver import Exchange, HttpServer
+from headcross_wire.httpserver import HttpServer
 from headcross_wire.peermessages import (
     AskPlan,
     KnownPlan,
@@ -193,6 +194,7 @@
             "ready": self._is_ready(),
             "in_flight": self._path.in_flight,
             "connections": self._server.connections,
+            "connections_refused": self._server.refused_connections,
             "requests": dict(self._path.counts),
             "attempts": self._path.attempts.made,
             "attempts_withdrawn": self._path.unbegun.withdrawn,
--- a/libs/daemon/src/headcross_daemon/machineprocess.py
+++ b/libs/daemon/src/headcross_daemon/machineprocess.py
@@ -16,8 +16,9 @@
 from headcross_facts.polling import PollingSettings
 from headcross_ports.adapter import Adapter
 from headcross_ports.published import Topic
+from headcross_wire.httpexchange import Exchange
 from headcross_wire.httprequest import ServerLimits
-from headcross_wire.httpserver import Exchange, HttpServer
+from headcross_wire.httpserver import HttpServer
 from headcross_wire.peermessages import (
     AskFacts,
     AskRevision,
--- a/libs/daemon/src/headcross_daemon/weightsserver.py
+++ b/libs/daemon/src/headcross_daemon/weightsserver.py
@@ -8,7 +8,7 @@
 from typing import Final
 
 from headcross_weights.chunkstore import ChunkStore, StoredArtifact
-from headcross_wire.httpserver import Exchange
+from headcross_wire.httpexchange import Exchange
 
 PREFIX: Final = "/artifacts/"
 
--- a/libs/gateway/src/headcross_gateway/admitted.py
+++ b/libs/gateway/src/headcross_gateway/admitted.py
@@ -6,7 +6,7 @@
 from headcross_base.verdicts import NotRun
 from headcross_ports.configuration import Configuration, Route, Team
 from headcross_ports.requests import RequestFacts
-from headcross_wire.httpserver import Exchange
+from headcross_wire.httpexchange import Exchange
 
 from headcross_gateway.outcomes import CompleteAnswer
 from headcross_gateway.relay import StreamRelay
--- a/libs/gateway/src/headcross_gateway/answers.py
+++ b/libs/gateway/src/headcross_gateway/answers.py
@@ -2,7 +2,7 @@
 
 from headcross_base.verdicts import VERDICT_HEADER, NotRun, Refusal, verdict_name
 from headcross_ports.requests import RequestDialect
-from headcross_wire.httpserver import Exchange
+from headcross_wire.httpexchange import Exchange
 from headcross_wire.replies import error_body
 
 
--- a/libs/gateway/src/headcross_gateway/relay.py
+++ b/libs/gateway/src/headcross_gateway/relay.py
@@ -7,7 +7,7 @@
 
 import trio
 from headcross_wire.httpcodec import Answer, Headers
-from headcross_wire.httpserver import Exchange
+from headcross_wire.httpexchange import Exchange
 
 from headcross_gateway.eventstream import EventSplitter, StreamEvent
 
--- a/libs/gateway/src/headcross_gateway/requestpath.py
+++ b/libs/gateway/src/headcross_gateway/requestpath.py
@@ -33,8 +33,9 @@
 )
 from headcross_facts.facts import Facts
 from headcross_ports.requests import HandOver, RequestDialect, RequestFacts, RequestProblem
+from headcross_wire.httpexchange import Exchange
 from headcross_wire.httprequest import Request
-from headcross_wire.httpserver import STOPPING, Exchange
+from headcross_wire.httpserver import STOPPING
 
 from headcross_gateway.admission import Admission, QueueOrder
 from headcross_gateway.admitted import Admitted, NotAdmitted
--- a/libs/routing/src/headcross_routing/answerrelay.py
+++ b/libs/routing/src/headcross_routing/answerrelay.py
@@ -11,7 +11,7 @@
 from headcross_base.verdicts import COMPLETED, VERDICT_HEADER, Refusal
 from headcross_native.eventstream import EVENT_STREAM, EventSplitter
 from headcross_wire.httpcodec import Answer, Headers, LinkLostError
-from headcross_wire.httpserver import CallerGone, Exchange
+from headcross_wire.httpexchange import CallerGone, Exchange
 from headcross_wire.replies import error_body
 
 from headcross_routing.requestmeta import DIGEST_HEADER, HOP_BY_HOP_HEADERS, INTERNAL_HEADERS
--- a/libs/routing/src/headcross_routing/entryhandler.py
+++ b/libs/routing/src/headcross_routing/entryhandler.py
@@ -36,7 +36,8 @@
 from headcross_fleet.documents import Documents
 from headcross_fleet.membership import StatusTable
 from headcross_wire.httpcodec import Headers
-from headcross_wire.httpserver import STOPPING, Exchange
+from headcross_wire.httpexchange import Exchange
+from headcross_wire.httpserver import STOPPING
 from headcross_wire.replies import send_refusal
 
 from headcross_routing.answerrelay import AnswerRelay
--- a/libs/routing/src/headcross_routing/upstreamhandler.py
+++ b/libs/routing/src/headcross_routing/upstreamhandler.py
@@ -51,8 +51,8 @@
 )
 from headcross_wire.httpclient import HttpConnection, closing, connect
 from headcross_wire.httpcodec import Answer, ConnectError, Headers, LinkLostError
+from headcross_wire.httpexchange import CallerGone, Exchange
 from headcross_wire.httprequest import Request
-from headcross_wire.httpserver import CallerGone, Exchange
 from headcross_wire.replies import send_refusal
 
 from headcross_routing.fairqueue import FairQueue
--- a/libs/wire/src/headcross_wire/httpserver.py
+++ b/libs/wire/src/headcross_wire/httpserver.py
@@ -18,13 +18,13 @@
 from typing import Final
 
 import h11
-import msgspec
 import trio
 from headcross_base.addresses import Address
 from headcross_base.errorcodes import DRAINING, TOO_MANY_CONNECTIONS
-from headcross_base.verdicts import NOT_RUN, VERDICT_HEADER, NotRun
+from headcross_base.verdicts import NotRun
 
-from headcross_wire.httpcodec import RECEIVE_BYTES, Headers
+from headcross_wire.httpcodec import RECEIVE_BYTES
+from headcross_wire.httpexchange import CallerGone, Exchange, send_plain_refusal
 from headcross_wire.httprequest import (
     Request,
     RequestRefused,
@@ -53,88 +53,11 @@
 logger = logging.getLogger(__name__)
 
 
-class CallerGone(Exception):
-    """The caller's connection broke or stalled while the answer was written."""
-
-
-@dataclass(slots=True)
-class Exchange:
-    """A request and the methods that answer it."""
-
-    request: Request
-    _connection: h11.Connection
-    _stream: trio.abc.Stream
-    _limits: ServerLimits
-    # Returns whether the connection is closed after the answer, when the answer begins.
-    _closes_connection: Callable[[], bool] = lambda: False
-    started: bool = field(default=False)  # whether the status line was sent
-
-    async def respond(self, status: int, headers: Headers, body: bytes) -> None:
-        """Send a complete answer; if cancelled before it begins, nothing of it is sent."""
-        await trio.lowlevel.checkpoint_if_cancelled()
-        head = self._encode_head(status, [*headers, ("content-length", str(len(body)))])
-        data = self._connection.send(h11.Data(data=body)) if body else b""
-        end = self._connection.send(h11.EndOfMessage())
-        await self._write(b"".join(part for part in (head, data, end) if part))
-
-    async def respond_json(
-        self, status: int, value: object, headers: Headers | None = None
-    ) -> None:
-        """Send a complete answer with `value` encoded as JSON."""
-        body = msgspec.json.encode(value)
-        await self.respond(status, [("content-type", "application/json"), *(headers or [])], body)
-
-    async def start(self, status: int, headers: Headers) -> None:
-        """Send the status line and headers of an answer."""
-        await self._write(self._encode_head(status, headers))
-
-    async def send(self, data: bytes) -> None:
-        """Send a piece of the body."""
-        await self._write(self._connection.send(h11.Data(data=data)))
-
-    async def finish(self) -> None:
-        """End the answer."""
-        await self._write(self._connection.send(h11.EndOfMessage()))
-
-    @property
-    def peer_ip(self) -> str:
-        """IP address of the caller; empty if it is unknown."""
-        if not isinstance(self._stream, trio.SocketStream):
-            return ""
-        return str(self._stream.socket.getpeername()[0])
-
-    async def abort(self) -> None:
-        """Close the connection at once, so that the caller sees a truncated answer."""
-        await trio.aclose_forcefully(self._stream)
-
-    def _encode_head(self, status: int, headers: Headers) -> bytes | None:
-        self.started = True
-        if self._closes_connection():
-            headers = [*headers, ("connection", "close")]
-        return self._connection.send(h11.Response(status_code=status, headers=_encode(headers)))
-
-    async def _write(self, data: bytes | None) -> None:
-        if not data:
-            return
-        try:
-            with trio.fail_after(self._limits.write_seconds):
-                await self._stream.send_all(data)
-        except (trio.BrokenResourceError, trio.ClosedResourceError, trio.TooSlowError) as error:
-            raise CallerGone(str(error)) from None
-
-
 HttpHandler = Callable[[Exchange], Awaitable[None]]
 # Answers a request that the server itself refuses; it has not run.
 RefusalSender = Callable[[Exchange, NotRun], Awaitable[None]]
 
 
-async def send_plain_refusal(exchange: Exchange, refusal: NotRun) -> None:
-    """Answer with a refusal's code, text and verdict."""
-    reason = refusal.reason
-    body = {"code": reason.code, "text": reason.text, "detail": refusal.detail, "verdict": NOT_RUN}
-    await exchange.respond_json(reason.status, body, [(VERDICT_HEADER, NOT_RUN)])
-
-
 @dataclass(eq=False, slots=True)
 class _Connection:
     """One connection of a caller."""
@@ -440,10 +363,6 @@
     waiting: int = 0  # connections that were accepted as the listener was closed
 
 
-def _encode(headers: Headers) -> list[tuple[bytes, bytes]]:
-    return [(name.encode("latin-1"), value.encode("latin-1")) for name, value in headers]
-
-
 async def _close_gracefully(stream: trio.SocketStream) -> None:
     """Close without a reset, which could discard an error answer before the caller reads it."""
     try:
--- a/libs/wire/src/headcross_wire/replies.py
+++ b/libs/wire/src/headcross_wire/replies.py
@@ -20,7 +20,7 @@
 )
 
 from headcross_wire.httpcodec import Headers
-from headcross_wire.httpserver import Exchange
+from headcross_wire.httpexchange import Exchange
 
 MAX_ERROR_BYTES: Final = 16 * 1024
 
--- a/testing/configservice.py
+++ b/testing/configservice.py
@@ -5,7 +5,7 @@
 from urllib.parse import parse_qs, urlsplit
 
 import trio
-from headcross_wire.httpserver import Exchange
+from headcross_wire.httpexchange import Exchange
 
 
 class FakeConfigService:
--- a/testing/engine.py
+++ b/testing/engine.py
@@ -15,7 +15,7 @@
 from headcross_base.hashing import digest_of
 from headcross_native.engine import EngineState, Fence, Order, WeightsOrder, serving_digest
 from headcross_wire.httpclient import call
-from headcross_wire.httpserver import CallerGone, Exchange
+from headcross_wire.httpexchange import CallerGone, Exchange
 
 MAX_BYTES = 256 * 1024 * 1024
 
--- a/testing/origin.py
+++ b/testing/origin.py
@@ -4,7 +4,7 @@
 
 from headcross_base.hashing import digest_of
 from headcross_weights.manifest import Manifest, ManifestFile
-from headcross_wire.httpserver import Exchange
+from headcross_wire.httpexchange import Exchange
 from headcross_wire.linkrate import LinkRate
 
 FILE_NAME = "weights.bin"
--- a/testing/plainservice.py
+++ b/testing/plainservice.py
@@ -1,7 +1,7 @@
 """A fake plain service that echoes requests and records their ids."""
 
 import trio
-from headcross_wire.httpserver import Exchange
+from headcross_wire.httpexchange import Exchange
 
 
 class FakePlainService:
--- a/testing/platformstore.py
+++ b/testing/platformstore.py
@@ -13,7 +13,7 @@
 import msgspec
 import trio
 from headcross_platform import names
-from headcross_wire.httpserver import Exchange
+from headcross_wire.httpexchange import Exchange
 
 
 class StoreCondition(Enum):
--- a/tests/test_server_stop.py
+++ b/tests/test_server_stop.py
@@ -11,8 +11,9 @@
 from headcross_base.addresses import Address
 from headcross_base.errorcodes import DRAINING, TOO_MANY_CONNECTIONS
 from headcross_base.verdicts import NOT_RUN
+from headcross_wire.httpexchange import Exchange
 from headcross_wire.httprequest import ServerLimits
-from headcross_wire.httpserver import Exchange, HttpServer
+from headcross_wire.httpserver import HttpServer
 from headcross_wire.latearrivals import (
     FIRST_REQUEST_SECONDS,
     NEXT_REQUEST_SECONDS,
