--- a/libs/wire/src/headcross_wire/httpserver.py
+++ b/libs/wire/src/headcross_wire/httpserver.py
@@ -136,16 +136,11 @@
         listener = await open_listener(address)
         return [listener], Address(address.ip, listener.socket.getsockname()[1])
 
-    async def serve(
-        self, listeners: Sequence[trio.SocketListener], nursery: trio.Nursery | None = None
-    ) -> None:
-        """Accept connections until `stop_accepting`; open ones continue if they run in `nursery`.
-
-        Without `nursery` this returns once all of them are closed.
-        """
-        async with trio.open_nursery() as own_nursery:
+    async def serve(self, listeners: Sequence[trio.SocketListener]) -> None:
+        """Accept connections until `stop_accepting`; return once all of them are closed."""
+        async with trio.open_nursery() as nursery:
             for listener in listeners:
-                own_nursery.start_soon(self._accept, listener, nursery or own_nursery)
+                nursery.start_soon(self._accept, listener, nursery)
 
     # Steps of a stop; `plannedstop` takes them in this order.
 
