--- a/tests/test_callers_of_a_stop.py
+++ b/tests/test_callers_of_a_stop.py
@@ -1,11 +1,13 @@
 """Tests that callers of a process that stops as planned are answered or refused as not run."""
 
+import signal
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from pathlib import Path
 
 import pytest
 import trio
+from headcross_base.verdicts import MAY_HAVE_RUN
 from headcross_platform import names
 from headcross_routing.requestmeta import (
     POOL_HEADER,
@@ -50,14 +52,14 @@
     return Stop(small.entry(), process, request_of)
 
 
-def stop_of_site_entry(site: Machines) -> Stop:
+def stop_of_site_entry(site: Machines, deadline_ms: int = 2500) -> Stop:
     """Return the stop of an entry, whose callers send requests that may run once."""
 
     def request_of(call_id: str) -> CallRequest:
         headers = [
             ("host", HOST),
             (names.REQUEST_ID, call_id),
-            (names.DEADLINE_MS, "2500"),
+            (names.DEADLINE_MS, str(deadline_ms)),
             (names.KEY, KEY),
         ]
         return CallRequest("/once/x", headers, call_id.encode())
@@ -180,3 +182,32 @@
             await stop.run(steady=False)
         assert stop.process.returncode == 0
         assert stop.ended < 0.5 + 1.0
+
+
+async def test_a_request_that_outlasts_the_stop_of_an_entry_may_have_run(tmp_path: Path) -> None:
+    async with plain_fleet(tmp_path) as small:
+        entry, service = small.fleet.nodes["entry0"], small.fleet.nodes["plain0"].plain
+        assert service is not None
+        small.fleet.kill("entry0", signal.SIGTERM)
+        await small.fleet.wait_exit("entry0")
+        entry.spec.settings = "[stop]\nnotice_seconds = 0.5\nlimit_seconds = 2\n"
+        small.fleet.start("entry0")
+        await small.fleet.wait_settled()
+        await small.fleet.wait_serving(small.text.digests["v1"], 1)
+        service.answer_seconds = 30.0
+        stop = stop_of_fleet_entry(small)
+        await stop.run(steady=False, connect_at=[0.1], at_once=3)
+        assert stop.process.returncode == 0 and stop.ended < 2 + 0.5
+        assert [(call.status, call.verdict) for call in stop.calls] == [(504, MAY_HAVE_RUN)] * 3
+
+
+async def test_a_request_that_outlasts_the_stop_of_a_machines_entry_may_have_run(
+    tmp_path: Path,
+) -> None:
+    async with small_site(tmp_path, models=0, plain=1) as site:
+        (replica,) = replicas_of(site, PLAIN_SERVICE)
+        replica.service_seconds = 30.0
+        stop = stop_of_site_entry(site, deadline_ms=6000)
+        await stop.run(steady=False, connect_at=[0.1], at_once=3)
+        assert stop.process.returncode == 0 and stop.ended < SITE_STOP_SECONDS
+        assert [(call.status, call.verdict) for call in stop.calls] == [(504, MAY_HAVE_RUN)] * 3
