--- a/tests/test_server_stop.py
+++ b/tests/test_server_stop.py
@@ -1,5 +1,6 @@
 """Tests the stop of one HTTP server: late, partial and excess requests, and its end."""
 
+import errno
 import socket
 import time
 from collections.abc import AsyncIterator
@@ -11,6 +12,7 @@
 from headcross_base.addresses import Address
 from headcross_base.errorcodes import DRAINING, TOO_MANY_CONNECTIONS
 from headcross_base.verdicts import NOT_RUN
+from headcross_wire import listening
 from headcross_wire.httpexchange import Exchange
 from headcross_wire.httprequest import ServerLimits
 from headcross_wire.httpserver import HttpServer
@@ -285,6 +287,26 @@
             caller.socket.close()
 
 
+async def test_a_listener_is_not_closed_while_a_caller_waits_for_lack_of_descriptors(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    listener = await open_listener(Address("127.0.0.1", 0))
+    caller = await trio.to_thread.run_sync(Caller, listener.socket.getsockname())
+    accept_waiting = listening._accept_waiting
+    failures = [OSError(errno.EMFILE, "too many open files")]
+
+    def fail_once(
+        listener: trio.SocketListener,
+    ) -> tuple[list[trio.SocketStream], OSError | None]:
+        return ([], failures.pop()) if failures else accept_waiting(listener)
+
+    monkeypatch.setattr(listening, "_accept_waiting", fail_once)
+    accepted: list[trio.SocketStream] = []
+    assert await accept_waiting_and_close(listener, accepted.append) == len(accepted) == 1
+    await trio.aclose_forcefully(accepted[0])
+    caller.socket.close()
+
+
 @given(
     seconds=st.floats(0, 10),
     had_request=st.booleans(),
