A caller that resets its connection while it is answered is no fault

Cause: with cancel_on_eof the handler runs in a nursery, so CallerGone came in an exception group, which `except CallerGone` does not catch. It counted as a fault of the handler. Callers saw nothing of it.

Why this works: except* takes the exception alone and in a group. The test is red without it (faults 1).

test_callers_that_come_while_the_listener_closes failed once at a load of 21. It waits for the first caller now; its checks are unchanged.

--- a/libs/wire/src/headcross_wire/httpserver.py
+++ b/libs/wire/src/headcross_wire/httpserver.py
@@ -225,9 +225,9 @@
     ) -> None:
         try:
             await serve(connection)
-        except CallerGone:
+        except* CallerGone:
             pass
-        except Exception:
+        except* Exception:
             # A fault in one request must not end the other connections.
             self.faults += 1
             logger.exception("handler failed")
--- a/tests/test_server_stop.py
+++ b/tests/test_server_stop.py
@@ -3,7 +3,7 @@
 import errno
 import socket
 import time
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager, suppress
 from dataclasses import dataclass, field
 
@@ -13,6 +13,7 @@
 from headcross_base.errorcodes import DRAINING, TOO_MANY_CONNECTIONS
 from headcross_base.verdicts import NOT_RUN
 from headcross_wire import listening
+from headcross_wire.httpclient import RESET_ON_CLOSE
 from headcross_wire.httpexchange import Exchange
 from headcross_wire.httprequest import ServerLimits
 from headcross_wire.httpserver import HttpServer
@@ -40,12 +41,16 @@
     address: tuple[str, int]
     handled: list[str] = field(default_factory=list)
     answer_seconds: float = 0.0
+    on_request: Callable[[], None] = lambda: None
+    outlasts_disconnect: bool = False  # the answer is written although the caller is gone
 
     async def handle(self, exchange: Exchange) -> None:
         """Answer after a while."""
         self.handled.append(exchange.request.target)
-        await trio.sleep(self.answer_seconds)
-        await exchange.respond(200, [], b"done")
+        self.on_request()
+        with trio.CancelScope(shield=self.outlasts_disconnect):
+            await trio.sleep(self.answer_seconds)
+            await exchange.respond(200, [], b"done")
 
     async def stop(self, accept_seconds: float, limit_seconds: float) -> float:
         """Stop the server; return the seconds that it took."""
@@ -107,6 +112,12 @@
     time.sleep(seconds)
 
 
+def reset(connection: socket.socket) -> None:
+    """Close a connection with a reset."""
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+    connection.close()
+
+
 def is_refusal(answer: bytes, code: str) -> bool:
     return (
         answer.startswith(b"HTTP/1.1 503 ")
@@ -277,7 +288,8 @@
         async with trio.open_nursery() as nursery:
             for _ in range(4):
                 nursery.start_soon(come)
-            await trio.sleep(0.01)
+            while not connected:
+                await trio.sleep(0.005)
             await accept_waiting_and_close(listener, accepted.append)
         assert len(connected) == len(accepted) > 0
         for stream in accepted:
@@ -287,6 +299,17 @@
             caller.socket.close()
 
 
+async def test_a_caller_that_resets_its_connection_before_the_answer_is_no_fault() -> None:
+    async with served(ServerLimits(cancel_on_eof=True)) as result:
+        caller = await connect(result)
+        result.on_request = lambda: reset(caller.socket)
+        result.answer_seconds = 0.1
+        result.outlasts_disconnect = True
+        caller.send(REQUEST % b"x")
+        await trio.sleep(0.3)
+        assert result.server.connections == 0 and result.server.faults == 0
+
+
 async def test_a_listener_is_not_closed_while_a_caller_waits_for_lack_of_descriptors(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
