--- a/testing/stopcalls.py
+++ b/testing/stopcalls.py
@@ -16,7 +16,7 @@
 from headcross_wire.httpcodec import ConnectError, Headers, LinkLostError
 
 CALL_INTERVAL_SECONDS = 0.02
-MAX_BYTES = 1 << 20
+ANSWER_SECONDS = 30.0  # after which a call counts as lost
 
 
 @dataclass(frozen=True)
@@ -133,7 +133,7 @@
         await trio.sleep(wait_seconds)
         request = self.request_of(call.id)
         try:
-            with trio.fail_after(30):
+            with trio.fail_after(ANSWER_SECONDS):
                 await connection.send(request.method, request.path, request.headers, request.body)
                 answer = await connection.receive_answer()
                 call.status = answer.status
--- a/tests/test_server_stop.py
+++ b/tests/test_server_stop.py
@@ -107,6 +107,19 @@
     return caller
 
 
+async def idle_and_running(result: Served) -> tuple[Caller, Caller]:
+    """Return a caller that had its answer, and one whose request runs for two more seconds."""
+    idle = await connect(result)
+    idle.send(REQUEST % b"first")
+    await trio.sleep(0.1)
+    assert idle.read_answer().endswith(b"done")
+    running = await connect(result)
+    result.answer_seconds = 2.0
+    running.send(REQUEST % b"running")
+    await trio.sleep(0.1)
+    return idle, running
+
+
 def freeze(seconds: float) -> None:
     """Block the event loop, as a stopped process would."""
     time.sleep(seconds)
@@ -188,14 +201,7 @@
 
 async def test_a_late_request_on_a_used_connection_is_refused_while_another_one_runs() -> None:
     async with served() as result:
-        caller = await connect(result)
-        caller.send(REQUEST % b"first")
-        await trio.sleep(0.1)
-        assert caller.read_answer().endswith(b"done")
-        running = await connect(result)
-        result.answer_seconds = 2.0
-        running.send(REQUEST % b"running")
-        await trio.sleep(0.1)
+        caller, running = await idle_and_running(result)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(result.stop, 0.0, 20)
             await trio.sleep(NEXT_REQUEST_SECONDS + 0.3)
@@ -209,14 +215,7 @@
 
 async def test_an_idle_used_connection_stays_open_while_another_request_runs() -> None:
     async with served() as result:
-        caller = await connect(result)
-        caller.send(REQUEST % b"first")
-        await trio.sleep(0.1)
-        assert caller.read_answer().endswith(b"done")
-        running = await connect(result)
-        result.answer_seconds = 2.0
-        running.send(REQUEST % b"running")
-        await trio.sleep(0.1)
+        caller, _ = await idle_and_running(result)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(result.stop, 0.0, 20)
             await trio.sleep(1.5)
