Logs name the parts of a lost request's prompt, and answers that end with their connection

What was missing: requests on crashed replicas could not be compared by the parts of their prompts, and an answer without length and chunks was logged as any other.

No decision changes.

--- a/libs/gateway/src/headcross_gateway/admitted.py
+++ b/libs/gateway/src/headcross_gateway/admitted.py
@@ -11,6 +11,7 @@
 from headcross_gateway.outcomes import CompleteAnswer
 from headcross_gateway.relay import StreamRelay
 from headcross_gateway.requestidentity import RequestIdentity, group_of, identity_of
+from headcross_gateway.sharedtraits import SharedTrait, part_traits
 
 
 @dataclass(frozen=True, slots=True)
@@ -48,6 +49,7 @@
     failed_answer: CompleteAnswer | None = None
     _identity: RequestIdentity | None = None
     _group: bytes | None = None
+    _parts: dict[SharedTrait, str] | None = None
 
     @property
     def group(self) -> bytes:
@@ -63,6 +65,13 @@
             self._identity = identity_of(self.exchange.request, self.facts.key, self.group)
         return self._identity
 
+    @property
+    def parts(self) -> dict[SharedTrait, str]:
+        """The parts that its prompt may share with others, by trait; computed on first use."""
+        if self._parts is None:
+            self._parts = part_traits(self.service, self.facts.prompt_parts)
+        return self._parts
+
     @property
     def priority(self) -> int:
         """The queue priority: the team's if it has one, else the route's; 0 goes first."""
--- a/libs/gateway/src/headcross_gateway/attempts.py
+++ b/libs/gateway/src/headcross_gateway/attempts.py
@@ -274,7 +274,7 @@
         if not await relay.finish():
             raise LinkLostError("the stream ended within an event")
         await self.connections.give(connection, begun.answer)
-        return Streamed()
+        return Streamed(begun.answer.ends_with_connection)
 
 
 def _with_elapsed_time(hand_over: HandOver, seconds: float) -> HandOver:
--- a/libs/gateway/src/headcross_gateway/outcomes.py
+++ b/libs/gateway/src/headcross_gateway/outcomes.py
@@ -21,11 +21,18 @@
         """Whether the replica answered with a server error."""
         return self.answer.status in SERVER_ERRORS
 
+    @property
+    def ends_with_connection(self) -> bool:
+        """Whether neither a length nor chunks show that the body is complete."""
+        return self.answer.ends_with_connection
+
 
 @dataclass(frozen=True, slots=True)
 class Streamed:
     """The stream was received and forwarded completely."""
 
+    ends_with_connection: bool = False  # neither a length nor chunks show that it is complete
+
 
 @dataclass(frozen=True, slots=True)
 class DidNotRun:
--- a/libs/gateway/src/headcross_gateway/requestlog.py
+++ b/libs/gateway/src/headcross_gateway/requestlog.py
@@ -3,6 +3,7 @@
 import logging
 import math
 from dataclasses import dataclass
+from typing import Final
 
 import trio
 from headcross_base.errorcodes import ENDS_REPLICAS
@@ -13,6 +14,8 @@
 from headcross_gateway.outcomes import CompleteAnswer, DidNotRun, MayRun, Outcome, Streamed
 from headcross_gateway.replicastate import ReplicaState
 
+MAX_LOGGED_ID_LENGTH: Final = 64
+
 logger = logging.getLogger(__name__)
 
 
@@ -54,6 +57,9 @@
         fields["weights_left"] = round(weights.seconds_left, 2)
     if isinstance(outcome, MayRun) and not outcome.withdrawn:
         fields["request_digest"] = str(request.identity)
+        fields["prompt_parts"] = _named_parts(request)
+    if isinstance(outcome, CompleteAnswer | Streamed) and outcome.ends_with_connection:
+        fields["ends_with_connection"] = True
     if times.proof_seconds is not None:
         fields["proof_ms"] = round(times.proof_seconds * 1000, 1)
     for name, moment in (("sent_ms", times.sent_at), ("began_ms", times.began_at)):
@@ -119,5 +125,10 @@
     }
 
 
+def _named_parts(request: Admitted) -> dict[str, str]:
+    """Return the ids of the prompt's parts by the names that their traits have in the log."""
+    return {str(trait): part[:MAX_LOGGED_ID_LENGTH] for trait, part in request.parts.items()}
+
+
 def _milliseconds_since(moment: float) -> float:
     return round((trio.current_time() - moment) * 1000, 1)
--- a/libs/ports/src/headcross_ports/requests.py
+++ b/libs/ports/src/headcross_ports/requests.py
@@ -21,6 +21,9 @@
     model: str | None
     # Hashes and sizes of the prompt's parts, the same for each try; None without a prompt.
     prompt: str | None = None
+    # Ids of the prompt's parts in order, in a form that is the same for each spelling of an id.
+    # Requests may share all parts but the last, which is the request's or its session's own.
+    prompt_parts: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/libs/wire/src/headcross_wire/httpcodec.py
+++ b/libs/wire/src/headcross_wire/httpcodec.py
@@ -15,6 +15,7 @@
 
 RECEIVE_BYTES: Final = 64 * 1024
 MAX_IDLE_PER_ADDRESS: Final = 16  # idle connections kept per address
+BODILESS_STATUSES: Final = (204, 304)
 
 
 class ConnectError(Exception):
@@ -36,6 +37,16 @@
         """Return the first header of that name (lower case), or None."""
         return next((value for key, value in self.headers if key == name), None)
 
+    @property
+    def ends_with_connection(self) -> bool:
+        """Whether the body ends where the connection does (RFC 9112, section 6.3).
+
+        Such a body looks complete whenever the connection is closed in order, for whatever reason.
+        """
+        if self.status in BODILESS_STATUSES:
+            return False
+        return self.header("content-length") is None and self.header("transfer-encoding") is None
+
 
 @dataclass(frozen=True, slots=True)
 class WholeAnswer:
