Failing test: a part of prompts crashes one replica after another

The logs of these runs: the part was on 40 of 40 lost replicas, every other part on 20 at most, while no request was found on more than two. 35 answers that ended with their connection were taken for complete. No request was refused because of its team.

--- a/testing/platformreplica.py
+++ b/testing/platformreplica.py
@@ -67,6 +67,15 @@
     SILENCE = "falls silent"  # keeps connections open and accepts new ones, but sends nothing
 
 
+class CrashPoint(Enum):
+    """How much of a stream a replica sends before it crashes under a request."""
+
+    NOTHING = "before the head"
+    HEAD = "after the head"
+    EVENT = "after an event, without length and chunks"
+    HALF_EVENT = "within an event, without length and chunks"
+
+
 @dataclass
 class Run:
     """A request that a replica ran."""
@@ -171,6 +180,9 @@
     reports_start: bool = True
     # Whether the replica fails when it begins to run a request with this body.
     fails_on: Callable[[bytes], bool] = lambda body: False
+    # Whether the replica crashes when it begins to answer a request with these headers.
+    crashes_on: Callable[[dict[str, str]], bool] = lambda headers: False
+    crash_point: CrashPoint = CrashPoint.NOTHING
     ending: Ending = Ending.RESET
     ended: trio.Event = field(default_factory=trio.Event)
     streams: set[trio.SocketStream] = field(default_factory=set)
@@ -358,6 +370,8 @@
             self.runs.append(run)
             if self.fails_on(body):
                 await self.end()
+            if self.crashes_on(headers):
+                await self._crash(stream, base)
             return await self._answer(stream, headers, base, body, fault)
         except (trio.BrokenResourceError, trio.ClosedResourceError, CallerDisconnected):
             self.cancelled.append(request_id)
@@ -366,6 +380,19 @@
             self.active -= 1
             self.faulty -= fault is not None
 
+    async def _crash(self, stream: trio.SocketStream, base: list[tuple[str, str]]) -> None:
+        """Send a part of a stream as `crash_point` says, then fail as `ending` says."""
+        head = [*base, (names.SEAL, SEAL), ("content-type", "text/event-stream")]
+        event = b"id: 0\ndata: begun\n\n"
+        match self.crash_point:
+            case CrashPoint.HEAD:
+                await stream.send_all(head_bytes(200, [*head, ("transfer-encoding", "chunked")]))
+            case CrashPoint.EVENT:
+                await stream.send_all(head_bytes(200, head) + event)
+            case CrashPoint.HALF_EVENT:
+                await stream.send_all(head_bytes(200, head) + event[:-4])
+        await self.end()
+
     async def _answer(
         self,
         stream: trio.SocketStream,
