--- a/libs/cli/src/headcross_cli/explaining.py
+++ b/libs/cli/src/headcross_cli/explaining.py
@@ -34,8 +34,9 @@
     """The log lines that concern one request."""
 
     lines: list[Line] = field(default_factory=list)  # oldest first
-    # Lines of other submissions with the same request digest: lost attempts, and whether the
-    # request was judged to end replicas. Oldest first.
+    # Lines of other requests with the same digest, or with the part of a prompt or the caller
+    # because of which this one was refused: lost attempts, and what was judged to end replicas.
+    # Oldest first.
     related: list[Line] = field(default_factory=list)
     # Backpressure of replicas at the entry that refused the request for lack of a replica, oldest
     # first.
@@ -50,7 +51,7 @@
     cannot be read.
     """
     trace = RequestTrace()
-    with_digest: list[Line] = []
+    blamed: list[Line] = []
     backpressure: list[Line] = []
     for path in files:
         for raw in path.read_bytes().splitlines():
@@ -62,12 +63,13 @@
                 trace.malformed += bool(raw.strip())
             elif line.get("request") == request:
                 trace.lines.append(line)
-            elif "request_digest" in line:
-                with_digest.append(line)
+            elif "request_digest" in line or "cause" in line:
+                blamed.append(line)
             elif line.get("message") in BACKPRESSURE_MESSAGES:
                 backpressure.append(line)
     digests = {line["request_digest"] for line in trace.lines if "request_digest" in line}
-    trace.related = [line for line in with_digest if line["request_digest"] in digests]
+    causes = {line["cause"] for line in trace.lines if "cause" in line}
+    trace.related = [line for line in blamed if _is_related(line, digests, causes)]
     for lines in (trace.lines, trace.related, backpressure):
         lines.sort(key=_timestamp_of)
     if trace.lines:
@@ -75,6 +77,19 @@
     return trace
 
 
+def _is_related(line: Line, digests: set[str], causes: set[str]) -> bool:
+    """Return whether a line is about one of these requests, or about one of these causes.
+
+    The traits of a cause are joined by "+"; an attempt is about it if its request has all of them.
+    """
+    if line.get("request_digest") in digests or line.get("cause") in causes:
+        return True
+    parts = line.get("prompt_parts", {})
+    return line.get("message") == "attempt" and any(
+        all(trait in parts for trait in cause.split("+")) for cause in causes
+    )
+
+
 def _timestamp_of(line: Line) -> str:
     return str(line.get("at", ""))
 
--- a/libs/daemon/src/headcross_daemon/entrynews.py
+++ b/libs/daemon/src/headcross_daemon/entrynews.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 from typing import Final
 
+import msgspec
 import trio
 from headcross_base.addresses import Address
 from headcross_base.hashing import rendezvous_order
@@ -19,8 +20,8 @@
 from headcross_gateway.overload import Overload
 from headcross_gateway.replicanews import all_news, pending_news, receive_news
 from headcross_gateway.replicastate import ReplicaState
-from headcross_wire.peermessages import LossNews, RefusedNews, ReplicaNews
-from headcross_wire.peernode import PeerNode
+from headcross_wire.peermessages import AskLosses, LossNews, RefusedNews, ReplicaNews
+from headcross_wire.peernode import PeerNode, Reply
 
 # After news of lost replicas is sent, later news is collected for this long and sent together.
 NEWS_BATCH_SECONDS: Final = 0.1
@@ -30,8 +31,10 @@
 # Number of attempts to send news to a peer whose link is not open yet, and their interval.
 MAX_SEND_ATTEMPTS: Final = 5
 SEND_RETRY_SECONDS: Final = 0.1
-# Number of entries to which all valid news is repeated, once a second.
+# Number of entries to which all valid news is repeated, once a second, and number of those that an
+# entry asks which may have missed news.
 ENTRIES_PER_REPEAT: Final = 3
+ENTRIES_ASKED: Final = 5
 
 ListAddresses = Callable[[], list[Address]]
 
@@ -94,6 +97,19 @@
                     nursery.start_soon(self._send, suspect_news, self._daemons_for_losses())
                 await trio.sleep(NEWS_BATCH_SECONDS)
 
+    def ask_losses(self) -> bool:
+        """Ask some other entries for the losses they know; return whether any entry is known."""
+        entries = self._entries()
+        asked = min(ENTRIES_ASKED, len(entries)) if self._node.is_running else 0
+        for address in random.sample(entries, asked):
+            self._node.send(address, AskLosses())
+        return bool(entries)
+
+    def answer_losses(self, reply: Reply) -> None:
+        """Answer an entry that asked for all losses."""
+        news = self._containment.shared.all_news(monotonic()) or LossNews()
+        reply(msgspec.structs.replace(news, is_answer=True), None)
+
     def repeat_news(self) -> None:
         """Send all news that is still valid to a few entries selected at random."""
         now = monotonic()
--- a/libs/daemon/src/headcross_daemon/gatewayrole.py
+++ b/libs/daemon/src/headcross_daemon/gatewayrole.py
@@ -15,12 +15,13 @@
 from headcross_base.monotonic import monotonic
 from headcross_facts.polling import entry_polling
 from headcross_gateway.admission import Admission
+from headcross_gateway.attribution import Standing
 from headcross_gateway.budget import RetryBudget
 from headcross_gateway.containment import Containment
 from headcross_gateway.directory import Directory
+from headcross_gateway.losscatchup import LossCatchUp
 from headcross_gateway.overload import Overload
 from headcross_gateway.picking import Picker
-from headcross_gateway.replicalosses import Standing
 from headcross_gateway.requestpath import RequestPath
 from headcross_gateway.subsetting import every_other
 from headcross_gateway.weightsrules import ENDING_SECONDS, WeightsRules
@@ -32,6 +33,7 @@
 from headcross_wire.httprequest import ServerLimits
 from headcross_wire.httpserver import HttpServer
 from headcross_wire.peermessages import (
+    AskLosses,
     AskPlan,
     KnownPlan,
     LossNews,
@@ -118,8 +120,9 @@
         picker = Picker(settings.zone, self._directory, rules)
         self._admission = Admission(picker, self._overload.reserved_share)
         budget = RetryBudget(settings.bounds.retry_ratio, settings.bounds.retry_slack)
+        self._catch_up = LossCatchUp(self.process.pauses, lambda: self._news.ask_losses())
         self._containment = Containment(
-            settings.host, self._directory.find, lambda: facts.complete
+            self._directory.find, lambda: facts.complete, self._catch_up
         )
         self._news = EntryNews(
             self.process.node,
@@ -178,6 +181,7 @@
             nursery.start_soon(self._run_housekeeping)
             nursery.start_soon(self._watch_overload, nursery)
             nursery.start_soon(self._news.send_losses)
+            nursery.start_soon(self._catch_up.run)
             nursery.start_soon(self._path.unbegun.run)
             if self._mirror is not None:
                 nursery.start_soon(self._mirror.run)
@@ -350,6 +354,9 @@
         if isinstance(incoming.message, LossNews):
             self._containment.receive(incoming.message)
             return
+        if isinstance(incoming.message, AskLosses):
+            self._news.answer_losses(incoming.reply)
+            return
         if isinstance(incoming.message, ReplicaNews):
             for changed in self._news.receive_replica_news(incoming.message):
                 self._admission.notify(changed.replica.service)
@@ -467,6 +474,7 @@
         samples[sample("replicas_limited")] = sum(limit is not None for limit in limits)
         samples[sample("requests_suspect")] = standings[Standing.SUSPECT]
         samples[sample("requests_barred")] = standings[Standing.BARRED]
+        samples[sample("prompt_parts_barred")] = self._containment.shared.count_barred_parts()
         samples[sample("loss_news_rejected_total")] = self._containment.shared.rejected
         samples[sample("replica_connections_total")] = self._path.attempts.connections.opened
         return samples
--- a/libs/gateway/src/headcross_gateway/admitted.py
+++ b/libs/gateway/src/headcross_gateway/admitted.py
@@ -8,10 +8,11 @@
 from headcross_ports.requests import RequestFacts
 from headcross_wire.httpexchange import Exchange
 
+from headcross_gateway.attribution import Cause
 from headcross_gateway.outcomes import CompleteAnswer
 from headcross_gateway.relay import StreamRelay
 from headcross_gateway.requestidentity import RequestIdentity, group_of, identity_of
-from headcross_gateway.sharedtraits import SharedTrait, part_traits
+from headcross_gateway.sharedtraits import SharedTrait, TraitKind, part_traits
 
 
 @dataclass(frozen=True, slots=True)
@@ -50,6 +51,9 @@
     _identity: RequestIdentity | None = None
     _group: bytes | None = None
     _parts: dict[SharedTrait, str] | None = None
+    _shared: frozenset[SharedTrait] | None = None
+    # Why it is refused or withdrawn, if replicas were lost under it or under others like it.
+    barring_cause: Cause | None = None
 
     @property
     def group(self) -> bytes:
@@ -72,6 +76,13 @@
             self._parts = part_traits(self.service, self.facts.prompt_parts)
         return self._parts
 
+    @property
+    def shared(self) -> frozenset[SharedTrait]:
+        """What it may share with others: its caller and parts of its prompt."""
+        if self._shared is None:
+            self._shared = frozenset([SharedTrait(TraitKind.CALLER, self.group), *self.parts])
+        return self._shared
+
     @property
     def priority(self) -> int:
         """The queue priority: the team's if it has one, else the route's; 0 goes first."""
--- a/libs/gateway/src/headcross_gateway/attempts.py
+++ b/libs/gateway/src/headcross_gateway/attempts.py
@@ -32,7 +32,7 @@
 from headcross_base.monotonic import monotonic
 from headcross_ports.requests import AnswerFacts, HandOver, RequestDialect, RequestFacts
 from headcross_wire.httpclient import HttpConnection
-from headcross_wire.httpcodec import Answer, ConnectError, LinkLostError
+from headcross_wire.httpcodec import Answer, ConnectError, ConnectRefusedError, LinkLostError
 from headcross_wire.httprequest import Request
 
 from headcross_gateway.connections import ReplicaConnections
@@ -166,7 +166,8 @@
             else:
                 outcome = begun
         except ConnectError as error:
-            return DidNotRun(UNREACHED, str(error), arrived=False)
+            refused = isinstance(error, ConnectRefusedError)
+            return DidNotRun(UNREACHED, str(error), arrived=False, refused=refused)
         except LinkUnprovenError as error:
             assert connection is not None
             await connection.abandon()
@@ -285,7 +286,7 @@
 def _withdrawn_outcome(times: AttemptTimes) -> DidNotRun | MayRun:
     """Return the outcome of an attempt that was withdrawn before its answer began."""
     if times.request_barred:
-        detail = "withdrawn: replicas ended under the same request"
+        detail = "withdrawn: replicas ended under the same request, or one that shares its cause"
         if times.sending_at is None:
             return DidNotRun(ENDS_REPLICAS, detail, arrived=False, withdrawn=True)
         return MayRun(WITHDRAWN, detail, withdrawn=True)
--- a/libs/gateway/src/headcross_gateway/containment.py
+++ b/libs/gateway/src/headcross_gateway/containment.py
@@ -1,8 +1,9 @@
 """Restricts requests under which replicas were lost.
 
 A suspect request is sent to one replica for each try, and an entry runs no second copy of it. A
-barred request is sent to none, and its attempts that replicas have not begun are withdrawn. A
-body is hashed only if a request with the same path and key has a recorded loss.
+barred request, or one with a barred part of a prompt, is sent to none, and its attempts that
+replicas have not begun are withdrawn. Requests of a caller that were all lost run one at a time,
+with pauses. A body is hashed only if a request with the same path and key has a recorded loss.
 """
 
 from collections.abc import Callable
@@ -16,15 +17,18 @@
 from headcross_wire.peermessages import LossNews
 
 from headcross_gateway.admitted import Admitted
-from headcross_gateway.grouplosses import paused_until
+from headcross_gateway.attribution import BARRED_SECONDS, Cause, Standing
+from headcross_gateway.losscatchup import LossCatchUp
+from headcross_gateway.losses import Evidence, LossKey
 from headcross_gateway.lossnews import SharedLosses
 from headcross_gateway.losswatch import LossWatch
-from headcross_gateway.replicalosses import NEVER, Evidence, LossKey, Standing
 from headcross_gateway.replicastate import ReplicaState
 from headcross_gateway.requestidentity import scope_of
 
 # Retry-after time for a caller while another copy of its request runs.
 SUSPECT_RETRY_SECONDS: Final = 1.0
+# Retry-after time for a request that is refused for as long as such requests come.
+PART_RETRY_SECONDS: Final = BARRED_SECONDS
 
 
 class Containment:
@@ -35,44 +39,43 @@
 
     def __init__(
         self,
-        host: str,
         find_replica: Callable[[str], ReplicaState | None],
         list_is_known: Callable[[], bool],
+        catch_up: LossCatchUp,
     ) -> None:
         """Create an entry's containment without recorded losses.
 
         `find_replica` returns the state of a listed replica by its id, None if it is not listed;
         `list_is_known` returns whether the list of replicas was received.
         """
+        self._catch_up = catch_up
         self._find_replica = find_replica
         self._list_is_known = list_is_known
         self._news_pending = trio.Event()
-        self.shared = SharedLosses(host, lambda: self._news_pending.set())
+        self.shared = SharedLosses(lambda: self._news_pending.set())
         self.watch = LossWatch(self.shared)
 
-    def standing_of(self, request: Admitted) -> Standing:
-        """Return a request's standing; hash its body only if its scope has a recorded loss."""
-        losses = self.shared.losses
-        if losses.is_empty:
-            return Standing.CLEAR
-        if not losses.has_loss_in_scope(scope_of(request.exchange.request, request.facts.key)):
-            return Standing.CLEAR
-        return losses.standing(request.identity, monotonic())
+    async def wait_until_informed(self) -> None:
+        """Wait, for a limited time, for news that this entry may have missed."""
+        if self._catch_up.is_behind():
+            await self._catch_up.wait()
 
     def is_clear(self, request: Admitted) -> bool:
-        """Return whether neither a request nor its group is suspect, barred or restricted.
+        """Return whether no losses count against a request, its caller or a part of its prompt.
 
         Only such a request may be sent to a second replica.
         """
-        return self.standing_of(request) is Standing.CLEAR and not self._is_group_restricted(
-            request
-        )
+        return self._standing_of(request) is Standing.CLEAR and self._shared_cause(request) is None
 
     def refusal_of(self, request: Admitted) -> NotRun | None:
         """Return why a request may not be sent to a replica now, None if it may."""
-        match self.standing_of(request):
+        cause = self._shared_cause(request)
+        if cause is not None:
+            request.barring_cause = cause
+            return self._refusal_by_caller(request, cause) if cause.is_caller else _by_part(cause)
+        match self._standing_of(request):
             case Standing.CLEAR:
-                return self._refusal_of_group(request)
+                return None
             case Standing.SUSPECT:
                 # Refusing a request that was already tried has no benefit.
                 if request.tried or not self.watch.count_under_way(request.identity):
@@ -82,34 +85,44 @@
             case Standing.BARRED:
                 return self._refusal_of_barred(request)
 
-    def _is_group_restricted(self, request: Admitted) -> bool:
-        return self._paused_until(request) > NEVER
-
-    def _paused_until(self, request: Admitted) -> float:
-        """Return the time until which a request's group pauses, NEVER if it is not restricted."""
-        shared, now = self.shared, monotonic()
-        if shared.losses.is_empty or not shared.groups.is_mostly_lost(request.group, now):
-            return NEVER
-        return paused_until(shared.losses.loss_times(request.group), now)
+    def _standing_of(self, request: Admitted) -> Standing:
+        """Return a request's standing; hash its body only if its scope has a recorded loss."""
+        losses = self.shared.losses
+        if losses.is_empty:
+            return Standing.CLEAR
+        if not losses.has_loss_in_scope(scope_of(request.exchange.request, request.facts.key)):
+            return Standing.CLEAR
+        return losses.standing(request.identity, monotonic())
 
-    def _refusal_of_group(self, request: Admitted) -> NotRun | None:
-        """Return why a request is refused because of its group, None if it is not."""
-        seconds = self._paused_until(request) - monotonic()
-        if request.tried or seconds == NEVER:
+    def _shared_cause(self, request: Admitted) -> Cause | None:
+        """Return the part of its prompt, or the caller, because of which it is restricted."""
+        losses = self.shared.losses
+        if losses.is_empty:
+            return None
+        cause = losses.cause_of_shared(request.shared)
+        if cause is not None:
+            losses.note_refused(cause.shared, monotonic())
+        return cause
+
+    def _refusal_by_caller(self, request: Admitted, cause: Cause) -> NotRun | None:
+        """Return why a request is refused because of its caller, None if it is not."""
+        if request.tried:
             return None
+        seconds = cause.barred_until() - monotonic()
         if seconds > 0:
-            detail = "replicas ended under other requests of this team and route"
+            detail = "replicas ended under all recent requests of this team and route"
             return NotRun(ENDS_REPLICAS, detail, round(seconds, 1))
-        if self.watch.count_group_under_way(request.group):
+        if self.watch.count_affected_under_way(cause):
             detail = "replicas ended under this team and route, and another such request runs"
             return NotRun(ENDS_REPLICAS, detail, SUSPECT_RETRY_SECONDS)
         return None
 
     def _refusal_of_barred(self, request: Admitted) -> NotRun:
-        suspicion = self.shared.losses.suspicion(request.identity)
-        assert suspicion is not None
-        seconds = max(SUSPECT_RETRY_SECONDS, suspicion.barred_until() - monotonic())
-        detail = f"{suspicion.losses} replicas ended under this request ({suspicion.identity})"
+        cause = self.shared.losses.cause_of_request(request.identity)
+        assert cause is not None
+        request.barring_cause = cause
+        seconds = max(SUSPECT_RETRY_SECONDS, cause.barred_until() - monotonic())
+        detail = f"{len(cause.losses)} replicas ended under this request ({cause})"
         return NotRun(ENDS_REPLICAS, detail, round(seconds, 1))
 
     async def wait_pending_news(self) -> LossNews:
@@ -123,8 +136,11 @@
                 return news
 
     def receive(self, news: LossNews) -> None:
-        """Store the news of another entry; `update` applies it."""
+        """Apply the news of another entry."""
         self.shared.receive(news, monotonic())
+        self.update()
+        if news.is_answer:
+            self._catch_up.note_answer()
 
     def update(self) -> None:
         """Update the losses from what is known of replicas, and withdraw barred requests."""
@@ -139,8 +155,9 @@
         An entry that has just started has no attempts of its own that would show this.
         """
         for key, loss in self.shared.losses.losses().items():
-            if loss.requests and not loss.is_certain and self._has_ended(key):
-                self.shared.blame(key, list(loss.requests), loss.at, Evidence.ENDED)
+            if loss.traits() and not loss.is_certain and self._has_ended(key):
+                requests, shared = list(loss.requests), list(loss.shared)
+                self.shared.blame(key, requests, loss.at, Evidence.ENDED, shared)
 
     def _has_ended(self, key: LossKey) -> bool:
         state = self._find_replica(key.replica)
@@ -148,3 +165,9 @@
             return self._list_is_known()
         lost = Incarnation(key.replica, key.started_ms)
         return state.replica.incarnation.differs_from(lost) or state.has_ended()
+
+
+def _by_part(cause: Cause) -> NotRun:
+    """Return the refusal of a request with a barred part in its prompt."""
+    detail = f"{len(cause.losses)} replicas ended under a part of its prompt ({cause})"
+    return NotRun(ENDS_REPLICAS, detail, PART_RETRY_SECONDS)
--- a/libs/gateway/src/headcross_gateway/outcomes.py
+++ b/libs/gateway/src/headcross_gateway/outcomes.py
@@ -44,6 +44,7 @@
     elsewhere: bool = False  # another incarnation, or other weights, are at that address
     withdrawn: bool = False  # this entry withdrew it, which says nothing about the replica
     unproven: bool = False  # not sent, because the proof of its link timed out
+    refused: bool = False  # nothing listens at the replica's address
 
 
 @dataclass(frozen=True, slots=True)
--- a/libs/gateway/src/headcross_gateway/replicalosses.py
+++ b/libs/gateway/src/headcross_gateway/replicalosses.py
@@ -1,147 +1,104 @@
-"""Attributes lost replicas to requests, and decides which requests are suspect or barred.
+"""Keeps the losses of replicas with the requests that ran there, and what they were caused by.
 
-A request may crash every replica that begins to run it, and its caller or another one may send it
-again at any entry. The entries that had sent requests to a lost replica know what ran there, and
-exchange this. Two rules protect requests that merely ran on the same replica as such a request:
-
-* A complete answer to a request at any entry shows that it does not crash replicas: every earlier
-  loss is removed from its record.
-* Losses are attributed to as few requests as explain all of them: the losses of the request that
-  has the most count against it, and no longer against the other requests that ran there.
+A request may crash every replica that begins to run it, and it may come again at any entry, as may
+others that share a part of its prompt. The entries that had sent requests to a lost replica know
+what ran there, and exchange this. A complete answer at any entry shows that a request does not
+crash replicas, nor does what it shares with others: earlier losses no longer count against them.
+`attribution` decides what the remaining losses are caused by.
 
 The module does no I/O and reads no clock; `now` is in seconds on one monotonic clock.
 """
 
-from collections import Counter, OrderedDict
+from collections import Counter, OrderedDict, defaultdict
 from collections.abc import Collection, Iterable
-from dataclasses import dataclass, field
-from enum import Enum, IntEnum
+from dataclasses import replace
 from typing import Final, TypeVar
 
+from headcross_gateway.answerhistory import AnswerHistory
+from headcross_gateway.answersketch import NEVER
+from headcross_gateway.attribution import SUSPECT_LOSSES, Cause, Standing, find_causes
+from headcross_gateway.losses import (
+    LOSS_RETENTION_SECONDS,
+    Evidence,
+    Loss,
+    LossKey,
+    Trait,
+)
 from headcross_gateway.requestidentity import RequestIdentity
+from headcross_gateway.sharedtraits import SharedTrait
 
-# A request with this many losses is sent to only one replica for each try (suspect), or to none
-# (barred).
-SUSPECT_LOSSES: Final = 2
-BARRED_LOSSES: Final = 3
-# How long a loss is kept if the replica is known to have ended, and if it is not.
-LOSS_RETENTION_SECONDS: Final = 3600.0
-UNCONFIRMED_LOSS_SECONDS: Final = 12.0
-# How long a request is barred after its last loss; doubles with each further one.
-BARRED_SECONDS: Final = 600.0
 # A replica's silence does not count against a request answered completely within this time.
 KNOWN_GOOD_SECONDS: Final = 60.0
 MAX_LOSSES: Final = 128
 MAX_REQUESTS_PER_LOSS: Final = 32
+MAX_SHARED_PER_LOSS: Final = 1024
+# Shared traits of all losses together. Those with a single loss are dropped first.
+MAX_SHARED: Final = 8192
 MAX_ANSWERED: Final = 1024
-NEVER: Final = float("-inf")
 K = TypeVar("K")
 
 
-class Standing(Enum):
-    """How a request may be run, given the replicas lost under its earlier tries."""
-
-    CLEAR = "clear"
-    SUSPECT = "suspect"  # one replica for each try, and one try at a time at each entry
-    BARRED = "barred"  # no replica
-
-
-class Evidence(IntEnum):
-    """How certain the loss of a replica is; a greater value is stronger evidence."""
-
-    SILENT = 0  # it sent nothing within the time limit
-    BROKEN = 1  # connections to it broke
-    ENDED = 2  # it has ended
-
-
-@dataclass(frozen=True, slots=True)
-class LossKey:
-    """Identifies a lost replica: its id and the start of the incarnation that was lost."""
-
-    replica: str
-    started_ms: int | None
-
-
-@dataclass(slots=True)
-class Loss:
-    """The loss of one incarnation: when, on what evidence, and which requests ran there."""
-
-    at: float
-    evidence: Evidence
-    requests: set[RequestIdentity] = field(default_factory=set)
-
-    @property
-    def is_certain(self) -> bool:
-        """Whether the replica is known to have ended."""
-        return self.evidence is Evidence.ENDED
-
-    def expires_at(self) -> float:
-        """Return when this loss is dropped."""
-        return self.at + (LOSS_RETENTION_SECONDS if self.is_certain else UNCONFIRMED_LOSS_SECONDS)
-
-
-@dataclass(frozen=True, slots=True)
-class Suspicion:
-    """The losses attributed to one request."""
-
-    identity: RequestIdentity
-    losses: int
-    last_at: float
-    silences: int = 0  # replicas that fell silent under it and may still run
-
-    @property
-    def standing(self) -> Standing:
-        """The standing, whether or not `barred_until` has passed."""
-        if self.losses >= BARRED_LOSSES:
-            return Standing.BARRED
-        is_suspect = self.losses + self.silences >= SUSPECT_LOSSES
-        return Standing.SUSPECT if is_suspect else Standing.CLEAR
-
-    def barred_until(self) -> float:
-        """Return when the request may be tried again; `last_at` if it is not barred."""
-        if self.losses < BARRED_LOSSES:
-            return self.last_at
-        return self.last_at + BARRED_SECONDS * 2.0 ** (self.losses - BARRED_LOSSES)
-
-
 class ReplicaLosses:
     """The losses known to one entry, its own and those that other entries reported."""
 
+    answers: AnswerHistory
+
     def __init__(self) -> None:
+        self.answers = AnswerHistory()
         self._losses: OrderedDict[LossKey, Loss] = OrderedDict()
         # When requests were last answered completely.
         self._answered_at: OrderedDict[RequestIdentity, float] = OrderedDict()
         # When replicas were last found alive: older news of their loss may still arrive.
         self._alive_at: OrderedDict[LossKey, float] = OrderedDict()
-        self._suspicions: dict[RequestIdentity, Suspicion] = {}
-        # The losses of each request, and the number of requests with losses in each scope.
-        self._losses_by_request: dict[RequestIdentity, set[LossKey]] = {}
+        # When requests with a trait were last refused because of it.
+        self._refused_at: dict[SharedTrait, float] = {}
+        # The losses of each trait, and the number of requests with losses in each scope.
+        self._losses_by_trait: dict[Trait, set[LossKey]] = {}
         self._request_counts_by_scope: Counter[bytes] = Counter()
-        # Whether the suspicions reflect the current losses.
-        self._suspicions_are_current = True
+        # The traits with at least SUSPECT_LOSSES; others have no effect.
+        self._repeated: set[Trait] = set()
+        self._causes: list[Cause] = []
+        self._causes_by_trait: dict[Trait, list[Cause]] = {}
+        # Whether the causes reflect the current losses.
+        self._causes_are_current = True
+        # Whether there were answers since the last `expire`. Answers to other requests are a part
+        # of the evidence against some causes.
+        self._answers_noted = False
 
     # Input.
 
     def blame(
         self,
         key: LossKey,
-        requests: Iterable[RequestIdentity],
+        requests: Collection[RequestIdentity],
         at: float,
         evidence: Evidence = Evidence.BROKEN,
+        shared: Collection[SharedTrait] = (),
+        service: str = "",
     ) -> bool:
-        """Record requests that were on a replica when it was lost; return whether that is news."""
+        """Record what was on a replica when it was lost; return whether that is news.
+
+        `shared` has the traits that the requests may share with others. Without requests, only the
+        loss itself is recorded.
+        """
         if self._alive_at.get(key, NEVER) >= at:
             return False
+        is_new = key not in self._losses
         loss = self._losses.setdefault(key, Loss(at, evidence))
-        is_stronger = evidence > loss.evidence
+        is_stronger = evidence > loss.evidence or (is_new and not (requests or shared))
         loss.at, loss.evidence = min(loss.at, at), max(loss.evidence, evidence)
+        loss.service = loss.service or service
         new = {identity for identity in requests if self._may_blame(identity, loss)}
         room = MAX_REQUESTS_PER_LOSS - len(loss.requests)
         for identity in list(new)[:room]:
             self._add(key, identity)
+        new_shared = [trait for trait in dict.fromkeys(shared) if trait not in loss.shared]
+        shared_room = MAX_SHARED_PER_LOSS - len(loss.shared)
+        for trait in new_shared[:shared_room]:
+            self._add(key, trait)
         self._drop_excess()
-        is_news = is_stronger or bool(new and room)
-        self._suspicions_are_current = not is_news and self._suspicions_are_current
+        is_news = is_stronger or bool(new and room) or bool(new_shared and shared_room)
+        self._causes_are_current = not is_news and self._causes_are_current
         return is_news
 
     def _may_blame(self, identity: RequestIdentity, loss: Loss) -> bool:
@@ -160,32 +117,72 @@
             return False
         self._drop(key)
         _remember(self._alive_at, key, at, MAX_LOSSES)
-        self._suspicions_are_current = False
+        self._causes_are_current = False
         return True
 
     def note_answer(self, identity: RequestIdentity, at: float) -> bool:
         """Record a complete answer to a request; return whether earlier losses were removed."""
         _remember(self._answered_at, identity, at, MAX_ANSWERED)
-        blamed_for = self._losses_by_request.get(identity, set())
-        earlier = [key for key in blamed_for if self._losses[key].at <= at]
+        return self._clear(identity, at)
+
+    def note_shared_answer(
+        self, service: str, shared: Collection[SharedTrait], at: float
+    ) -> list[SharedTrait]:
+        """Record a complete answer at this entry; return the traits that it cleared of losses."""
+        self.answers.note(service, shared, at)
+        self._answers_noted = True
+        return [trait for trait in shared if self._clear(trait, at)]
+
+    def note_answered_trait(self, trait: SharedTrait, at: float) -> None:
+        """Record an answer to a request with a trait, which clears it of earlier losses."""
+        self.note_known_trait(trait, at)
+        self._clear(trait, at)
+
+    def note_known_trait(self, trait: SharedTrait, at: float) -> None:
+        """Record that requests with a trait were answered, approximately until `at`."""
+        self.answers.note_trait(trait, at)
+        self._causes_are_current = trait not in self._repeated and self._causes_are_current
+
+    def note_refused(self, shared: Iterable[SharedTrait], at: float) -> None:
+        """Record that requests with barred traits still come, so that their bar is kept."""
+        self._update_causes()
+        for trait in shared:
+            if trait in self._causes_by_trait:
+                self._refused_at[trait] = max(at, self._refused_at.get(trait, at))
+
+    def _clear(self, trait: Trait, at: float) -> bool:
+        earlier = [k for k in self._losses_by_trait.get(trait, ()) if self._losses[k].at <= at]
         for key in earlier:
-            self._remove(key, identity)
-        self._suspicions_are_current = not earlier and self._suspicions_are_current
+            self._remove(key, trait)
+        self._causes_are_current = not earlier and self._causes_are_current
         return bool(earlier)
 
     def expire(self, now: float) -> None:
         """Drop the losses whose retention time is over."""
-        expired = [key for key, loss in self._losses.items() if now >= loss.expires_at()]
+        kept = self._kept_by_refusals(now)
+        expired = [
+            key
+            for key, loss in self._losses.items()
+            if now >= loss.expires_at() and not (loss.is_certain and key in kept)
+        ]
         for key in expired:
             self._drop(key)
-        self._suspicions_are_current = not expired and self._suspicions_are_current
+        if expired or (self._answers_noted and self._repeated):
+            self._causes_are_current = False
+        self._answers_noted = False
+
+    def _kept_by_refusals(self, now: float) -> set[LossKey]:
+        """Return the losses that bar requests which still come."""
+        horizon = now - LOSS_RETENTION_SECONDS
+        self._refused_at = {t: at for t, at in self._refused_at.items() if at > horizon}
+        return {key for trait in self._refused_at for key in self._losses_by_trait.get(trait, ())}
 
     # Decisions.
 
     @property
     def is_empty(self) -> bool:
-        """Whether no loss is recorded against any request."""
-        return not self._losses_by_request
+        """Whether nothing recorded counts against any request."""
+        return not self._losses_by_trait
 
     def has_loss_in_scope(self, scope: bytes) -> bool:
         """Return whether any request of this scope has a recorded loss."""
@@ -193,131 +190,144 @@
 
     def standing(self, identity: RequestIdentity, now: float) -> Standing:
         """Return a request's standing; a barred one is only suspect after `barred_until`."""
-        self._update_suspicions()
-        suspicion = self._suspicions.get(identity)
-        if suspicion is None:
+        cause = self.cause_of_request(identity)
+        if cause is None:
             return Standing.CLEAR
-        if suspicion.standing is Standing.BARRED and now >= suspicion.barred_until():
+        if cause.standing is Standing.BARRED and now >= cause.barred_until():
             return Standing.SUSPECT
-        return suspicion.standing
-
-    def suspicion(self, identity: RequestIdentity) -> Suspicion | None:
-        """Return the losses attributed to a request, None if there are none."""
-        self._update_suspicions()
-        return self._suspicions.get(identity)
-
-    def suspicions(self) -> list[Suspicion]:
-        """Return the requests that are suspect or barred."""
-        self._update_suspicions()
-        suspicions = self._suspicions.values()
-        return [s for s in suspicions if s.standing is not Standing.CLEAR]
-
-    def groups(self) -> set[bytes]:
-        """Return the groups of all requests that have a recorded loss."""
-        return {identity.group for loss in self._losses.values() for identity in loss.requests}
-
-    def loss_times(self, group: bytes) -> list[float]:
-        """Return the times of the losses that count against a group.
-
-        Losses that a barred request explains do not count, nor do replicas that only fell silent.
-        """
-        self._update_suspicions()
-        barred = {s.identity for s in self._suspicions.values() if s.losses >= BARRED_LOSSES}
-        return [
-            loss.at
-            for loss in self._losses.values()
-            if loss.evidence > Evidence.SILENT
-            and not loss.requests & barred
-            and any(identity.group == group for identity in loss.requests)
-        ]
+        return cause.standing
+
+    def cause_of_request(self, identity: RequestIdentity) -> Cause | None:
+        """Return the cause that a single request is, None if it is none."""
+        self._update_causes()
+        return next(iter(self._causes_by_trait.get(identity, ())), None)
+
+    def cause_of_shared(self, shared: Collection[SharedTrait]) -> Cause | None:
+        """Return a cause that affects different requests, among them those with these traits."""
+        self._update_causes()
+        for trait in shared:
+            for cause in self._causes_by_trait.get(trait, ()):
+                if all(other in shared for other in cause.shared):
+                    return cause
+        return None
+
+    def causes(self) -> list[Cause]:
+        """Return the causes of losses that have a consequence: suspect or barred requests."""
+        self._update_causes()
+        return [cause for cause in self._causes if cause.standing is not Standing.CLEAR]
+
+    def repeated(self) -> set[Trait]:
+        """Return the traits that have several losses."""
+        return set(self._repeated)
+
+    def refused_at(self) -> dict[SharedTrait, float]:
+        """Return when requests with barred traits were last refused."""
+        return dict(self._refused_at)
 
     def losses(self) -> dict[LossKey, Loss]:
         """Return a copy of the recorded losses."""
         return dict(self._losses)
 
-    def _update_suspicions(self) -> None:
-        """Attribute the losses to as few requests as explain them, if they have changed."""
-        if self._suspicions_are_current:
+    def _update_causes(self) -> None:
+        """Attribute the losses to causes, if they have changed."""
+        if self._causes_are_current:
             return
-        self._suspicions_are_current = True
-        blamed_for: dict[RequestIdentity, set[LossKey]] = {}
-        silent_under: dict[RequestIdentity, set[LossKey]] = {}
-        for identity, keys in self._losses_by_request.items():
-            # A single loss has no effect, neither on this request nor on others.
-            if len(keys) < SUSPECT_LOSSES:
-                continue
-            silent = {key for key in keys if self._losses[key].evidence is Evidence.SILENT}
-            if silent:
-                silent_under[identity] = silent
-            if keys - silent:
-                blamed_for[identity] = keys - silent
-        explained_by = _attribute_losses(blamed_for)
-        self._suspicions = {
-            identity: self._suspicion(
-                identity, explained_by.get(identity, ()), silent_under.get(identity, ())
-            )
-            for identity in explained_by.keys() | silent_under.keys()
-        }
-
-    def _suspicion(
-        self, identity: RequestIdentity, lost: Collection[LossKey], silent: Collection[LossKey]
-    ) -> Suspicion:
-        last_at = max(self._losses[key].at for key in (*lost, *silent))
-        return Suspicion(identity, len(lost), last_at, len(silent))
+        self._causes_are_current = True
+        by_trait: dict[Trait, frozenset[LossKey]] = {}
+        silent_under: dict[RequestIdentity, list[LossKey]] = {}
+        for trait in self._repeated:
+            keys = self._losses_by_trait[trait]
+            silent = [k for k in keys if self._losses[k].evidence is Evidence.SILENT]
+            if silent and isinstance(trait, RequestIdentity):
+                silent_under[trait] = silent
+            if len(keys) > len(silent):
+                by_trait[trait] = frozenset(keys).difference(silent)
+        causes = find_causes(self._losses, by_trait, self.answers)
+        self._causes = self._with_silences(causes, silent_under)
+        index: defaultdict[Trait, list[Cause]] = defaultdict(list)
+        for cause in self._causes:
+            for trait in cause.traits:
+                index[trait].append(cause)
+        self._causes_by_trait = dict(index)
+
+    def _with_silences(
+        self, causes: list[Cause], silent_under: dict[RequestIdentity, list[LossKey]]
+    ) -> list[Cause]:
+        """Return the causes with the silent replicas of requests, which only make them suspect."""
+        without_losses = silent_under.keys() - {cause.request for cause in causes}
+        causes = causes + [
+            Cause(frozenset([identity]), frozenset(), NEVER) for identity in without_losses
+        ]
+        return [self._with_silent_replicas(cause, silent_under) for cause in causes]
+
+    def _with_silent_replicas(
+        self, cause: Cause, silent_under: dict[RequestIdentity, list[LossKey]]
+    ) -> Cause:
+        silent = silent_under.get(cause.request, []) if cause.request is not None else []
+        last_at = max([cause.last_at, *(self._losses[key].at for key in silent)])
+        return replace(cause, silences=len(silent), last_at=last_at)
+
+    # Bounds.
 
     def _drop_excess(self) -> None:
-        """Drop losses above MAX_LOSSES; those that bar a request are dropped last."""
+        """Drop losses above MAX_LOSSES and shared traits above MAX_SHARED, the oldest first.
+
+        Losses that bar requests are dropped last.
+        """
         while len(self._losses) > MAX_LOSSES:
             # Uses the last attribution: a new one for each of many losses would cost too much.
-            barred = {s.identity for s in self._suspicions.values() if s.losses >= BARRED_LOSSES}
-            free = [k for k, loss in self._losses.items() if not loss.requests & barred]
-            self._drop(free[0] if free else next(iter(self._losses)))
-
-    def _add(self, key: LossKey, identity: RequestIdentity) -> None:
-        self._losses[key].requests.add(identity)
-        if identity not in self._losses_by_request:
-            self._losses_by_request[identity] = set()
-            self._request_counts_by_scope[identity.scope] += 1
-        self._losses_by_request[identity].add(key)
-
-    def _remove(self, key: LossKey, identity: RequestIdentity) -> None:
-        self._losses[key].requests.discard(identity)
-        self._losses_by_request[identity].discard(key)
-        if self._losses_by_request[identity]:
+            barring = self._barring_losses()
+            free = (key for key in self._losses if key not in barring)
+            self._drop(next(free, next(iter(self._losses))))
+        excess = sum(len(loss.shared) for loss in self._losses.values()) - MAX_SHARED
+        for key, loss in list(self._losses.items()) if excess > 0 else ():
+            single = [trait for trait in loss.shared if trait not in self._repeated]
+            for trait in single[: max(0, excess)]:
+                self._remove(key, trait)
+            excess -= len(single)
+
+    def _barring_losses(self) -> set[LossKey]:
+        barred = (c for c in self._causes if c.standing is Standing.BARRED)
+        return {key for cause in barred for key in cause.losses}
+
+    def _add(self, key: LossKey, trait: Trait) -> None:
+        loss = self._losses[key]
+        if isinstance(trait, RequestIdentity):
+            loss.requests.add(trait)
+            if trait not in self._losses_by_trait:
+                self._request_counts_by_scope[trait.scope] += 1
+        else:
+            loss.shared.add(trait)
+        keys = self._losses_by_trait.setdefault(trait, set())
+        keys.add(key)
+        if len(keys) >= SUSPECT_LOSSES:
+            self._repeated.add(trait)
+
+    def _remove(self, key: LossKey, trait: Trait) -> None:
+        loss = self._losses[key]
+        if isinstance(trait, RequestIdentity):
+            loss.requests.discard(trait)
+        else:
+            loss.shared.discard(trait)
+        keys = self._losses_by_trait[trait]
+        keys.discard(key)
+        if len(keys) < SUSPECT_LOSSES:
+            self._repeated.discard(trait)
+        if keys:
             return
-        del self._losses_by_request[identity]
-        self._request_counts_by_scope[identity.scope] -= 1
-        if not self._request_counts_by_scope[identity.scope]:
-            del self._request_counts_by_scope[identity.scope]
+        del self._losses_by_trait[trait]
+        if isinstance(trait, RequestIdentity):
+            self._request_counts_by_scope[trait.scope] -= 1
+            if not self._request_counts_by_scope[trait.scope]:
+                del self._request_counts_by_scope[trait.scope]
 
     def _drop(self, key: LossKey) -> None:
         """Remove a loss from all indexes."""
-        for identity in list(self._losses[key].requests):
-            self._remove(key, identity)
+        for trait in self._losses[key].traits():
+            self._remove(key, trait)
         del self._losses[key]
 
 
-def _attribute_losses(
-    blamed_for: dict[RequestIdentity, set[LossKey]],
-) -> dict[RequestIdentity, frozenset[LossKey]]:
-    """Return the losses attributed to each request, each loss to as few requests as possible.
-
-    In each round, the requests with the most unexplained losses explain all of theirs.
-    """
-    explained_by: dict[RequestIdentity, frozenset[LossKey]] = {}
-    unexplained = {identity: frozenset(keys) for identity, keys in blamed_for.items()}
-    while unexplained:
-        most = max(len(keys) for keys in unexplained.values())
-        worst = {identity: keys for identity, keys in unexplained.items() if len(keys) == most}
-        explained_by |= worst
-        explained = frozenset[LossKey]().union(*worst.values()) if most >= SUSPECT_LOSSES else ()
-        others = {
-            i: keys.difference(explained) for i, keys in unexplained.items() if i not in worst
-        }
-        unexplained = {identity: keys for identity, keys in others.items() if keys}
-    return explained_by
-
-
 def _remember(times: OrderedDict[K, float], key: K, at: float, max_keys: int) -> None:
     """Store the latest time for a key, and drop the least recently stored beyond `max_keys`."""
     times[key] = max(at, times.get(key, at))
--- a/libs/gateway/src/headcross_gateway/requestlog.py
+++ b/libs/gateway/src/headcross_gateway/requestlog.py
@@ -6,7 +6,7 @@
 from typing import Final
 
 import trio
-from headcross_base.errorcodes import ENDS_REPLICAS
+from headcross_base.errorcodes import ENDS_REPLICAS, WITHDRAWN
 from headcross_base.verdicts import Completed, Refusal, verdict_name
 
 from headcross_gateway.admitted import Admitted
@@ -81,13 +81,16 @@
 def log_refused(refusal: Refusal, request_id: str | None, request: Admitted | None = None) -> None:
     """Log a refusal; `request` is None for one that was not admitted."""
     request_fields = _request_fields(request) if request is not None else {"request": request_id}
-    fields = {
+    fields: dict[str, object] = {
         "verdict": verdict_name(refusal),
         "reason": refusal.reason.code,
         "detail": refusal.detail,
     }
-    if request is not None and refusal.reason is ENDS_REPLICAS:
+    if request is not None and refusal.reason in (ENDS_REPLICAS, WITHDRAWN):
         fields["request_digest"] = str(request.identity)
+        fields["prompt_parts"] = _named_parts(request)
+        if request.barring_cause is not None:
+            fields["cause"] = str(request.barring_cause)
     logger.info("refused", extra={**request_fields, **fields})
 
 
--- a/libs/gateway/src/headcross_gateway/requestpath.py
+++ b/libs/gateway/src/headcross_gateway/requestpath.py
@@ -208,6 +208,7 @@
         )
         last_refusal: Refusal | None = None
         while True:
+            await self._containment.wait_until_informed()
             refusal = self._containment.refusal_of(request)
             if refusal is not None:
                 return self._final_refusal(request, self._stronger_refusal(last_refusal, refusal))
@@ -228,6 +229,7 @@
                 return self._final_refusal(
                     request, self._no_room_refusal(request, last_refusal, opening_seconds)
                 )
+            await self._containment.wait_until_informed()
             if self._containment.refusal_of(request) is not None:
                 self._admission.release_slot(replica_state)
                 continue
--- a/libs/gateway/src/headcross_gateway/sharedtraits.py
+++ b/libs/gateway/src/headcross_gateway/sharedtraits.py
@@ -12,7 +12,7 @@
 DIGEST_BYTES: Final = 8
 TRAIT_BYTES: Final = 1 + DIGEST_BYTES
 # The number of parts of a prompt that are considered.
-MAX_PARTS: Final = 16
+MAX_PARTS: Final = 64
 
 
 class TraitKind(Enum):
@@ -63,7 +63,8 @@
     >>> list(part_traits("lm", ("a", "b", "c")).values())
     ['a', 'b']
     """
-    return {_part_trait(service, part): part for part in prompt_parts[:-1][:MAX_PARTS]}
+    shared = prompt_parts[:-1][:MAX_PARTS]
+    return {_part_trait(service, part): part for part in shared}
 
 
 def _part_trait(service: str, part: str) -> SharedTrait:
--- a/libs/wire/src/headcross_wire/httpclient.py
+++ b/libs/wire/src/headcross_wire/httpclient.py
@@ -23,6 +23,7 @@
     Answer,
     ClientCodec,
     ConnectError,
+    ConnectRefusedError,
     Headers,
     LinkLostError,
     WholeAnswer,
@@ -107,10 +108,21 @@
                 address.ip, address.port, local_address=SOURCE_IP.get()
             )
     except (OSError, trio.TooSlowError) as error:
-        raise ConnectError(f"{address}: {error or 'timed out'}") from None
+        kind = ConnectRefusedError if _is_refusal(error) else ConnectError
+        raise kind(f"{address}: {error or 'timed out'}") from None
     return HttpConnection(stream, address)
 
 
+def _is_refusal(error: Exception) -> bool:
+    """Return whether a failure to connect says that nothing listens at the address.
+
+    Trio raises a general error, with a group of those of the sockets as its cause.
+    """
+    cause = error.__cause__
+    causes = cause.exceptions if isinstance(cause, BaseExceptionGroup) else (cause,)
+    return any(isinstance(cause, ConnectionRefusedError) for cause in causes)
+
+
 class ConnectionPool:
     """Keeps idle connections for requests that may be sent again if a connection is dead."""
 
--- a/libs/wire/src/headcross_wire/httpcodec.py
+++ b/libs/wire/src/headcross_wire/httpcodec.py
@@ -22,6 +22,10 @@
     """No connection was made; nothing of the request was sent."""
 
 
+class ConnectRefusedError(ConnectError):
+    """Nothing listens at the address."""
+
+
 class LinkLostError(Exception):
     """The connection broke after the request may have been sent."""
 
--- a/libs/wire/src/headcross_wire/peermessages.py
+++ b/libs/wire/src/headcross_wire/peermessages.py
@@ -324,6 +324,8 @@
     age: float  # seconds since it was lost, or was found alive
     evidence: int = 1  # value of Evidence; see headcross_gateway
     requests: list[bytes] = []  # identities of requests that ran there; see headcross_gateway
+    shared: list[bytes] = []  # traits that these requests may share with others
+    service: str = ""  # of the replica; empty if unknown
 
 
 class AnsweredRequest(_Message, frozen=True):
@@ -333,12 +335,11 @@
     age: float  # seconds since the answer
 
 
-class GroupOutcomeNews(_Message, frozen=True):
-    """Recent outcomes, at the sender, of requests of one team on one route."""
+class TraitAge(_Message, frozen=True):
+    """A trait that requests may share, and something that happened to one of them."""
 
-    group: bytes  # identity of the team and route; see headcross_gateway
-    lost: int  # number of requests under which a replica was lost
-    answered: int  # number of answered requests
+    trait: bytes  # see headcross_gateway
+    age: float  # seconds since then
 
 
 class LossNews(_Message, frozen=True, tag=54):
@@ -347,8 +348,17 @@
     lost: list[LostReplica] = []
     alive: list[LostReplica] = []
     answered: list[AnsweredRequest] = []
-    host: str = ""  # of the sender, to which `groups` refers
-    groups: list[GroupOutcomeNews] = []
+    # Traits that were blamed for losses, and of which a request has been answered completely.
+    answered_traits: list[TraitAge] = []
+    # Blamed traits of which requests were answered lately; approximate, so it clears no loss.
+    known_traits: list[TraitAge] = []
+    # Traits because of which requests are refused, and were last refused.
+    refused_traits: list[TraitAge] = []
+    is_answer: bool = False  # all that the sender knows, in answer to `AskLosses`
+
+
+class AskLosses(_Message, frozen=True, tag=56):
+    """Asks an entry for all losses that it knows."""
 
 
 class ReplicaBackpressure(_Message, frozen=True):
@@ -403,6 +413,7 @@
     | KnownPlan
     | RefusedNews
     | LossNews
+    | AskLosses
     | ReplicaNews
 )
 SwarmMessage = (
--- a/libs/wire/src/headcross_wire/peernode.py
+++ b/libs/wire/src/headcross_wire/peernode.py
@@ -79,6 +79,11 @@
         self._closed_links_sent_bytes = 0
         self._closed_links_received_bytes = 0
 
+    @property
+    def is_running(self) -> bool:
+        """Whether messages can be sent."""
+        return self._nursery is not None
+
     @property
     def sent_bytes(self) -> int:
         """Bytes of all messages sent so far."""
--- a/tests/test_loss_watch.py
+++ b/tests/test_loss_watch.py
@@ -6,29 +6,30 @@
 import pytest
 import trio
 from headcross_base.addresses import Address
-from headcross_base.errorcodes import LINK_LOST, UPSTREAM_ERROR
+from headcross_base.errorcodes import LINK_LOST, UNREACHED, UPSTREAM_ERROR
 from headcross_gateway import replicastate
 from headcross_gateway.admitted import Admitted
 from headcross_gateway.attempts import AttemptTimes
+from headcross_gateway.losses import Evidence, LossKey
 from headcross_gateway.lossnews import SharedLosses
 from headcross_gateway.losswatch import LossWatch
 from headcross_gateway.outcomes import DidNotRun, MayRun, Outcome, Streamed
-from headcross_gateway.replicalosses import Evidence, LossKey
 from headcross_gateway.replicastate import ReplicaState
 from headcross_gateway.requestidentity import RequestIdentity
+from headcross_gateway.sharedtraits import SharedTrait, TraitKind
 from headcross_ports.published import LoadedModel, Replica
-from headcross_wire.peermessages import ReplicaLoad
+from headcross_wire.peermessages import LossNews, LostReplica, ReplicaLoad
 
 BROKEN = MayRun(LINK_LOST, "reset", broken=True)
 SILENT = MayRun(LINK_LOST, "silent for too long", silent=True)
+PAUSED = SILENT  # if its answer had begun
 
 
 @dataclass
 class StubRequest:
     """The part of an admitted request that LossWatch reads."""
 
-    group = b"group---"
-
+    shared: frozenset[SharedTrait] = frozenset()
     identity: RequestIdentity = field(
         default_factory=lambda: RequestIdentity(b"group---", b"scope---", b"body----")
     )
@@ -46,10 +47,13 @@
         self.shared = SharedLosses()
         self.watch = LossWatch(self.shared, lambda: self.now)
 
-    def attempt(self, outcome: Outcome | None) -> StubRequest:
-        """Make an attempt that ends with `outcome`."""
-        request = StubRequest()
-        attempt = self.watch.begin(cast(Admitted, request), self.state, AttemptTimes())
+    def attempt(
+        self, outcome: Outcome | None, *shared: SharedTrait, began_at: float | None = None
+    ) -> StubRequest:
+        """Make an attempt of a request with some shared traits that ends with `outcome`."""
+        request = StubRequest(frozenset(shared))
+        times = AttemptTimes(began_at=began_at)
+        attempt = self.watch.begin(cast(Admitted, request), self.state, times)
         self.watch.end(attempt, outcome)
         return request
 
@@ -191,3 +195,103 @@
     times.withdrawal_scope = trio.CancelScope()
     site.watch.withdraw(site.shared.barred())
     assert times.request_barred and times.withdrawal_scope.cancel_called
+
+
+CLOSED = Streamed(ends_with_connection=True)
+PART = SharedTrait(TraitKind.PART, b"one part")
+
+
+def lost_parts(site: Site) -> list[set[SharedTrait]]:
+    """Return the shared traits of each recorded loss."""
+    return [loss.shared for loss in site.shared.losses.losses().values()]
+
+
+def test_an_answer_that_ended_with_its_connection_clears_nothing_while_its_replica_may_be_lost(
+    site: Site,
+) -> None:
+    site.shared.blame(LossKey("i-0", None), [], 99.0, Evidence.ENDED, [PART])
+    site.attempt(CLOSED, PART)
+    site.pass_time(0.2)
+    assert lost_parts(site) == [{PART}]
+    site.report(reachable=True)
+    site.pass_time(0.6)
+    assert lost_parts(site) == [{PART}], "the daemon may have read the replica before the end"
+    site.report(reachable=True)
+    site.pass_time(0.1)
+    assert lost_parts(site) == [set()]
+
+
+def test_an_answer_that_ended_with_its_connection_counts_once_its_replica_answers_again(
+    site: Site,
+) -> None:
+    site.shared.blame(LossKey("i-0", None), [], 99.0, Evidence.ENDED, [PART])
+    site.attempt(CLOSED, PART)
+    site.now += 0.1
+    site.attempt(CLOSED)
+    assert lost_parts(site) == [set()]
+
+
+def test_an_answer_that_ended_with_its_connection_is_blamed_if_nothing_listens_afterwards(
+    site: Site,
+) -> None:
+    site.attempt(CLOSED, PART)
+    assert not lost_parts(site)
+    site.now += 0.5
+    site.attempt(DidNotRun(UNREACHED, "refused", arrived=False, refused=True))
+    assert lost_parts(site) == [{PART}]
+
+
+@pytest.mark.parametrize("first", [CLOSED, PAUSED])
+def test_an_answer_that_began_is_blamed_if_another_connection_to_its_replica_broke(
+    site: Site, first: Outcome
+) -> None:
+    site.attempt(first, PART, began_at=1.0)
+    assert not lost_parts(site)
+    site.now += 0.05
+    site.attempt(BROKEN)
+    assert lost_parts(site) == [{PART}]
+
+
+def test_an_answer_that_ended_with_its_connection_is_blamed_after_news_of_another_entry(
+    site: Site,
+) -> None:
+    site.attempt(CLOSED, PART)
+    news = LossNews([LostReplica("i-1", None, 0.0, Evidence.BROKEN, service="lm")])
+    site.shared.receive(news, site.now)
+    site.pass_time(0.2)
+    assert lost_parts(site) == [{PART}]
+
+
+def test_an_answer_that_paused_is_blamed_once_its_replica_is_known_to_have_ended(
+    site: Site,
+) -> None:
+    site.attempt(PAUSED, PART, began_at=1.0)
+    site.pass_time(1.0)
+    assert not lost_parts(site)
+    site.state.replaced_or_unlisted = True
+    site.pass_time(0.2)
+    assert lost_parts(site) == [{PART}]
+
+
+def test_an_answer_that_ended_long_before_its_replica_is_not_blamed(site: Site) -> None:
+    site.attempt(CLOSED, PART)
+    site.pass_time(5.0)
+    site.attempt(BROKEN)
+    site.state.replaced_or_unlisted = True
+    site.pass_time(0.2)
+    assert lost_parts(site) == [set()]
+
+
+def test_waiting_attempts_with_a_barred_part_are_withdrawn_and_others_are_not(site: Site) -> None:
+    waiting = [StubRequest(frozenset([PART])), StubRequest()]
+    times = [AttemptTimes(), AttemptTimes()]
+    for request, attempt_times in zip(waiting, times, strict=True):
+        site.watch.begin(cast(Admitted, request), site.state, attempt_times)
+        attempt_times.withdrawal_scope = trio.CancelScope()
+    for number in range(3):
+        site.now += 1.0
+        key = LossKey(f"i-{number}", None)
+        site.shared.blame(key, [], site.now, Evidence.BROKEN, [PART], "lm")
+    assert site.shared.update(site.now)
+    site.watch.withdraw(site.shared.barred())
+    assert [attempt_times.request_barred for attempt_times in times] == [True, False]
--- a/tests/test_prompt_parts_that_crash_replicas.py
+++ b/tests/test_prompt_parts_that_crash_replicas.py
@@ -6,6 +6,7 @@
 
 import itertools
 import random
+import signal
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
@@ -15,12 +16,14 @@
 import pytest
 import trio
 from headcross_base.errorcodes import ENDS_REPLICAS, WITHDRAWN
+from headcross_cli.explaining import describe_line, read_trace
 from headcross_platform import names
 
 from testing.machinecaller import Reply, ask
-from testing.machinelayout import MODEL_SERVICE
+from testing.machinelayout import MODEL_SERVICE, WAIT_SECONDS
 from testing.machines import Machines, replicas_of, small_site
 from testing.platformreplica import CrashPoint, Ending, Run
+from tests.test_machine_weights import wait_offered
 
 REPLICAS: Final = 10
 RESTART_SECONDS: Final = 4.0
@@ -231,3 +234,165 @@
     print(served, "of", len(replies), "served")
     assert not [reply for reply in replies if any(code in reply.body for code in codes)]
     assert served >= SERVED_SHARE * len(replies)
+
+
+async def bar_crashing_part(site: Machines, entry: str) -> None:
+    """Send requests with the crashing part to an entry until one is refused because of it."""
+    with trio.fail_after(WAIT_SECONDS):
+        while not is_barred(await ask_crashing(site, entry)):
+            await trio.sleep(0.1)
+
+
+async def ask_crashing(site: Machines, entry: str) -> Reply:
+    """Send a request with the crashing part to an entry."""
+    body = b"crashing %d" % next(_numbers)
+    return await ask(site.callers(entry), "/stream/x", body, headers=crashing_prompt(2))
+
+
+def is_barred(reply: Reply) -> bool:
+    """Return whether a request was refused because replicas ended under others like it."""
+    return ENDS_REPLICAS.code.encode() in reply.body
+
+
+async def test_two_parts_that_crash_replicas_at_once_are_both_found(tmp_path: Path) -> None:
+    other_part = "bad1"
+    async with crashing_site(tmp_path) as site:
+        for replica in replicas_of(site, MODEL_SERVICE):
+            replica.crashes_on = lambda headers: (
+                has_crashing_part(headers) or f",{other_part}:" in headers[names.PROMPT_PARTS]
+            )
+        last: dict[str, Reply] = {}
+
+        async def call(number: int) -> None:
+            part = (CRASHING_PART, other_part)[number % 2]
+            headers = prompt(random.choice(FIRST_PARTS), part)
+            body, caller = b"%d" % number, site.callers(f"entry{number // 2 % 2}")
+            last[part] = await ask(caller, "/stream/x", body, headers=headers)
+
+        async with trio.open_nursery() as calls:
+            for number in range(60):
+                calls.start_soon(call, number)
+                await trio.sleep(0.2)
+        runs = [run for listed in site.replicas.values() for run in listed.replica.runs]
+        print(len(runs), "crashed")
+        assert all(is_barred(reply) for reply in last.values())
+        assert len(runs) <= 2 * CRASHES_TO_LEARN
+
+
+async def test_requests_that_wait_at_replicas_are_withdrawn_once_a_part_is_barred(
+    tmp_path: Path,
+) -> None:
+    async with small_site(tmp_path, models=8, plain=0) as site:
+        for replica in replicas_of(site, MODEL_SERVICE):
+            replica.crashes_on = has_crashing_part
+            replica.wait_seconds = 1.5
+        replies: list[Reply] = []
+
+        async def call() -> None:
+            body = b"crashing %d" % next(_numbers)
+            caller = site.callers("entry0")
+            replies.append(await ask(caller, "/strict/x", body, headers=crashing_prompt(2)))
+
+        async with trio.open_nursery() as nursery:
+            for _ in range(8):
+                nursery.start_soon(call)
+                await trio.sleep(0.15)
+        assert len(crashing_runs(site)) <= CRASHES_TO_LEARN
+        assert [reply.status for reply in replies] == [502] * 8, replies
+        withdrawn = [reply for reply in replies if WITHDRAWN.code.encode() in reply.body]
+        assert len(withdrawn) == 8 - len(crashing_runs(site))
+
+
+async def test_entries_that_restart_after_all_were_killed_refuse_a_barred_part(
+    tmp_path: Path,
+) -> None:
+    async with crashing_site(tmp_path, daemons=True) as site:
+        await wait_offered(site)
+        await bar_crashing_part(site, "entry0")
+        before = len(crashing_runs(site))
+        await trio.sleep(0.5)
+        for name in ("entry0", "entry1"):
+            site.signal(name, signal.SIGKILL)
+            await site.wait_exit(name)
+        for name in ("entry0", "entry1"):
+            site.start(name)
+        await site.wait_ready("entry0", "entry1")
+        for number in range(4):
+            assert is_barred(await ask_crashing(site, f"entry{number % 2}"))
+        assert len(crashing_runs(site)) == before
+
+
+async def test_an_entry_that_starts_later_refuses_a_barred_part_at_its_first_request(
+    tmp_path: Path,
+) -> None:
+    async with crashing_site(tmp_path) as site:
+        site.signal("entry1", signal.SIGKILL)
+        await site.wait_exit("entry1")
+        await bar_crashing_part(site, "entry0")
+        before = len(crashing_runs(site))
+        site.start("entry1")
+        await site.wait_ready("entry1")
+        assert is_barred(await ask_crashing(site, "entry1"))
+        assert len(crashing_runs(site)) == before
+
+
+async def test_an_entry_that_was_frozen_refuses_a_barred_part_as_soon_as_it_goes_on(
+    tmp_path: Path,
+) -> None:
+    async with crashing_site(tmp_path) as site:
+        site.signal("entry1", signal.SIGSTOP)
+        await bar_crashing_part(site, "entry0")
+        await trio.sleep(2.0)
+        before = len(crashing_runs(site))
+        replies: list[Reply] = []
+
+        async def call() -> None:
+            replies.append(await ask_crashing(site, "entry1"))
+
+        async with trio.open_nursery() as nursery:
+            for _ in range(4):
+                nursery.start_soon(call)
+            await trio.sleep(0.1)
+            site.signal("entry1", signal.SIGCONT)
+        assert all(is_barred(reply) for reply in replies), replies
+        assert len(crashing_runs(site)) == before
+
+
+async def test_a_barred_part_is_refused_in_each_spelling_and_served_as_a_last_part(
+    tmp_path: Path,
+) -> None:
+    async with crashing_site(tmp_path) as site:
+        await bar_crashing_part(site, "entry0")
+        before = len(crashing_runs(site))
+        spelled = CRASHING_PART.upper()
+        for parts in (f"{spelled}:1,1:2", f"00{spelled}:7,1:2", f"7:1, {CRASHING_PART} :9 ,1:2"):
+            headers = [(names.PROMPT_PARTS, parts)]
+            assert is_barred(await ask(site.callers("entry0"), "/stream/x", headers=headers))
+        in_two_headers = [(names.PROMPT_PARTS, CRASHING_PART + ":1"), (names.PROMPT_PARTS, "7:1")]
+        assert is_barred(await ask(site.callers("entry0"), "/stream/x", headers=in_two_headers))
+        as_last = [(names.PROMPT_PARTS, f"a1:5,{CRASHING_PART}:9")]
+        reply = await ask(site.callers("entry0"), "/stream/x", headers=as_last)
+        assert reply.status == 200 and reply.whole
+        assert len(crashing_runs(site)) == before
+
+
+async def test_explain_leads_from_a_refused_request_to_the_part_and_the_replicas_it_ended(
+    tmp_path: Path,
+) -> None:
+    async with crashing_site(tmp_path) as site:
+        await bar_crashing_part(site, "entry0")
+        reply = await ask_crashing(site, "entry0")
+        with trio.fail_after(WAIT_SECONDS):
+            while not any(line.get("request") == reply.id for line in site.log("entry0")):
+                await trio.sleep(0.05)
+        ended = {
+            line["replica"]
+            for line in site.log("entry0")
+            if CRASHING_PART in line.get("prompt_parts", {}).values() and "replica" in line
+        }
+    assert len(ended) >= 3
+    trace = read_trace(reply.id, [tmp_path / "entry0.log", tmp_path / "entry1.log"])
+    assert CRASHING_PART in trace.lines[-1]["prompt_parts"].values()
+    explained = "\n".join(map(describe_line, [*trace.lines, *trace.related]))
+    assert "cause judged" in explained and "standing=barred" in explained
+    assert all(replica in explained for replica in ended), explained
--- a/tests/test_replica_losses.py
+++ b/tests/test_replica_losses.py
@@ -1,24 +1,34 @@
 """Tests of the attribution of lost replicas to requests, and of the news that entries exchange."""
 
 import random
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 import msgspec
 import pytest
+from headcross_gateway.attribution import BARRED_SECONDS, Standing
+from headcross_gateway.losses import (
+    LOSS_RETENTION_SECONDS,
+    UNCONFIRMED_LOSS_SECONDS,
+    Evidence,
+    LossKey,
+)
 from headcross_gateway.lossnews import SharedLosses
 from headcross_gateway.replicalosses import (
-    BARRED_SECONDS,
     KNOWN_GOOD_SECONDS,
     MAX_LOSSES,
     MAX_REQUESTS_PER_LOSS,
-    UNCONFIRMED_LOSS_SECONDS,
-    Evidence,
-    LossKey,
     ReplicaLosses,
-    Standing,
 )
 from headcross_gateway.requestidentity import RequestIdentity
-from headcross_wire.peermessages import AnsweredRequest, LossNews, LostReplica, decode, encode
+from headcross_gateway.sharedtraits import SharedTrait, TraitKind
+from headcross_wire.peermessages import (
+    AnsweredRequest,
+    LossNews,
+    LostReplica,
+    TraitAge,
+    decode,
+    encode,
+)
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -279,3 +289,81 @@
     news = shared.suspect_news(2.0)
     assert news is not None
     assert [loss.requests for loss in news.lost] == [[request(CRASHING).to_bytes()]] * 2
+
+
+# News of what requests share.
+
+PART = SharedTrait(TraitKind.PART, b"one part")
+FIRST_PART = SharedTrait(TraitKind.PART, b"1st part")
+
+
+def entry_with_losses(*shared: SharedTrait, count: int = 3) -> SharedLosses:
+    """Return what an entry knows that has lost replicas, one per second from 1 s on."""
+    entry = SharedLosses()
+    for number in range(count):
+        at = number + 1.0
+        entry.blame(loss_key(number), [request(number)], at, Evidence.ENDED, shared, "lm")
+    return entry
+
+
+@pytest.mark.parametrize("news_of", [SharedLosses.take_pending, SharedLosses.all_news])
+def test_an_entry_that_hears_of_a_barred_part_refuses_it(
+    news_of: Callable[[SharedLosses, float], LossNews | None],
+) -> None:
+    entry, other = entry_with_losses(PART), SharedLosses()
+    news = news_of(entry, 4.0)
+    assert news is not None
+    other.receive(decode(encode(news)), 4.5)  # type: ignore[arg-type]
+    assert other.update(4.5)
+    assert other.losses.cause_of_shared({PART}) is not None
+
+
+def test_daemons_keep_a_barred_part_for_entries_that_start_later() -> None:
+    entry, kept, started = entry_with_losses(PART, FIRST_PART), SharedLosses(), SharedLosses()
+    entry.note_shared_answer("lm", [FIRST_PART], 3.5)
+    for sender, receiver in ((entry, kept), (kept, started)):
+        news = sender.suspect_news(4.0)
+        assert news is not None
+        receiver.receive(news, 4.0)
+    assert started.losses.cause_of_shared({PART}) is not None
+    assert started.losses.cause_of_shared({FIRST_PART}) is None
+
+
+def test_an_entry_that_started_is_told_which_blamed_parts_others_have_answered() -> None:
+    started, other = entry_with_losses(FIRST_PART), SharedLosses()
+    other.note_shared_answer("lm", [FIRST_PART], 0.5)
+    assert started.losses.cause_of_shared({FIRST_PART}) is not None
+    news = started.take_pending(4.0)
+    assert news is not None
+    other.receive(news, 4.0)
+    contradiction = other.take_pending(4.1)
+    assert contradiction is not None and len(contradiction.known_traits) == 1
+    started.receive(contradiction, 4.2)
+    started.update(4.2)
+    assert started.losses.cause_of_shared({FIRST_PART}) is None
+    other.receive(news, 4.3)
+    assert other.take_pending(4.4) is None, "others are told once in a while"
+
+
+def test_a_bar_that_is_older_than_the_retention_of_losses_reaches_other_entries() -> None:
+    entry, other = entry_with_losses(PART), SharedLosses()
+    now = 2 * LOSS_RETENTION_SECONDS
+    entry.losses.note_refused([PART], LOSS_RETENTION_SECONDS)
+    entry.losses.note_refused([PART], now)
+    entry.update(now)
+    news = entry.all_news(now)
+    assert news is not None
+    other.receive(news, now)
+    other.update(now)
+    assert other.losses.cause_of_shared({PART}) is not None
+
+
+@pytest.mark.parametrize("data", [b"", b"p", b"x" + bytes(8), b"p" + bytes(9)])
+def test_implausible_traits_are_rejected(data: bytes) -> None:
+    shared = SharedLosses()
+    lost = LostReplica("i-1", None, 1.0, 1, [], [data, PART.to_bytes()], "lm")
+    ages = [TraitAge(data, 1.0), TraitAge(PART.to_bytes(), -1.0)]
+    news = LossNews([lost], answered_traits=ages, known_traits=ages, refused_traits=ages)
+    shared.receive(news, 100.0)
+    assert shared.rejected == 7
+    assert [loss.shared for loss in shared.losses.losses().values()] == [{PART}]
--- a/tests/test_requests_that_end_replicas.py
+++ b/tests/test_requests_that_end_replicas.py
@@ -15,7 +15,7 @@
 import pytest
 import trio
 from headcross_base.errorcodes import ENDS_REPLICAS, WITHDRAWN
-from headcross_gateway.replicalosses import Standing
+from headcross_gateway.attribution import Standing
 
 from testing.machinecaller import Reply, ask
 from testing.machinelayout import KEY, MODEL_SERVICE, PLAIN_SERVICE, WAIT_SECONDS
