A lost replica without broken connections is dated by the last request sent to it

What callers saw: nothing of its own; replicas that went dark one after another under requests with one part, and whose ends became known in the same check, counted as lost in one event, so the part was barred later.

Cause: without a broken or silent attempt, a loss was dated by the moment at which it was noticed. The regression test fails on the code before. A loss that is certain is also no longer ignored when an earlier, uncertain one of the same incarnation was taken back.

--- a/libs/base/src/headcross_base/errorcodes.py
+++ b/libs/base/src/headcross_base/errorcodes.py
@@ -69,8 +69,8 @@
 ENDS_REPLICAS: Final = _define(
     "ends-replicas",
     429,
-    "Replicas ended while they ran this same request; it is not run for now.",
-    "The same path, key and body came before, and replicas ended under it.",
+    "Replicas ended while they ran this same request, or others like it; it is not run for now.",
+    "Replicas ended under the same path, key and body, or under a part of its prompt.",
 )
 NO_ROOM: Final = _define(
     "no-room", 503, "Every replica is at work.", "The service is overloaded, or replicas are away."
@@ -146,8 +146,8 @@
 WITHDRAWN: Final = _define(
     "withdrawn",
     502,
-    "Replicas ended while they ran this same request; it was withdrawn from another.",
-    "The same path, key and body came before, and replicas ended under it.",
+    "Replicas ended while they ran this same request, or others like it; it was withdrawn.",
+    "Replicas ended under the same path, key and body, or under a part of its prompt.",
 )
 STREAM_BROKEN: Final = _define(
     "stream-broken", 502, "The answer broke off and could not be resumed.", "See link-lost."
--- a/libs/gateway/src/headcross_gateway/losswatch.py
+++ b/libs/gateway/src/headcross_gateway/losswatch.py
@@ -159,8 +159,7 @@
 
     def _note_ended(self, key: LossKey, attempts: list[TrackedAttempt]) -> None:
         """Blame the end of a replica on all its attempts, also on those in progress."""
-        lost_times = [a.ended_at for a in attempts if a.was_lost and a.ended_at is not None]
-        at = min(lost_times, default=self._clock())
+        at = _lost_at(attempts)
         running = [
             a
             for a in attempts
@@ -249,6 +248,16 @@
     return all(trait in request.shared for trait in cause.shared)
 
 
+def _lost_at(attempts: list[TrackedAttempt]) -> float:
+    """Return about when a replica was lost that has ended.
+
+    If no attempt showed that, the last one was sent at about that time. The time at which the end
+    becomes known may be the same for replicas that were lost one after another.
+    """
+    lost_times = [a.ended_at for a in attempts if a.was_lost and a.ended_at is not None]
+    return min(lost_times, default=max(attempt.assigned_at for attempt in attempts))
+
+
 def _was_not_lost(attempts: list[TrackedAttempt]) -> bool:
     """Return whether a replica left as announced, or still ran after its last lost attempt."""
     replica_state = attempts[0].replica_state
--- a/libs/gateway/src/headcross_gateway/replicalosses.py
+++ b/libs/gateway/src/headcross_gateway/replicalosses.py
@@ -81,7 +81,9 @@
         `shared` has the traits that the requests may share with others. Without requests, only the
         loss itself is recorded.
         """
-        if self._alive_at.get(key, NEVER) >= at:
+        if evidence is Evidence.ENDED:
+            at = max(at, self._alive_at.get(key, at))
+        elif self._alive_at.get(key, NEVER) >= at:
             return False
         is_new = key not in self._losses
         loss = self._losses.setdefault(key, Loss(at, evidence))
--- a/tests/test_loss_watch.py
+++ b/tests/test_loss_watch.py
@@ -295,3 +295,19 @@
     assert site.shared.update(site.now)
     site.watch.withdraw(site.shared.barred())
     assert [attempt_times.request_barred for attempt_times in times] == [True, False]
+
+
+def test_replicas_whose_ends_become_known_together_were_not_lost_in_one_event(site: Site) -> None:
+    sent_at = []
+    for number in range(3):
+        listed = site.state.replica
+        replica = Replica(f"i-{number}", "lm", listed.address, "z0", 8, False, listed.loaded)
+        state = ReplicaState(replica, replaced_or_unlisted=True)
+        site.now += 0.5
+        sent_at.append(site.now)
+        identity = RequestIdentity(b"group---", b"scope---", b"body---%d" % number)
+        request = StubRequest(frozenset([PART]), identity)
+        site.watch.begin(cast(Admitted, request), state, AttemptTimes())
+    site.pass_time(3.0)
+    assert [loss.at for loss in site.shared.losses.losses().values()] == sent_at
+    assert site.shared.losses.cause_of_shared({PART}) is not None
