An entry that was paused applies what it missed before its next request

What callers saw: right after an entry went on from a freeze, requests with a part that others had barred reached replicas (seen in tests/test_prompt_parts_that_crash_replicas.py beside other tests, in each run: 2 to 4 arrivals).

Causes, each found in the logs of that test: answers to questions from before the pause ended the wait (questions are numbered now); what was known of other entries had expired, so nobody was asked (the last known ones are asked); news that had waited in the socket dated three losses at one moment, which counts as one event, and the right times that came with the answer were not applied.

Beside it: a refused connection is a field of ConnectError.

--- a/libs/daemon/src/headcross_daemon/entrynews.py
+++ b/libs/daemon/src/headcross_daemon/entrynews.py
@@ -66,6 +66,7 @@
         self._zone_entries = zone_entries
         self._daemons = daemons
         self._control_port = control_port
+        self._entries_before: list[Address] = []
 
     def receive_replica_news(self, news: ReplicaNews) -> list[ReplicaState]:
         """Record news of replicas from another entry; return the replicas whose state changed."""
@@ -97,18 +98,22 @@
                     nursery.start_soon(self._send, suspect_news, self._daemons_for_losses())
                 await trio.sleep(NEWS_BATCH_SECONDS)
 
-    def ask_losses(self) -> bool:
-        """Ask some other entries for the losses they know; return whether any entry is known."""
-        entries = self._entries()
+    def ask_losses(self, number: int) -> bool:
+        """Ask some other entries for the losses they know; return whether any entry is known.
+
+        `number` identifies the question.
+        """
+        # Right after a pause, what was known of other entries has expired.
+        entries = self._entries_before = self._entries() or self._entries_before
         asked = min(ENTRIES_ASKED, len(entries)) if self._node.is_running else 0
         for address in random.sample(entries, asked):
-            self._node.send(address, AskLosses())
+            self._node.send(address, AskLosses(number))
         return bool(entries)
 
-    def answer_losses(self, reply: Reply) -> None:
+    def answer_losses(self, asked: AskLosses, reply: Reply) -> None:
         """Answer an entry that asked for all losses."""
         news = self._containment.shared.all_news(monotonic()) or LossNews()
-        reply(msgspec.structs.replace(news, is_answer=True), None)
+        reply(msgspec.structs.replace(news, answered_number=asked.number), None)
 
     def repeat_news(self) -> None:
         """Send all news that is still valid to a few entries selected at random."""
@@ -116,6 +121,7 @@
         loss_news = self._containment.shared.all_news(now)
         replica_news = all_news(self._directory.states(), now)
         entries = self._entries()
+        self._entries_before = entries or self._entries_before
         for address in random.sample(entries, min(ENTRIES_PER_REPEAT, len(entries))):
             for news in (loss_news, replica_news):
                 if news is not None:
--- a/libs/daemon/src/headcross_daemon/gatewayrole.py
+++ b/libs/daemon/src/headcross_daemon/gatewayrole.py
@@ -120,7 +120,9 @@
         picker = Picker(settings.zone, self._directory, rules)
         self._admission = Admission(picker, self._overload.reserved_share)
         budget = RetryBudget(settings.bounds.retry_ratio, settings.bounds.retry_slack)
-        self._catch_up = LossCatchUp(self.process.pauses, lambda: self._news.ask_losses())
+        self._catch_up = LossCatchUp(
+            self.process.pauses, lambda number: self._news.ask_losses(number)
+        )
         self._containment = Containment(
             self._directory.find, lambda: facts.complete, self._catch_up
         )
@@ -355,7 +357,7 @@
             self._containment.receive(incoming.message)
             return
         if isinstance(incoming.message, AskLosses):
-            self._news.answer_losses(incoming.reply)
+            self._news.answer_losses(incoming.message, incoming.reply)
             return
         if isinstance(incoming.message, ReplicaNews):
             for changed in self._news.receive_replica_news(incoming.message):
--- a/libs/gateway/src/headcross_gateway/attempts.py
+++ b/libs/gateway/src/headcross_gateway/attempts.py
@@ -32,7 +32,7 @@
 from headcross_base.monotonic import monotonic
 from headcross_ports.requests import AnswerFacts, HandOver, RequestDialect, RequestFacts
 from headcross_wire.httpclient import HttpConnection
-from headcross_wire.httpcodec import Answer, ConnectError, ConnectRefusedError, LinkLostError
+from headcross_wire.httpcodec import Answer, ConnectError, LinkLostError
 from headcross_wire.httprequest import Request
 
 from headcross_gateway.connections import ReplicaConnections
@@ -166,8 +166,7 @@
             else:
                 outcome = begun
         except ConnectError as error:
-            refused = isinstance(error, ConnectRefusedError)
-            return DidNotRun(UNREACHED, str(error), arrived=False, refused=refused)
+            return DidNotRun(UNREACHED, str(error), arrived=False, refused=error.refused)
         except LinkUnprovenError as error:
             assert connection is not None
             await connection.abandon()
--- a/libs/gateway/src/headcross_gateway/containment.py
+++ b/libs/gateway/src/headcross_gateway/containment.py
@@ -139,8 +139,8 @@
         """Apply the news of another entry."""
         self.shared.receive(news, monotonic())
         self.update()
-        if news.is_answer:
-            self._catch_up.note_answer()
+        if news.answered_number is not None:
+            self._catch_up.note_answer(news.answered_number)
 
     def update(self) -> None:
         """Update the losses from what is known of replicas, and withdraw barred requests."""
--- a/libs/gateway/src/headcross_gateway/replicalosses.py
+++ b/libs/gateway/src/headcross_gateway/replicalosses.py
@@ -88,7 +88,11 @@
         is_new = key not in self._losses
         loss = self._losses.setdefault(key, Loss(at, evidence))
         is_stronger = evidence > loss.evidence or (is_new and not (requests or shared))
-        loss.at, loss.evidence = min(loss.at, at), max(loss.evidence, evidence)
+        if at < loss.at:
+            # News that was delayed dates a loss too late, and losses at one time as one event.
+            loss.at = at
+            self._causes_are_current = False
+        loss.evidence = max(loss.evidence, evidence)
         loss.service = loss.service or service
         new = {identity for identity in requests if self._may_blame(identity, loss)}
         room = MAX_REQUESTS_PER_LOSS - len(loss.requests)
--- a/libs/wire/src/headcross_wire/httpclient.py
+++ b/libs/wire/src/headcross_wire/httpclient.py
@@ -23,7 +23,6 @@
     Answer,
     ClientCodec,
     ConnectError,
-    ConnectRefusedError,
     Headers,
     LinkLostError,
     WholeAnswer,
@@ -108,8 +107,8 @@
                 address.ip, address.port, local_address=SOURCE_IP.get()
             )
     except (OSError, trio.TooSlowError) as error:
-        kind = ConnectRefusedError if _is_refusal(error) else ConnectError
-        raise kind(f"{address}: {error or 'timed out'}") from None
+        detail = f"{address}: {error or 'timed out'}"
+        raise ConnectError(detail, refused=_is_refusal(error)) from None
     return HttpConnection(stream, address)
 
 
--- a/libs/wire/src/headcross_wire/httpcodec.py
+++ b/libs/wire/src/headcross_wire/httpcodec.py
@@ -21,9 +21,12 @@
 class ConnectError(Exception):
     """No connection was made; nothing of the request was sent."""
 
+    # Whether nothing listens at the address.
+    refused: bool
 
-class ConnectRefusedError(ConnectError):
-    """Nothing listens at the address."""
+    def __init__(self, detail: str, *, refused: bool = False) -> None:
+        super().__init__(detail)
+        self.refused = refused
 
 
 class LinkLostError(Exception):
--- a/libs/wire/src/headcross_wire/peermessages.py
+++ b/libs/wire/src/headcross_wire/peermessages.py
@@ -354,12 +354,15 @@
     known_traits: list[TraitAge] = []
     # Traits because of which requests are refused, and were last refused.
     refused_traits: list[TraitAge] = []
-    is_answer: bool = False  # all that the sender knows, in answer to `AskLosses`
+    # The number of the `AskLosses` that this answers with all that the sender knows.
+    answered_number: int | None = None
 
 
 class AskLosses(_Message, frozen=True, tag=56):
     """Asks an entry for all losses that it knows."""
 
+    number: int  # repeated in the answer
+
 
 class ReplicaBackpressure(_Message, frozen=True):
     """The backpressure that one incarnation of a replica asks of all entries."""
--- a/tests/test_replica_losses.py
+++ b/tests/test_replica_losses.py
@@ -367,3 +367,21 @@
     shared.receive(news, 100.0)
     assert shared.rejected == 7
     assert [loss.shared for loss in shared.losses.losses().values()] == [{PART}]
+
+
+def test_a_part_is_barred_once_losses_that_delayed_news_dated_alike_are_told_in_order() -> None:
+    entry, paused = SharedLosses(), SharedLosses()
+    delayed: list[LossNews] = []
+    for number in range(3):
+        at = number + 1.0
+        entry.blame(loss_key(number), [request(number)], at, Evidence.BROKEN, [PART], "lm")
+        news = entry.take_pending(at)
+        assert news is not None
+        delayed.append(news)
+    for news in delayed:
+        paused.receive(news, 6.0)
+    assert paused.losses.cause_of_shared({PART}) is None
+    news_in_order = entry.all_news(6.0)
+    assert news_in_order is not None
+    paused.receive(news_in_order, 6.0)
+    assert paused.losses.cause_of_shared({PART}) is not None
