--- a/libs/gateway/src/headcross_gateway/lossnews.py
+++ b/libs/gateway/src/headcross_gateway/lossnews.py
@@ -9,7 +9,7 @@
 import math
 from collections import Counter
 from collections.abc import Callable, Collection, Iterable
-from typing import Final
+from typing import Final, TypeVar
 
 from headcross_wire.peermessages import AnsweredRequest, LossNews, LostReplica, TraitAge
 
@@ -25,6 +25,7 @@
 MAX_AGE_SECONDS: Final = 30 * 24 * 3600.0
 # An entry tells the others once in this time that it has answered requests with a blamed trait.
 ANSWERED_NEWS_SECONDS: Final = 10.0
+T = TypeVar("T")
 
 logger = logging.getLogger(__name__)
 
@@ -145,7 +146,7 @@
             if self._is_plausible(alive.age):
                 self.losses.retract(LossKey(alive.replica, alive.started_ms), now - alive.age)
         for answered in news.answered:
-            identity = self._decode_identity(answered.request)
+            identity = self._decode(RequestIdentity.from_bytes, answered.request)
             if identity is not None and self._is_plausible(answered.age):
                 self.losses.note_answer(identity, now - answered.age)
         for trait, at in self._decode_ages(news.answered_traits, now):
@@ -163,9 +164,9 @@
         if not self._is_plausible(lost.age):
             return
         key = LossKey(lost.replica, lost.started_ms)
-        decoded = [self._decode_identity(data) for data in lost.requests]
+        decoded = [self._decode(RequestIdentity.from_bytes, data) for data in lost.requests]
         identities = [identity for identity in decoded if identity is not None]
-        decoded_traits = [self._decode_trait(data) for data in lost.shared]
+        decoded_traits = [self._decode(SharedTrait.from_bytes, data) for data in lost.shared]
         shared = [trait for trait in decoded_traits if trait is not None]
         has_valid_items = bool(identities or shared) or not (lost.requests or lost.shared)
         if has_valid_items and self._is_evidence(lost.evidence):
@@ -197,16 +198,9 @@
         self.rejected += 1
         return False
 
-    def _decode_identity(self, data: bytes) -> RequestIdentity | None:
+    def _decode(self, from_bytes: Callable[[bytes], T], data: bytes) -> T | None:
         try:
-            return RequestIdentity.from_bytes(data)
-        except ValueError:
-            self.rejected += 1
-            return None
-
-    def _decode_trait(self, data: bytes) -> SharedTrait | None:
-        try:
-            return SharedTrait.from_bytes(data)
+            return from_bytes(data)
         except ValueError:
             self.rejected += 1
             return None
@@ -215,7 +209,7 @@
         self, ages: Iterable[TraitAge], now: float
     ) -> Iterable[tuple[SharedTrait, float]]:
         for item in ages:
-            trait = self._decode_trait(item.trait)
+            trait = self._decode(SharedTrait.from_bytes, item.trait)
             if trait is not None and self._is_plausible(item.age):
                 yield trait, now - item.age
 
--- a/libs/gateway/src/headcross_gateway/requestidentity.py
+++ b/libs/gateway/src/headcross_gateway/requestidentity.py
@@ -51,7 +51,7 @@
 
 
 def group_of(team: str | None, route: str) -> bytes:
-    """Return the digest of a team and a route, whose requests are also judged as a group."""
+    """Return the digest of a team, None if there is none, and a route."""
     return _digest("\0".join((route, "" if team is None else f"team {team}")).encode())
 
 
