An entry that catches up holds no slot meanwhile; log lines name few parts

Read in the diff: a request that had acquired a slot waited for other entries' news with it, and leaked it if its deadline passed then. It now gives the slot back and begins again. An attempt's log line names 16 parts at most, a refusal those of its cause.

--- a/libs/gateway/src/headcross_gateway/containment.py
+++ b/libs/gateway/src/headcross_gateway/containment.py
@@ -55,9 +55,13 @@
         self.shared = SharedLosses(lambda: self._news_pending.set())
         self.watch = LossWatch(self.shared)
 
+    def is_behind(self) -> bool:
+        """Return whether this entry may have missed news of losses."""
+        return self._catch_up.is_behind()
+
     async def wait_until_informed(self) -> None:
         """Wait, for a limited time, for news that this entry may have missed."""
-        if self._catch_up.is_behind():
+        if self.is_behind():
             await self._catch_up.wait()
 
     def is_clear(self, request: Admitted) -> bool:
--- a/libs/gateway/src/headcross_gateway/requestlog.py
+++ b/libs/gateway/src/headcross_gateway/requestlog.py
@@ -3,6 +3,7 @@
 import logging
 import math
 from dataclasses import dataclass
+from itertools import islice
 from typing import Final
 
 import trio
@@ -13,7 +14,9 @@
 from headcross_gateway.attempts import AttemptTimes
 from headcross_gateway.outcomes import CompleteAnswer, DidNotRun, MayRun, Outcome, Streamed
 from headcross_gateway.replicastate import ReplicaState
+from headcross_gateway.sharedtraits import SharedTrait
 
+MAX_LOGGED_PARTS: Final = 16
 MAX_LOGGED_ID_LENGTH: Final = 64
 
 logger = logging.getLogger(__name__)
@@ -57,7 +60,7 @@
         fields["weights_left"] = round(weights.seconds_left, 2)
     if isinstance(outcome, MayRun) and not outcome.withdrawn:
         fields["request_digest"] = str(request.identity)
-        fields["prompt_parts"] = _named_parts(request)
+        fields["prompt_parts"] = _named_parts(request.parts)
     if isinstance(outcome, CompleteAnswer | Streamed) and outcome.ends_with_connection:
         fields["ends_with_connection"] = True
     if times.proof_seconds is not None:
@@ -88,9 +91,7 @@
     }
     if request is not None and refusal.reason in (ENDS_REPLICAS, WITHDRAWN):
         fields["request_digest"] = str(request.identity)
-        fields["prompt_parts"] = _named_parts(request)
-        if request.barring_cause is not None:
-            fields["cause"] = str(request.barring_cause)
+        fields |= _cause_fields(request)
     logger.info("refused", extra={**request_fields, **fields})
 
 
@@ -128,9 +129,19 @@
     }
 
 
-def _named_parts(request: Admitted) -> dict[str, str]:
-    """Return the ids of the prompt's parts by the names that their traits have in the log."""
-    return {str(trait): part[:MAX_LOGGED_ID_LENGTH] for trait, part in request.parts.items()}
+def _cause_fields(request: Admitted) -> dict[str, object]:
+    """Return what replicas were lost to that affects a request, with the parts it is made of."""
+    cause = request.barring_cause
+    if cause is None:
+        return {}
+    parts = {trait: part for trait, part in request.parts.items() if trait in cause.shared}
+    return {"cause": str(cause), "prompt_parts": _named_parts(parts)}
+
+
+def _named_parts(parts: dict[SharedTrait, str]) -> dict[str, str]:
+    """Return the ids of parts by the names that their traits have in the log."""
+    logged = islice(parts.items(), MAX_LOGGED_PARTS)
+    return {str(trait): part[:MAX_LOGGED_ID_LENGTH] for trait, part in logged}
 
 
 def _milliseconds_since(moment: float) -> float:
--- a/libs/gateway/src/headcross_gateway/requestpath.py
+++ b/libs/gateway/src/headcross_gateway/requestpath.py
@@ -229,8 +229,7 @@
                 return self._final_refusal(
                     request, self._no_room_refusal(request, last_refusal, opening_seconds)
                 )
-            await self._containment.wait_until_informed()
-            if self._containment.refusal_of(request) is not None:
+            if self._containment.is_behind() or self._containment.refusal_of(request) is not None:
                 self._admission.release_slot(replica_state)
                 continue
             weights = self._weights_of(request, replica_state)
