Names of what requests share; a leaving replica that refuses connections is no loss

What callers saw: nothing measured. Read in the diff: an answer without length and chunks that a leaving replica gave last would have been blamed for a moment once nothing listened there any more. The regression test fails on the code before. request.shared, loss.shared and cause.shared are named shared_traits, since SharedLosses stands beside them.

--- a/libs/gateway/src/headcross_gateway/admitted.py
+++ b/libs/gateway/src/headcross_gateway/admitted.py
@@ -51,7 +51,7 @@
     _identity: RequestIdentity | None = None
     _group: bytes | None = None
     _parts: dict[SharedTrait, str] | None = None
-    _shared: frozenset[SharedTrait] | None = None
+    _shared_traits: frozenset[SharedTrait] | None = None
     # Why it is refused or withdrawn, if replicas were lost under it or under others like it.
     barring_cause: Cause | None = None
 
@@ -77,11 +77,13 @@
         return self._parts
 
     @property
-    def shared(self) -> frozenset[SharedTrait]:
+    def shared_traits(self) -> frozenset[SharedTrait]:
         """What it may share with others: its caller and parts of its prompt."""
-        if self._shared is None:
-            self._shared = frozenset([SharedTrait(TraitKind.CALLER, self.group), *self.parts])
-        return self._shared
+        if self._shared_traits is None:
+            self._shared_traits = frozenset(
+                [SharedTrait(TraitKind.CALLER, self.group), *self.parts]
+            )
+        return self._shared_traits
 
     @property
     def priority(self) -> int:
--- a/libs/gateway/src/headcross_gateway/attribution.py
+++ b/libs/gateway/src/headcross_gateway/attribution.py
@@ -73,14 +73,14 @@
         return next((t for t in self.traits if isinstance(t, RequestIdentity)), None)
 
     @property
-    def shared(self) -> frozenset[SharedTrait]:
+    def shared_traits(self) -> frozenset[SharedTrait]:
         """Its traits if it affects different requests, empty if it is a single one."""
         return frozenset(t for t in self.traits if isinstance(t, SharedTrait))
 
     @property
     def is_caller(self) -> bool:
         """Whether it affects all requests of a caller."""
-        return any(trait.kind is TraitKind.CALLER for trait in self.shared)
+        return any(trait.kind is TraitKind.CALLER for trait in self.shared_traits)
 
     @property
     def standing(self) -> Standing:
--- a/libs/gateway/src/headcross_gateway/containment.py
+++ b/libs/gateway/src/headcross_gateway/containment.py
@@ -103,9 +103,9 @@
         losses = self.shared.losses
         if losses.is_empty:
             return None
-        cause = losses.cause_of_shared(request.shared)
+        cause = losses.cause_of_shared(request.shared_traits)
         if cause is not None:
-            losses.note_refused(cause.shared, monotonic())
+            losses.note_refused(cause.shared_traits, monotonic())
         return cause
 
     def _refusal_by_caller(self, request: Admitted, cause: Cause) -> NotRun | None:
@@ -160,7 +160,7 @@
         """
         for key, loss in self.shared.losses.losses().items():
             if loss.traits() and not loss.is_certain and self._has_ended(key):
-                requests, shared = list(loss.requests), list(loss.shared)
+                requests, shared = list(loss.requests), list(loss.shared_traits)
                 self.shared.blame(key, requests, loss.at, Evidence.ENDED, shared)
 
     def _has_ended(self, key: LossKey) -> bool:
--- a/libs/gateway/src/headcross_gateway/losses.py
+++ b/libs/gateway/src/headcross_gateway/losses.py
@@ -39,7 +39,7 @@
     evidence: Evidence
     service: str = ""  # of the replica; empty if it is not known
     requests: set[RequestIdentity] = field(default_factory=set)
-    shared: set[SharedTrait] = field(default_factory=set)  # of these requests
+    shared_traits: set[SharedTrait] = field(default_factory=set)  # of these requests
 
     @property
     def is_certain(self) -> bool:
@@ -48,7 +48,7 @@
 
     def traits(self) -> list[Trait]:
         """Return everything that may have crashed the replica."""
-        return [*self.requests, *self.shared]
+        return [*self.requests, *self.shared_traits]
 
     def expires_at(self) -> float:
         """Return when this loss is dropped."""
--- a/libs/gateway/src/headcross_gateway/lossnews.py
+++ b/libs/gateway/src/headcross_gateway/lossnews.py
@@ -70,7 +70,7 @@
         if self.losses.blame(key, requests, at, evidence, shared, service):
             blamed = self._lost.setdefault(key, _Blamed())
             blamed.requests.update(requests)
-            blamed.shared.update(shared)
+            blamed.shared_traits.update(shared)
             self._on_news()
 
     def retract(self, key: LossKey, at: float) -> None:
@@ -99,7 +99,7 @@
         """Return what this entry observed itself since the last call, None if nothing."""
         known = self.losses.losses()
         lost = [
-            _lost_replica(key, known[key], blamed.requests, blamed.shared, now)
+            _lost_replica(key, known[key], blamed.requests, blamed.shared_traits, now)
             for key, blamed in self._lost.items()
             if key in known
         ]
@@ -130,7 +130,7 @@
 
     def _news_of(self, traits: set[Trait], now: float) -> LossNews | None:
         lost = [
-            _lost_replica(key, loss, loss.requests & traits, loss.shared & traits, now)
+            _lost_replica(key, loss, loss.requests & traits, loss.shared_traits & traits, now)
             for key, loss in self.losses.losses().items()
             if not traits.isdisjoint(loss.traits())
         ]
@@ -166,9 +166,11 @@
         key = LossKey(lost.replica, lost.started_ms)
         decoded = [self._decode(RequestIdentity.from_bytes, data) for data in lost.requests]
         identities = [identity for identity in decoded if identity is not None]
-        decoded_traits = [self._decode(SharedTrait.from_bytes, data) for data in lost.shared]
+        decoded_traits = [
+            self._decode(SharedTrait.from_bytes, data) for data in lost.shared_traits
+        ]
         shared = [trait for trait in decoded_traits if trait is not None]
-        has_valid_items = bool(identities or shared) or not (lost.requests or lost.shared)
+        has_valid_items = bool(identities or shared) or not (lost.requests or lost.shared_traits)
         if has_valid_items and self._is_evidence(lost.evidence):
             at, evidence = now - lost.age, Evidence(lost.evidence)
             self.losses.blame(key, identities, at, evidence, shared, lost.service)
@@ -267,7 +269,7 @@
 
     def __init__(self) -> None:
         self.requests: set[RequestIdentity] = set()
-        self.shared: set[SharedTrait] = set()
+        self.shared_traits: set[SharedTrait] = set()
 
 
 def _standing_now(cause: Cause, now: float) -> Standing:
@@ -289,7 +291,7 @@
         now - loss.at,
         int(loss.evidence),
         [identity.to_bytes() for identity in requests if identity in loss.requests],
-        [trait.to_bytes() for trait in shared if trait in loss.shared],
+        [trait.to_bytes() for trait in shared if trait in loss.shared_traits],
         loss.service,
     )
 
--- a/libs/gateway/src/headcross_gateway/losswatch.py
+++ b/libs/gateway/src/headcross_gateway/losswatch.py
@@ -107,10 +107,11 @@
             case Sign.SILENT:
                 self._blame(attempt.key, [attempt], now, Evidence.SILENT)
             case Sign.REFUSED:
-                # Attempts of other entries may have ended with their connections there.
-                self._shared.blame(attempt.key, [], now, Evidence.BROKEN)
-                self._blame_ended_around(attempt.key, now)
                 self._forget(attempt)
+                if not attempt.replica_state.is_leaving():
+                    # Attempts of other entries may have ended with their connections there.
+                    self._shared.blame(attempt.key, [], now, Evidence.BROKEN)
+                    self._blame_ended_around(attempt.key, now)
             case Sign.NOTHING:
                 self._forget(attempt)
 
@@ -134,8 +135,10 @@
         """Withdraw those attempts affected by some causes that replicas have not begun."""
         for attempts in self._tracked.values():
             for attempt in attempts:
+                if attempt.ended_at is not None:
+                    continue
                 cause = next((c for c in causes if affects(c, attempt.request)), None)
-                if attempt.ended_at is None and cause is not None:
+                if cause is not None:
                     attempt.request.barring_cause = cause
                     attempt.times.withdraw()
 
@@ -209,7 +212,9 @@
     def _note_answer(self, attempt: TrackedAttempt, at: float) -> None:
         """Record a complete answer, which clears the request and what it shares with others."""
         request = attempt.request
-        self._shared.note_shared_answer(attempt.replica_state.replica.service, request.shared, at)
+        self._shared.note_shared_answer(
+            attempt.replica_state.replica.service, request.shared_traits, at
+        )
         losses = self._shared.losses
         if not losses.is_empty and losses.has_loss_in_scope(request.identity.scope):
             self._shared.note_answer(request.identity, at)
@@ -233,7 +238,7 @@
     ) -> None:
         service = attempts[0].replica_state.replica.service if attempts else ""
         identities = [attempt.request.identity for attempt in attempts]
-        shared = [trait for attempt in attempts for trait in attempt.request.shared]
+        shared = [trait for attempt in attempts for trait in attempt.request.shared_traits]
         self._shared.blame(key, identities, at, evidence, shared, service)
 
     def _forget(self, attempt: TrackedAttempt) -> None:
@@ -245,7 +250,7 @@
     """Return whether a request has all traits of a cause."""
     if cause.request is not None:
         return request.identity == cause.request
-    return all(trait in request.shared for trait in cause.shared)
+    return all(trait in request.shared_traits for trait in cause.shared_traits)
 
 
 def _lost_at(attempts: list[TrackedAttempt]) -> float:
--- a/libs/gateway/src/headcross_gateway/replicalosses.py
+++ b/libs/gateway/src/headcross_gateway/replicalosses.py
@@ -94,16 +94,16 @@
             self._causes_are_current = False
         loss.evidence = max(loss.evidence, evidence)
         loss.service = loss.service or service
-        new = {identity for identity in requests if self._may_blame(identity, loss)}
         room = MAX_REQUESTS_PER_LOSS - len(loss.requests)
-        for identity in list(new)[:room]:
+        new_requests = [i for i in dict.fromkeys(requests) if self._may_blame(i, loss)][:room]
+        room = MAX_SHARED_PER_LOSS - len(loss.shared_traits)
+        new_shared = [t for t in dict.fromkeys(shared) if t not in loss.shared_traits][:room]
+        for identity in new_requests:
             self._add(key, identity)
-        new_shared = [trait for trait in dict.fromkeys(shared) if trait not in loss.shared]
-        shared_room = MAX_SHARED_PER_LOSS - len(loss.shared)
-        for trait in new_shared[:shared_room]:
+        for trait in new_shared:
             self._add(key, trait)
         self._drop_excess()
-        is_news = is_stronger or bool(new and room) or bool(new_shared and shared_room)
+        is_news = is_stronger or bool(new_requests or new_shared)
         self._causes_are_current = not is_news and self._causes_are_current
         return is_news
 
@@ -213,7 +213,7 @@
         self._update_causes()
         for trait in shared:
             for cause in self._causes_by_trait.get(trait, ()):
-                if all(other in shared for other in cause.shared):
+                if all(other in shared for other in cause.shared_traits):
                     return cause
         return None
 
@@ -285,9 +285,9 @@
             barring = self._barring_losses()
             free = (key for key in self._losses if key not in barring)
             self._drop(next(free, next(iter(self._losses))))
-        excess = sum(len(loss.shared) for loss in self._losses.values()) - MAX_SHARED
+        excess = sum(len(loss.shared_traits) for loss in self._losses.values()) - MAX_SHARED
         for key, loss in list(self._losses.items()) if excess > 0 else ():
-            single = [trait for trait in loss.shared if trait not in self._repeated]
+            single = [trait for trait in loss.shared_traits if trait not in self._repeated]
             for trait in single[: max(0, excess)]:
                 self._remove(key, trait)
             excess -= len(single)
@@ -303,7 +303,7 @@
             if trait not in self._losses_by_trait:
                 self._request_counts_by_scope[trait.scope] += 1
         else:
-            loss.shared.add(trait)
+            loss.shared_traits.add(trait)
         keys = self._losses_by_trait.setdefault(trait, set())
         keys.add(key)
         if len(keys) >= SUSPECT_LOSSES:
@@ -314,7 +314,7 @@
         if isinstance(trait, RequestIdentity):
             loss.requests.discard(trait)
         else:
-            loss.shared.discard(trait)
+            loss.shared_traits.discard(trait)
         keys = self._losses_by_trait[trait]
         keys.discard(key)
         if len(keys) < SUSPECT_LOSSES:
--- a/libs/gateway/src/headcross_gateway/requestlog.py
+++ b/libs/gateway/src/headcross_gateway/requestlog.py
@@ -134,7 +134,7 @@
     cause = request.barring_cause
     if cause is None:
         return {}
-    parts = {trait: part for trait, part in request.parts.items() if trait in cause.shared}
+    parts = {trait: part for trait, part in request.parts.items() if trait in cause.shared_traits}
     return {"cause": str(cause), "prompt_parts": _named_parts(parts)}
 
 
--- a/libs/wire/src/headcross_wire/peermessages.py
+++ b/libs/wire/src/headcross_wire/peermessages.py
@@ -324,7 +324,7 @@
     age: float  # seconds since it was lost, or was found alive
     evidence: int = 1  # value of Evidence; see headcross_gateway
     requests: list[bytes] = []  # identities of requests that ran there; see headcross_gateway
-    shared: list[bytes] = []  # traits that these requests may share with others
+    shared_traits: list[bytes] = []  # that these requests may share with others
     service: str = ""  # of the replica; empty if unknown
 
 
--- a/tests/test_attribution.py
+++ b/tests/test_attribution.py
@@ -82,7 +82,7 @@
     assert history.cause(CRASHING) is None
     history.lose(CRASHING, FIRST, OTHER)
     cause = history.cause(CRASHING, FIRST)
-    assert cause is not None and cause.shared == {CRASHING}
+    assert cause is not None and cause.shared_traits == {CRASHING}
     assert history.cause(FIRST) is history.cause(OTHER) is history.cause(FIRST, OTHER) is None
 
 
@@ -248,8 +248,8 @@
         invented = [part(next(numbers)) for _ in range(2 * MAX_PARTS)]
         history.lose(OTHER, *invented)
         recorded = history.known.losses().values()
-        assert sum(len(loss.shared) for loss in recorded) <= MAX_SHARED
-        assert max(len(loss.shared) for loss in recorded) <= MAX_SHARED_PER_LOSS
+        assert sum(len(loss.shared_traits) for loss in recorded) <= MAX_SHARED
+        assert max(len(loss.shared_traits) for loss in recorded) <= MAX_SHARED_PER_LOSS
         assert len(recorded) <= MAX_LOSSES
         if number == 2:
             assert history.cause(OTHER) is not None
--- a/tests/test_loss_watch.py
+++ b/tests/test_loss_watch.py
@@ -29,7 +29,7 @@
 class StubRequest:
     """The part of an admitted request that LossWatch reads."""
 
-    shared: frozenset[SharedTrait] = frozenset()
+    shared_traits: frozenset[SharedTrait] = frozenset()
     identity: RequestIdentity = field(
         default_factory=lambda: RequestIdentity(b"group---", b"scope---", b"body----")
     )
@@ -203,7 +203,7 @@
 
 def lost_parts(site: Site) -> list[set[SharedTrait]]:
     """Return the shared traits of each recorded loss."""
-    return [loss.shared for loss in site.shared.losses.losses().values()]
+    return [loss.shared_traits for loss in site.shared.losses.losses().values()]
 
 
 def test_an_answer_that_ended_with_its_connection_clears_nothing_while_its_replica_may_be_lost(
@@ -311,3 +311,10 @@
     site.pass_time(3.0)
     assert [loss.at for loss in site.shared.losses.losses().values()] == sent_at
     assert site.shared.losses.cause_of_shared({PART}) is not None
+
+
+def test_a_replica_that_leaves_and_refuses_connections_is_no_loss(site: Site) -> None:
+    site.attempt(CLOSED, PART)
+    site.state.backpressure.leave("test")
+    site.attempt(DidNotRun(UNREACHED, "refused", arrived=False, refused=True))
+    assert not lost_parts(site)
--- a/tests/test_replica_losses.py
+++ b/tests/test_replica_losses.py
@@ -366,7 +366,7 @@
     news = LossNews([lost], answered_traits=ages, known_traits=ages, refused_traits=ages)
     shared.receive(news, 100.0)
     assert shared.rejected == 7
-    assert [loss.shared for loss in shared.losses.losses().values()] == [{PART}]
+    assert [loss.shared_traits for loss in shared.losses.losses().values()] == [{PART}]
 
 
 def test_a_part_is_barred_once_losses_that_delayed_news_dated_alike_are_told_in_order() -> None:
