News of losses are read across releases again

What callers would have seen: while a release is rolled out, entries of both releases reject each other's news of losses whole, so what one of them has barred reaches replicas from the other, and each side pays for itself.

Cause: messages are encoded as arrays, so a field is known by its place. put answered_traits where the release before has host, and known_traits where it has groups.

Change: host and groups keep their places, unread; the new fields follow them.

--- a/libs/gateway/src/headcross_gateway/lossnews.py
+++ b/libs/gateway/src/headcross_gateway/lossnews.py
@@ -114,7 +114,13 @@
         self._known_traits.clear()
         if not (lost or alive or answered or answered_traits or known_traits):
             return None
-        return LossNews(lost, alive, answered, answered_traits, known_traits)
+        return LossNews(
+            lost,
+            alive,
+            answered,
+            answered_traits=answered_traits,
+            known_traits=known_traits,
+        )
 
     def all_news(self, now: float) -> LossNews | None:
         """Return news of all losses, None if there are none.
--- a/libs/wire/src/headcross_wire/peermessages.py
+++ b/libs/wire/src/headcross_wire/peermessages.py
@@ -348,6 +348,9 @@
     lost: list[LostReplica] = []
     alive: list[LostReplica] = []
     answered: list[AnsweredRequest] = []
+    # Only sent by earlier releases and not read: messages are arrays, so fields keep their places.
+    host: str = ""
+    groups: list[msgspec.Raw] = []
     # Traits that were blamed for losses, and of which a request has been answered completely.
     answered_traits: list[TraitAge] = []
     # Blamed traits of which requests were answered lately; approximate, so it clears no loss.
