--- a/tests/test_attribution.py
+++ b/tests/test_attribution.py
@@ -3,13 +3,10 @@
 import random
 from collections.abc import Iterable
 
+import pytest
+from headcross_gateway.answerhistory import ANSWERS_TO_SHOW_SERVICE
 from headcross_gateway.answersketch import AnswerSketch
-from headcross_gateway.attribution import (
-    FIRST_PAUSE_SECONDS,
-    MAX_PAUSE_SECONDS,
-    STRONG_LOSSES,
-    Cause,
-)
+from headcross_gateway.attribution import MAX_PAUSE_SECONDS, STRONG_LOSSES, Cause
 from headcross_gateway.losses import LOSS_RETENTION_SECONDS, Evidence, LossKey
 from headcross_gateway.replicalosses import (
     MAX_LOSSES,
@@ -176,25 +173,67 @@
     assert history.cause(FIRST, OTHER) is None
 
 
-def test_a_caller_pauses_after_all_of_its_requests_were_lost_and_each_loss_doubles_it() -> None:
-    history = History()
-    pauses: list[float] = []
-    for _ in range(2 * STRONG_LOSSES):
+def lose_caller(history: History, count: int) -> None:
+    """Lose replicas to different requests of a caller while those of another are answered."""
+    for _ in range(count):
+        history.now += 0.1
         history.lose(caller(1))
-        for _ in range(5):
+        for _ in range(ANSWERS_TO_SHOW_SERVICE):
             history.answer(caller(2))
-        cause = history.cause(caller(1))
-        if cause is not None:
-            pauses.append(cause.barred_until() - cause.last_at)
-    assert pauses[0] >= FIRST_PAUSE_SECONDS
-    assert all(
-        b == min(2 * a, MAX_PAUSE_SECONDS) for a, b in zip(pauses, pauses[1:], strict=False)
-    )
+
+
+@pytest.mark.parametrize(
+    ("count", "pause"),
+    [
+        (STRONG_LOSSES - 1, None),
+        (STRONG_LOSSES, 2.0),
+        (STRONG_LOSSES + 1, 4.0),
+        (STRONG_LOSSES + 2, 8.0),
+        (STRONG_LOSSES + 3, 16.0),
+        (STRONG_LOSSES + 20, MAX_PAUSE_SECONDS),
+    ],
+)
+def test_the_pause_of_a_caller_doubles_with_each_loss_up_to_a_maximum(
+    count: int, pause: float | None
+) -> None:
+    history = History()
+    lose_caller(history, count)
+    cause = history.cause(caller(1))
+    paused_for = cause.barred_until() - cause.last_at if cause is not None else None
+    assert paused_for == pytest.approx(pause) if pause is not None else cause is None
     assert history.cause(caller(2)) is None
+
+
+def test_a_caller_with_an_answer_among_many_losses_is_not_restricted() -> None:
+    history = History()
+    for _ in range(20):
+        lose_caller(history, STRONG_LOSSES - 1)
+        assert history.cause(caller(1)) is None
+        history.answer(caller(1))
+    lose_caller(history, 2 * STRONG_LOSSES)
+    assert history.cause(caller(1)) is not None
     history.answer(caller(1))
     assert history.cause(caller(1)) is None
 
 
+def test_an_answer_to_a_caller_at_another_entry_ends_its_restriction() -> None:
+    history = History()
+    lose_caller(history, 2 * STRONG_LOSSES)
+    assert history.cause(caller(1)) is not None
+    history.known.note_answered_trait(caller(1), history.now)
+    assert history.cause(caller(1)) is None
+
+
+def test_what_is_kept_does_not_grow_with_time_or_callers() -> None:
+    history = History()
+    for number in range(20 * MAX_LOSSES):
+        history.lose(caller(number))
+        history.answer(caller(number + 1))
+    recorded = history.known.losses()
+    assert len(recorded) <= MAX_LOSSES
+    assert sum(len(loss.shared_traits) for loss in recorded.values()) <= MAX_LOSSES
+
+
 def test_no_caller_is_restricted_for_losses_that_a_part_explains() -> None:
     history = History()
     for _ in range(20):
