Stand-in of a held link: a caller that is gone has no address

Cause: the stand-in asked an accepted connection for its peer's address after it had connected onwards; the caller had reset it meanwhile (OSError 107 in HeldLink._serve, in the traceback). The product takes no part in it.

Change: the address is read first, and a connection that is gone is closed. No check changes: it carried nothing.

--- a/testing/heldlink.py
+++ b/testing/heldlink.py
@@ -50,8 +50,13 @@
         self._released.set()
 
     async def _serve(self, caller: trio.SocketStream) -> None:
+        try:
+            caller_ip = caller.socket.getpeername()[0]
+        except OSError:  # the caller has reset the connection, which carried nothing
+            await trio.aclose_forcefully(caller)
+            return
         target = await trio.open_tcp_stream(self._private.ip, self._private.port)
-        if caller.socket.getpeername()[0] == self.public.ip:
+        if caller_ip == self.public.ip:
             await self._forward(caller, target)
             return
         self.connections += 1
