--- a/tests/test_renewal_histories.py
+++ b/tests/test_renewal_histories.py
@@ -430,3 +430,8 @@
     ]
     assert any(replica.violations for replica in replicas)
     assert any(replica.false_confirmations for replica in replicas) != reads_back
+
+
+def test_the_history_of_seed_37654_loads_no_bad_chunk_and_ends_with_the_newest() -> None:
+    replica = run_history(History(37654))
+    assert not replica.violations
