Stand-in of a replica: an order for what it holds begins nothing

By the users' page an order for a version that the replica holds is answered with 200 and does nothing; the stand-in took it as a new load, so a fix that orders a bad load again would have passed its tests and done nothing on the users' machines.

The test fails before: the order is answered with 202 and counted.

--- a/testing/platformreplica.py
+++ b/testing/platformreplica.py
@@ -285,13 +285,15 @@
         }
 
     def _take_order(self, order: dict[str, object]) -> bytes:
+        version = order["version"]
+        assert isinstance(version, int)
+        if version == (self.loading_version if self.loading else self.version):
+            return json_bytes(200, {})
         if order.get(names.EXPECTED_SEQUENCE, self.orders) != self.orders:
             return json_bytes(409, {"error": "seq"})
         self.orders += 1
         self.loading = True
         digests = [hashlib.sha256(self.staged[i]).hexdigest() for i in sorted(self.staged)]
-        version = order["version"]
-        assert isinstance(version, int)
         self.loads.append((version, digests))
         self.load_due = trio.current_time() + self.load_seconds
         self.loading_version = version
--- a/tests/test_beside_replica.py
+++ b/tests/test_beside_replica.py
@@ -42,6 +42,13 @@
     assert replica.staged[0] != chunk and len(replica.staged[0]) == len(chunk)
 
 
+def test_an_order_for_what_a_replica_holds_begins_nothing() -> None:
+    replica = FakeReplica("i", model="m", version=2, staged={0: b"x"})
+    answer = replica._take_order({"op": "start", "version": 2, "expected_rev": 0})
+    assert answer.startswith(b"HTTP/1.1 200")
+    assert (replica.orders, replica.loads, replica.loading) == (0, [], False)
+
+
 async def kill_with_order_in_doubt(site: Machines) -> FakeReplica:
     """Kill the daemon once its replica holds back the order for version 2; return the replica."""
     replica = model_replica(site).replica
