--- a/bench/pool/model.py
+++ b/bench/pool/model.py
@@ -156,6 +156,7 @@
                 0.0,
                 1.0,
                 fleet.entries,
+                orders=0,
             )
             for entry in self._entries:
                 if entry.directory.record_report(load) is not None:
--- a/libs/cli/src/headcross_cli/explaining.py
+++ b/libs/cli/src/headcross_cli/explaining.py
@@ -24,6 +24,11 @@
     "replica asks for rest",
     "replica leaves",
 )
+# Log message about a replica that holds weights which may not take requests, and its end.
+KEPT_FROM_SERVICE: Final = "replica kept from service"
+SERVES_AGAIN: Final = "replica not kept from service any more"
+SERVICE_MESSAGES: Final = (KEPT_FROM_SERVICE, SERVES_AGAIN)
+ENDING_MESSAGES: Final = (LIMIT_ENDED, SERVES_AGAIN)
 NO_REPLICA_REASONS: Final = ("no-room", "not-serving", "no-replica")
 
 Line = dict[str, Any]
@@ -41,6 +46,9 @@
     # Backpressure of replicas at the entry that refused the request for lack of a replica, oldest
     # first.
     backpressure: list[Line] = field(default_factory=list)
+    # Replicas that this entry kept from service then, because nothing showed that what they had
+    # loaded was intact.
+    kept_from_service: list[Line] = field(default_factory=list)
     malformed: int = 0  # number of lines that are not JSON objects
 
 
@@ -53,6 +61,7 @@
     trace = RequestTrace()
     blamed: list[Line] = []
     backpressure: list[Line] = []
+    service: list[Line] = []
     for path in files:
         for raw in path.read_bytes().splitlines():
             try:
@@ -67,13 +76,16 @@
                 blamed.append(line)
             elif line.get("message") in BACKPRESSURE_MESSAGES:
                 backpressure.append(line)
+            elif line.get("message") in SERVICE_MESSAGES:
+                service.append(line)
     digests = {line["request_digest"] for line in trace.lines if "request_digest" in line}
     causes = {line["cause"] for line in trace.lines if "cause" in line}
     trace.related = [line for line in blamed if _is_related(line, digests, causes)]
-    for lines in (trace.lines, trace.related, backpressure):
+    for lines in (trace.lines, trace.related, backpressure, service):
         lines.sort(key=_timestamp_of)
     if trace.lines:
-        trace.backpressure = _backpressure_before(trace.lines[-1], backpressure)
+        trace.backpressure = _in_force_before(trace.lines[-1], backpressure)
+        trace.kept_from_service = _in_force_before(trace.lines[-1], service)
     return trace
 
 
@@ -94,22 +106,22 @@
     return str(line.get("at", ""))
 
 
-def _backpressure_before(refusal: Line, backpressure: list[Line]) -> list[Line]:
-    """Return the last backpressure of each replica before an entry refused a request.
+def _in_force_before(refusal: Line, lines: list[Line]) -> list[Line]:
+    """Return what kept each replica from taking a request as an entry refused it.
 
-    The list is empty unless the refusal was for lack of a replica. `backpressure` is sorted by
-    time. Limits that had already ended are left out.
+    The list is empty unless the refusal was for lack of a replica. `lines` are about backpressure
+    or service, and sorted by time. What had already ended is left out.
     """
     if refusal.get("reason") not in NO_REPLICA_REASONS:
         return []
     newest: dict[tuple[str, bool], Line] = {}
-    for line in backpressure:
+    for line in lines:
         if line.get("host") == refusal.get("host") and _timestamp_of(line) <= _timestamp_of(
             refusal
         ):
             is_limit = line["message"] in (LIMIT_NAMED, LIMIT_ENDED)
             newest[str(line.get("replica")), is_limit] = line
-    in_force = [line for line in newest.values() if line["message"] != LIMIT_ENDED]
+    in_force = [line for line in newest.values() if line["message"] not in ENDING_MESSAGES]
     return sorted(in_force, key=_timestamp_of)
 
 
--- a/libs/cli/src/headcross_cli/main.py
+++ b/libs/cli/src/headcross_cli/main.py
@@ -153,6 +153,7 @@
         print(describe_line(line))
     _print_lines("Other tries of the same request, and how it was judged:", trace.related)
     _print_lines("What replicas had asked of that entry:", trace.backpressure)
+    _print_lines("Replicas whose weights nothing vouched for there:", trace.kept_from_service)
     print(find_cause(trace.lines))
     return exitcodes.OK
 
--- a/libs/daemon/src/headcross_daemon/gatewayrole.py
+++ b/libs/daemon/src/headcross_daemon/gatewayrole.py
@@ -19,6 +19,7 @@
 from headcross_gateway.budget import RetryBudget
 from headcross_gateway.containment import Containment
 from headcross_gateway.directory import Directory
+from headcross_gateway.loadnews import answer, receive_news
 from headcross_gateway.losscatchup import LossCatchUp
 from headcross_gateway.overload import Overload
 from headcross_gateway.picking import Picker
@@ -33,9 +34,11 @@
 from headcross_wire.httprequest import ServerLimits
 from headcross_wire.httpserver import HttpServer
 from headcross_wire.peermessages import (
+    AskLoads,
     AskLosses,
     AskPlan,
     KnownPlan,
+    LoadNews,
     LossNews,
     RefusedNews,
     ReplicaLoad,
@@ -48,6 +51,7 @@
 from prometheus_client import Histogram
 
 from headcross_daemon.entrynews import EntryNews
+from headcross_daemon.loadinquiry import LoadInquiry
 from headcross_daemon.machineprocess import AdminPages, MachineProcess
 from headcross_daemon.machinesettings import MachineSettings
 from headcross_daemon.metrics import Samples, sample
@@ -63,6 +67,11 @@
 
 LATENCY_BUCKETS_SECONDS: Final = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3, 6, 12)
 SUBSCRIBE_INTERVAL_SECONDS: Final = 1.0
+# Interval of subscriptions while a link is not open. No replica with weights gets requests before
+# its daemon, or another entry, has told this entry of its load, so a starting entry tries often.
+SUBSCRIBE_RETRY_SECONDS: Final = 0.2
+START_RETRY_SECONDS: Final = 0.05
+START_SECONDS: Final = 2.0
 # Shortly before the bound on old weights, requests are sent only over links that are known to
 # deliver subscriptions (see replicastate). Subscriptions are then sent at PROOF_INTERVAL_SECONDS,
 # from PROOF_LEAD_SECONDS before the bound on, so that this is known in time.
@@ -136,6 +145,13 @@
             daemons=self._daemons,
             control_port=lambda: self.process.settings.peers.control_port,
         )
+        self._load_inquiry = LoadInquiry(
+            self.process.node,
+            self._directory,
+            adapter.reports,
+            entries=self.process.known_entries,
+            notify=lambda state: self._admission.notify(state.replica.service),
+        )
         self._path = RequestPath(
             facts,
             adapter.dialect,
@@ -184,6 +200,7 @@
             nursery.start_soon(self._watch_overload, nursery)
             nursery.start_soon(self._news.send_losses)
             nursery.start_soon(self._catch_up.run)
+            nursery.start_soon(self._load_inquiry.run)
             nursery.start_soon(self._path.unbegun.run)
             if self._mirror is not None:
                 nursery.start_soon(self._mirror.run)
@@ -359,6 +376,13 @@
         if isinstance(incoming.message, AskLosses):
             self._news.answer_losses(incoming.message, incoming.reply)
             return
+        if isinstance(incoming.message, AskLoads):
+            incoming.reply(answer(incoming.message, self._directory.find), None)
+            return
+        if isinstance(incoming.message, LoadNews):
+            for changed in receive_news(incoming.message, self._directory.find):
+                self._admission.notify(changed.replica.service)
+            return
         if isinstance(incoming.message, ReplicaNews):
             for changed in self._news.receive_replica_news(incoming.message):
                 self._admission.notify(changed.replica.service)
@@ -373,6 +397,7 @@
 
     async def _subscribe(self) -> None:
         """Subscribe to the load of the daemons in the subset, until cancelled."""
+        start_ends_at = monotonic() + START_SECONDS
         while True:
             self._directory.choose_subset()
             self._update_entry_count()
@@ -385,11 +410,12 @@
             # Retry sooner if no daemon is known yet, as at a start, or if a link was not open: the
             # first message to a daemon only opens it.
             all_accepted = bool(daemons) and all(accepted)
-            seconds = (
-                SUBSCRIBE_INTERVAL_SECONDS if all_accepted else SUBSCRIBE_INTERVAL_SECONDS / 5
+            retry_seconds = (
+                START_RETRY_SECONDS if monotonic() < start_ends_at else SUBSCRIBE_RETRY_SECONDS
             )
+            seconds = SUBSCRIBE_INTERVAL_SECONDS if all_accepted else retry_seconds
             if self._rules.any_ends_within(PROOF_LEAD_SECONDS):
-                seconds = PROOF_INTERVAL_SECONDS
+                seconds = min(seconds, PROOF_INTERVAL_SECONDS)
             await trio.sleep(seconds * random.uniform(0.8, 1.2))
 
     def _update_entry_count(self) -> None:
@@ -428,6 +454,7 @@
             named=recent_version_news(self.process.facts),
             loaded=self._directory.recently_loaded(daemon.ip, VERSION_NEWS_SECONDS),
             first_heard_age=self._directory.first_heard_age(daemon.ip),
+            verdicts=self._directory.verdicts_on(daemon.ip),
             wants_losses=monotonic() < self._request_losses_until,
         )
 
@@ -473,6 +500,8 @@
         samples[sample("retries_denied_total")] = self._path.budget.denied
         standings = self._containment.shared.count_standings()
         limits = [state.backpressure.limit.per_second for state in self._directory.states()]
+        for status, count in self._load_inquiry.count_kept().items():
+            samples[sample("replicas_kept_from_service", load=status.value)] = count
         samples[sample("replicas_limited")] = sum(limit is not None for limit in limits)
         samples[sample("requests_suspect")] = standings[Standing.SUSPECT]
         samples[sample("requests_barred")] = standings[Standing.BARRED]
--- a/libs/daemon/src/headcross_daemon/renewalrole.py
+++ b/libs/daemon/src/headcross_daemon/renewalrole.py
@@ -8,10 +8,10 @@
 import trio
 from headcross_base.addresses import Address, parse_address
 from headcross_base.monotonic import monotonic
+from headcross_facts.loadevidence import LoadStatus
 from headcross_facts.polling import daemon_polling
 from headcross_ports.adapter import Adapter
 from headcross_ports.published import LoadedModel, Replica, Topic
-from headcross_renewal.confirmation import LoadStatus
 from headcross_renewal.digestregistry import DigestRegistry
 from headcross_renewal.earlyrepair import EarlyResults
 from headcross_renewal.fetching import DaemonLocation, Fetcher
@@ -139,7 +139,9 @@
             origin, self.process.node, self._daemons, settings.ip, self._daemons_for_digests
         )
         self._orders = Orders(str(address), facts, adapter.replica, self._reporter)
-        self._orders.in_doubt.record_early_puts(early.last_put_at, early.unanswered_puts)
+        self._orders.in_doubt.record_early_puts(
+            early.last_put_at, early.unanswered_puts, early.last_replaced
+        )
         self._loading = Loading(
             str(address),
             settings.replica.service,
@@ -317,12 +319,16 @@
             case Subscribe() as subscription:
                 if subscription.wants_load:
                     self._reporter.add_listener(
-                        subscription.host, incoming.reply, subscription.sent_ms
+                        subscription.host,
+                        incoming.reply,
+                        subscription.sent_ms,
+                        needs_state=subscription.first_heard_age is None,
                     )
                 if subscription.plan is not None:
                     self._receive_plan(subscription.plan)
                 receive_version_news(self.process.facts, subscription.named)
                 self._record_earlier_process(subscription)
+                self._reporter.receive_verdicts(subscription.verdicts, self._listed_ids())
                 if subscription.mirror is not None:
                     self._mirrors.record(subscription.mirror)
                 if subscription.wants_losses:
@@ -346,6 +352,13 @@
             case _:
                 self.process.node.malformed += 1
 
+    def _listed_ids(self) -> set[str]:
+        """Return the ids under which replicas are listed at the address of this one."""
+        assert self.process.settings.replica is not None
+        address = parse_address(self.process.settings.replica.address)
+        listed = self.process.facts.replicas.values()
+        return {replica.id for replica in listed if replica.address == address}
+
     def _receive_plan(self, plan: WeightsPlan) -> None:
         """Record the plan; what waits for the origin's address goes on at once."""
         origin = self._plans.origin()
--- a/libs/gateway/src/headcross_gateway/directory.py
+++ b/libs/gateway/src/headcross_gateway/directory.py
@@ -11,8 +11,9 @@
 from headcross_facts.bounds import FactBounds
 from headcross_facts.facts import Facts
 from headcross_ports.published import Replica
-from headcross_wire.peermessages import LoadedVersionNews, ReplicaLoad
+from headcross_wire.peermessages import LoadedVersionNews, LoadVerdict, ReplicaLoad
 
+from headcross_gateway.loadnews import verdicts_of
 from headcross_gateway.replicastate import ReplicaState, draw_allowance
 from headcross_gateway.subsetting import choose_subset
 
@@ -137,6 +138,19 @@
             if now - at < seconds
         ]
 
+    def verdicts_on(self, ip: str) -> list[LoadVerdict]:
+        """Return what is known of the loads of the replica at an IP address."""
+        state = self._by_ip.get(ip)
+        return verdicts_of(state) if state is not None else []
+
+    def kept_from_service(self) -> list[ReplicaState]:
+        """Return the replicas that hold weights which may not take requests."""
+        return [
+            state
+            for state in self._with_daemons()
+            if state.unserved_loads() and not state.is_unavailable()
+        ]
+
     def first_heard_age(self, ip: str) -> float | None:
         """Return the seconds since the first report from an IP address, None if there is none."""
         heard_at = self._first_heard_at.get(ip)
@@ -158,8 +172,6 @@
         replicas = [state.replica for state in states]
         chosen = choose_subset(self._host, self._zone, replicas, lambda r: r.id in usable)
         for state in states:
-            if state.in_subset and state.replica.id not in chosen and state.is_responsive():
-                state.confirmed_loads.rely_on_list()
             state.in_subset = state.replica.id in chosen
         self._subset_share = len(chosen) / len(states) if states else 1.0
 
--- a/libs/gateway/src/headcross_gateway/replicastate.py
+++ b/libs/gateway/src/headcross_gateway/replicastate.py
@@ -11,7 +11,8 @@
 from typing import Final
 
 from headcross_base.monotonic import monotonic
-from headcross_ports.published import Incarnation, Replica
+from headcross_facts.loadevidence import LoadStatus
+from headcross_ports.published import Incarnation, LoadedModel, Replica
 from headcross_ports.requests import BackpressureSignals
 from headcross_wire.peermessages import ReplicaLoad
 
@@ -302,6 +303,14 @@
         held = self.held_version(model)
         return held if held is not None and self.confirmed_loads.may_serve(model, held) else None
 
+    def unserved_loads(self) -> list[tuple[LoadedModel, LoadStatus]]:
+        """Return the versions that it holds but may not serve, with the status of their loads."""
+        report = self.reported_load()
+        models = {m.model for m in self.replica.loaded} | set(report.versions if report else ())
+        held = (LoadedModel(model, self.held_version(model) or 0) for model in sorted(models))
+        loads = self.confirmed_loads
+        return [(m, loads.status_of(m)) for m in held if not loads.may_serve(m.model, m.version)]
+
     def version_to_expect(self, model: str) -> int | None:
         """Return the version that a request must require explicitly, None if it need not do so.
 
--- a/libs/ports/src/headcross_ports/adapter.py
+++ b/libs/ports/src/headcross_ports/adapter.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 
 from headcross_ports.published import PublishedStore
-from headcross_ports.replicas import ReplicaControl, WeightsOrigin
+from headcross_ports.replicas import ReplicaControl, ReplicaReports, WeightsOrigin
 from headcross_ports.requests import RequestDialect
 
 
@@ -14,4 +14,5 @@
     store: PublishedStore
     dialect: RequestDialect
     origin: WeightsOrigin
+    reports: ReplicaReports
     replica: ReplicaControl | None  # this daemon's replica, None in other processes
--- a/libs/ports/src/headcross_ports/replicas.py
+++ b/libs/ports/src/headcross_ports/replicas.py
@@ -83,6 +83,13 @@
         """Connect to the current incarnation; the connection does not reach a later one."""
 
 
+class ReplicaReports(Protocol):
+    """Reads the reports of replicas on other hosts."""
+
+    async def read(self, address: Address) -> Ok[ReplicaReport] | Failure:
+        """Return a replica's report of its own state, as of some hundred milliseconds earlier."""
+
+
 class ChunkDigests(msgspec.Struct, frozen=True):
     """The digests of a version's chunks, by index."""
 
--- a/libs/renewal/src/headcross_renewal/earlyrepair.py
+++ b/libs/renewal/src/headcross_renewal/earlyrepair.py
@@ -28,11 +28,12 @@
 from headcross_wire.blockinghttp import run_blocking
 
 from headcross_renewal.earlysources import EarlySources
-from headcross_renewal.loadkey import key_of
 from headcross_renewal.stagedcopy import (
     CHECK_INTERVAL_SECONDS,
     WORKERS,
+    ReplacedChunk,
     StagedCopy,
+    is_unchanged,
     read_staged,
     staged_candidates,
 )
@@ -63,6 +64,7 @@
     last_put_at: float = NEVER
     # When a put of each version last had no answer; it may take effect later.
     unanswered_puts: dict[LoadedModel, float] = field(default_factory=dict)
+    last_replaced: ReplacedChunk | None = None
     # The listing of the named versions and when it was requested; None if it was not read.
     versions: Listing | None = None
     versions_read_at: float = NEVER
@@ -149,8 +151,7 @@
 
     def _is_unchanged(self, report: ReplicaReport) -> bool:
         """Return whether the replica has begun no load and no incarnation since the first look."""
-        first = self._first_report
-        return first is not None and not report.busy_loading and key_of(first) == key_of(report)
+        return self._first_report is not None and is_unchanged(self._first_report, report)
 
     async def _find_candidates(self, report: ReplicaReport) -> list[LoadedModel] | None:
         """Return the versions that an earlier process may have ordered, None if not known."""
@@ -202,11 +203,17 @@
             return Check.NOT_NEEDED
         fields = {"goal": weights_name(goal), "chunks": bad}
         logger.warning("staged chunks bad", extra=fields)
-        replaced = [index for index in bad if await self._replace(goal, index, sources)]
+        replaced = [
+            index
+            for index in bad
+            if await self._replace(goal, index, copy.chunks.get(index, b""), sources)
+        ]
         logger.info("staged chunks replaced", extra={**fields, "replaced": replaced})
         return Check.INTACT if replaced == bad else Check.INCOMPLETE
 
-    async def _replace(self, goal: LoadedModel, index: int, sources: EarlySources) -> bool:
+    async def _replace(
+        self, goal: LoadedModel, index: int, bad_data: bytes, sources: EarlySources
+    ) -> bool:
         """Stage a good chunk in place of a bad one; return whether the replica confirmed it."""
         data = await sources.fetch_chunk(goal, index)
         if data is None:
@@ -217,12 +224,25 @@
             return False
         if self._stopped.is_set():
             return False
+        self.results.last_replaced = ReplacedChunk(goal, index, bad_data)
         outcome = await self._adapter.replica.stage_chunk(goal.model, index, data)
         self.results.last_put_at = monotonic()
+        await self._put_back_if_loaded()
         if isinstance(outcome, Failure) and outcome.reason == LINK_LOST:
             self.results.unanswered_puts[goal] = monotonic()
         return not isinstance(outcome, Failure)
 
+    async def _put_back_if_loaded(self) -> None:
+        """Put back the chunk that was replaced last if a load has begun meanwhile."""
+        report = await self._adapter.replica.report()
+        replaced = self.results.last_replaced
+        if replaced is None or isinstance(report, Failure) or self._is_unchanged(report.value):
+            return
+        goal = replaced.goal
+        await self._adapter.replica.stage_chunk(goal.model, replaced.index, replaced.data)
+        fields = {"held": weights_name(goal), "chunk": replaced.index}
+        logger.warning("bad chunk put back", extra=fields)
+
 
 async def _in_threads(indexes: Iterable[int], act: Callable[[int], Awaitable[None]]) -> None:
     """Call `act`, which must not suspend, for each index with up to `WORKERS` calls at a time."""
--- a/libs/renewal/src/headcross_renewal/indoubt.py
+++ b/libs/renewal/src/headcross_renewal/indoubt.py
@@ -22,6 +22,8 @@
 from headcross_ports.published import LoadedModel
 from headcross_ports.replicas import ReplicaReport
 
+from headcross_renewal.stagedcopy import ReplacedChunk
+
 # A call without an answer may still take effect until this long after it was sent.
 LATE_SECONDS: Final = 15.0
 # Within this time of a process's start, running entries send it the recently named versions.
@@ -58,11 +60,14 @@
     order: SentOrder | None
     # When the last put ended, answered or not.
     last_put_at: float
+    # The bad chunk that was replaced last, None if none was.
+    last_replaced: ReplacedChunk | None
 
     def __init__(self, now: float) -> None:
         """Start with an earlier process's orders in doubt; `now` is this process's start."""
         self.order = None
         self.last_put_at = float("-inf")
+        self.last_replaced = None
         # Send times of the order in doubt and its repeats, which all carry the same sequence.
         self._sent_at: list[float] = []
         self._unanswered_puts: dict[LoadedModel, float] = {}
@@ -216,10 +221,25 @@
         """Record that a put of a chunk was not answered."""
         self._unanswered_puts[goal] = now
 
-    def record_early_puts(self, last_at: float, unanswered: Mapping[LoadedModel, float]) -> None:
+    def record_early_puts(
+        self,
+        last_at: float,
+        unanswered: Mapping[LoadedModel, float],
+        last_replaced: ReplacedChunk | None = None,
+    ) -> None:
         """Record the puts of this process from before its role, with the times of their end."""
         self.last_put_at = last_at
         self._unanswered_puts.update(unanswered)
+        self.last_replaced = last_replaced
+
+    def puts_effective_until(self, goal: LoadedModel) -> float:
+        """Return until when puts may have taken effect that this process made of a version."""
+        unanswered_at = self._unanswered_puts.get(goal, float("-inf"))
+        return max(self.last_put_at, unanswered_at + LATE_SECONDS)
+
+    def load_possible(self, now: float) -> bool:
+        """Return whether a load may begin at any moment, by an order in doubt."""
+        return self.order is not None or self.earlier_order_possible(now)
 
     def may_stage(self, goal: LoadedModel, report: ReplicaReport | None, now: float) -> bool:
         """Return whether chunks of a version may be staged at the replica now."""
--- a/libs/renewal/src/headcross_renewal/orders.py
+++ b/libs/renewal/src/headcross_renewal/orders.py
@@ -132,7 +132,9 @@
         return self.in_doubt.order is None
 
     async def _issue_on_line(self, line: OrderLine, load: Load) -> bool:
-        read_at = await _read_back(load)
+        read_at = await self._read_back(load)
+        if read_at is None:
+            return False
         self._reporter.divert_requests()
         report = await self._reporter.refresh()
         if report is None or report.busy_loading or self._reporter.holds(load.goal):
@@ -195,15 +197,20 @@
         overwritten = self._facts.overwritten.values()
         return any(str(replica.address) == self._address for replica in overwritten)
 
+    async def _read_back(self, load: Load) -> float | None:
+        """Read back all chunks until none is bad; return when the last pass began (monotonic).
 
-async def _read_back(load: Load) -> float:
-    """Read back all chunks until none is bad; return when the last pass began (monotonic)."""
-    while True:
-        began = monotonic()
-        intact = await load.staging.verify(load.stored)
-        seconds = round(monotonic() - began, 3)
-        fields = {"goal": weights_name(load.goal), "whole": intact, "seconds": seconds}
-        logger.info("chunks read back", extra=fields)
-        if intact:
-            return began
-        await trio.sleep(POLL_INTERVAL_SECONDS)
+        Returns None once a load has begun: bad chunks are then not replaced any more.
+        """
+        while True:
+            began = monotonic()
+            intact = await load.staging.verify(load.stored)
+            seconds = round(monotonic() - began, 3)
+            fields = {"goal": weights_name(load.goal), "whole": intact, "seconds": seconds}
+            logger.info("chunks read back", extra=fields)
+            if intact:
+                return began
+            report = self._reporter.report
+            if report is not None and (report.busy_loading or self._reporter.holds(load.goal)):
+                return None
+            await trio.sleep(POLL_INTERVAL_SECONDS)
--- a/libs/renewal/src/headcross_renewal/renewer.py
+++ b/libs/renewal/src/headcross_renewal/renewer.py
@@ -32,6 +32,7 @@
 from headcross_renewal.reporting import Reporter
 from headcross_renewal.sources import OriginSource
 from headcross_renewal.staging import Staging
+from headcross_renewal.upkeep import StagedUpkeep
 from headcross_renewal.weightsname import weights_name
 
 IDLE_CHECK_SECONDS: Final = 0.5
@@ -91,6 +92,7 @@
         self._set_busy = set_busy
         self._recovery = Recovery(facts, replica, reporter, fetcher, digests, orders.in_doubt)
         self._load_verifier = LoadVerifier(replica, reporter, digests, orders.in_doubt)
+        self._upkeep = StagedUpkeep(replica, reporter, orders.in_doubt)
         self._offered: set[LoadedModel] = set()
         # Set once all chunks of the version that is being fetched are staged.
         self._all_staged = trio.Event()
@@ -120,6 +122,7 @@
                 self._enter_step("idle", goal)
                 self._set_busy(False)
                 self._fetcher.open_links()
+                await self._upkeep.check_next()
                 await self._wait_change()
                 continue
             self._set_busy(True)
@@ -272,6 +275,7 @@
             if adopted:
                 self._orders.in_doubt.rule_out_earlier_order()
             self._offered.add(held)
+            self._upkeep.keep(held, stored)
             self._enter_step("offering", held, adopted=adopted, missing=len(stored.missing))
 
     def _enter_step(self, step: str, goal: LoadedModel | None, **fields: object) -> None:
--- a/libs/renewal/src/headcross_renewal/reporting.py
+++ b/libs/renewal/src/headcross_renewal/reporting.py
@@ -2,7 +2,7 @@
 
 import logging
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from typing import Final
 
@@ -11,12 +11,14 @@
 from headcross_base.addresses import Address
 from headcross_base.errors import Failure
 from headcross_base.monotonic import monotonic
+from headcross_facts.loadevidence import LoadStatus
 from headcross_ports.published import LoadedModel
 from headcross_ports.replicas import ReplicaControl, ReplicaReport
-from headcross_wire.peermessages import NamedVersionNews, ReplicaLoad
+from headcross_wire.peermessages import LoadVerdict, NamedVersionNews, ReplicaLoad
 from headcross_wire.peernode import Reply
 
 from headcross_renewal.confirmation import Confirmation
+from headcross_renewal.loadkey import LoadKey
 
 READ_INTERVAL_SECONDS: Final = 0.15
 # Listeners notified at every reading. With more, each is notified at every second or third one, so
@@ -83,6 +85,7 @@
 
     async def refresh(self) -> ReplicaReport | None:
         """Read the state now and notify listeners; return the report, None if it failed."""
+        status_before = self.confirmation.status
         async with self._reading:
             asked_at = monotonic()
             outcome = await self._replica.report()
@@ -109,7 +112,7 @@
             self._changed.set()
             self._changed = trio.Event()
         stays_idle = _is_idle(before) and _is_idle(self.report)
-        if changed:
+        if changed or self.confirmation.status is not status_before:
             self.notify_listeners()
         elif not stays_idle or self._notified_long_ago():
             self._notify_in_turn()
@@ -120,6 +123,21 @@
         if self.report is not None and self.report.started_ms == started_ms:
             self._note_shutdown("entry")
 
+    def receive_verdicts(self, verdicts: Iterable[LoadVerdict], listed_ids: set[str]) -> None:
+        """Record what another process knows about loads of this replica.
+
+        `listed_ids` are the ids under which replicas are listed at this replica's address. If a
+        replica reports no start time, only its id tells one incarnation from the next.
+        """
+        for verdict in verdicts:
+            is_current = verdict.started_ms is not None or listed_ids == {verdict.replica}
+            # Without the number of orders, the load cannot be told from another one.
+            if is_current and verdict.orders is not None:
+                status = LoadStatus.CONFIRMED if verdict.intact else LoadStatus.SUSPECT
+                key = LoadKey(verdict.started_ms, verdict.orders)
+                loaded = LoadedModel(verdict.model, verdict.version)
+                self.confirmation.record_told(key, loaded, status)
+
     def _note_incarnation(self, report: ReplicaReport) -> None:
         """Track whether the replica shuts down or a new incarnation of it has started."""
         if report.started_ms != self._incarnation_ms:
@@ -145,14 +163,18 @@
         """Wait until a load starts or ends, or the replica restarts, appears or disappears."""
         await self._changed.wait()
 
-    def add_listener(self, host: str, reply: Reply, subscribed_ms: int = 0) -> None:
+    def add_listener(
+        self, host: str, reply: Reply, subscribed_ms: int = 0, *, needs_state: bool = False
+    ) -> None:
         """Send the state to a process from now on, until its subscription times out.
 
-        `subscribed_ms` is echoed, so that the process can measure how long its messages take.
+        `subscribed_ms` is echoed, so that the process can measure how long its messages take. With
+        `needs_state` the process has none yet and gets it at once, even if an earlier process of
+        its host is subscribed.
         """
         now = monotonic()
         known = self._listeners.get(host)
-        if known is not None:
+        if known is not None and not needs_state:
             known.reply, known.subscribed_at = reply, now
             known.subscribed_ms = subscribed_ms
             return
@@ -231,6 +253,7 @@
             confirmed=self.confirmation.confirmed(report),
             suspect=self.confirmation.suspect(report),
             ends=self.shutting_down,
+            orders=report.order_sequence,
         )
 
     @staticmethod
--- a/libs/renewal/src/headcross_renewal/stagedcopy.py
+++ b/libs/renewal/src/headcross_renewal/stagedcopy.py
@@ -9,6 +9,8 @@
 from headcross_ports.published import LoadedModel
 from headcross_ports.replicas import ReplicaReport, StagedControl
 
+from headcross_renewal.loadkey import key_of
+
 # Calls at a time while chunks are read or staged. One after another would take longer than a
 # read-back stays valid, if the replica takes 0.1 s for each.
 WORKERS: Final = 4
@@ -35,6 +37,15 @@
         }
 
 
+@dataclass(frozen=True, slots=True)
+class ReplacedChunk:
+    """A staged chunk that was bad, and was replaced while a load of it was possible."""
+
+    goal: LoadedModel
+    index: int
+    data: bytes  # the bad bytes, empty if the chunk was missing
+
+
 async def read_staged(
     replica: StagedControl, model: str, in_parallel: InParallel
 ) -> StagedCopy | None:
@@ -75,6 +86,11 @@
     return candidates
 
 
+def is_unchanged(before: ReplicaReport, after: ReplicaReport) -> bool:
+    """Return whether a replica has begun no load and no incarnation between two reports."""
+    return not after.busy_loading and key_of(before) == key_of(after)
+
+
 def matches_digest(data: bytes, index: int, digests: Sequence[str]) -> bool:
     """Return whether the data is the chunk at `index` of the version with these digests."""
     return index < len(digests) and digest_of(data) == digests[index]
--- a/libs/renewal/src/headcross_renewal/staging.py
+++ b/libs/renewal/src/headcross_renewal/staging.py
@@ -2,6 +2,10 @@
 
 A replica keeps one staged copy of each model and verifies nothing. Chunks may become corrupt after
 they were staged, so all of them are read back and verified right before an order to load.
+
+The staged copy of a loaded version is what is left to show a later process whether the load was
+intact. So while an order in doubt may begin a load, a bad chunk is replaced only if a report read
+right before shows that no load has begun, and put back if one read right after shows one.
 """
 
 import logging
@@ -14,11 +18,19 @@
 from headcross_base.errors import Failure
 from headcross_base.monotonic import monotonic
 from headcross_ports.published import LoadedModel
-from headcross_ports.replicas import ReplicaControl
+from headcross_ports.replicas import ReplicaControl, StagedControl
 from headcross_weights.chunkstore import StoredArtifact
 
 from headcross_renewal.indoubt import InDoubtCalls
-from headcross_renewal.stagedcopy import WORKERS, StagedCopy, matches_digest, read_staged
+from headcross_renewal.stagedcopy import (
+    WORKERS,
+    ReplacedChunk,
+    StagedCopy,
+    is_unchanged,
+    matches_digest,
+    read_staged,
+)
+from headcross_renewal.weightsname import weights_name
 
 RETRY_SECONDS: Final = 0.1
 
@@ -59,6 +71,10 @@
         """Stage the given chunks at the replica, retrying until each is staged."""
         await in_parallel(indexes, partial(self._put, stored))
 
+    async def restage(self, stored: StoredArtifact, index: int) -> bool:
+        """Stage a chunk of a loaded version again; return whether the replica confirmed it."""
+        return stored.chunk(index) is not None and await self._put_once(stored, index)
+
     async def verify(self, stored: StoredArtifact) -> bool:
         """Read every staged chunk back, and stage those that are corrupt again.
 
@@ -74,7 +90,7 @@
                 unread.append(index)
             elif data.value is None or not matches_digest(data.value, index, digests):
                 bad.append(index)
-                await self._put_once(stored, index)
+                await self._replace(stored, index, data.value or b"")
 
         await in_parallel(range(len(stored.locations)), check)
         if bad:
@@ -84,10 +100,45 @@
 
     async def _put(self, stored: StoredArtifact, index: int) -> None:
         while True:
-            if await self._put_once(stored, index):
+            if await self._stage(stored, index):
                 return
             await trio.sleep(RETRY_SECONDS)
 
+    async def _stage(self, stored: StoredArtifact, index: int) -> bool:
+        """Stage a chunk; return False if that is not known to have succeeded."""
+        if not self._in_doubt.load_possible(monotonic()):
+            return await self._put_once(stored, index)
+        data = await self._replica.read_chunk(self._model, index)
+        if isinstance(data, Failure):
+            return False
+        digests = [location.digest for location in stored.locations]
+        if data.value is not None and matches_digest(data.value, index, digests):
+            return True
+        return await self._replace(stored, index, data.value or b"")
+
+    async def _replace(self, stored: StoredArtifact, index: int, bad_data: bytes) -> bool:
+        """Stage a chunk in place of a bad one, unless a load of the version has begun.
+
+        Returns False if that is not known to have succeeded, and does nothing if the store does
+        not have the chunk.
+        """
+        if stored.chunk(index) is None:
+            return True
+        before = await self._replica.report()
+        if isinstance(before, Failure) or before.value.busy_loading:
+            return False
+        if self._goal in before.value.loaded:
+            return False
+        replaced = ReplacedChunk(self._goal, index, bad_data)
+        self._in_doubt.last_replaced = replaced
+        with trio.CancelScope(shield=True):
+            staged = await self._put_once(stored, index)
+            after = await self._replica.report()
+            if isinstance(after, Failure) or is_unchanged(before.value, after.value):
+                return staged
+            await put_back(self._replica, replaced)
+        return False
+
     async def _put_once(self, stored: StoredArtifact, index: int) -> bool:
         """Stage a chunk if the store has it; return False if the replica did not confirm it."""
         data = stored.chunk(index)
@@ -104,6 +155,16 @@
         return False
 
 
+async def put_back(replica: StagedControl, replaced: ReplacedChunk) -> None:
+    """Put back a bad chunk that may have been loaded before it was replaced."""
+    goal = replaced.goal
+    outcome = await replica.stage_chunk(goal.model, replaced.index, replaced.data)
+    fields: dict[str, object] = {"held": weights_name(goal), "chunk": replaced.index}
+    if isinstance(outcome, Failure):
+        fields["reason"] = outcome.detail
+    logger.warning("bad chunk put back", extra=fields)
+
+
 async def find_corrupt_chunks(
     replica: ReplicaControl, model: str, digests: Sequence[str]
 ) -> frozenset[int] | None:
--- a/libs/wire/src/headcross_wire/peermessages.py
+++ b/libs/wire/src/headcross_wire/peermessages.py
@@ -252,6 +252,18 @@
     age: float  # seconds since the sender learned of it
 
 
+class LoadVerdict(_Message, frozen=True):
+    """What the sender knows about one load of a replica."""
+
+    replica: str  # id of the replica
+    started_ms: int | None  # start of the incarnation, Unix milliseconds; None if unknown
+    # Number of orders that the incarnation had accepted, the load's included; None if unknown.
+    orders: int | None
+    model: str
+    version: int
+    intact: bool  # False if the load was found bad
+
+
 class Subscribe(_Message, frozen=True, tag=42):
     """Sent by an entry to a daemon: its name, news for the daemon, and the reports it wants."""
 
@@ -268,6 +280,7 @@
     # Seconds since the sender first received a report of the receiver's replica; None if it never
     # did.
     first_heard_age: float | None = None
+    verdicts: list[LoadVerdict] = []  # on loads of the receiver's replica
 
 
 class AskPlan(_Message, frozen=True, tag=47):
@@ -308,6 +321,8 @@
     confirmed: dict[str, int] = {}
     suspect: dict[str, int] = {}
     ends: bool = False  # the replica announced that it leaves, final for the incarnation
+    # Number of orders that the incarnation has accepted; None if unknown.
+    orders: int | None = None
 
 
 class RefusedNews(_Message, frozen=True, tag=49):
@@ -383,6 +398,18 @@
     items: list[ReplicaBackpressure] = []
 
 
+class AskLoads(_Message, frozen=True, tag=57):
+    """Asks an entry what it knows about the loads of some replicas."""
+
+    replicas: list[str]  # ids
+
+
+class LoadNews(_Message, frozen=True, tag=58):
+    """Answers `AskLoads`; loads of which the sender knows nothing are left out."""
+
+    verdicts: list[LoadVerdict] = []
+
+
 class AskDigests(_Message, frozen=True, tag=44):
     """Requests the digests of a version from a daemon, at once or when it knows them."""
 
@@ -421,6 +448,8 @@
     | LossNews
     | AskLosses
     | ReplicaNews
+    | AskLoads
+    | LoadNews
 )
 SwarmMessage = (
     Join | Have | AskChunk | Chunk | NoChunk | AskManifest | ManifestBody | AskIntent | Intent
--- a/testing/latereplica.py
+++ b/testing/latereplica.py
@@ -75,6 +75,9 @@
     loads: int
     # Whether the staged chunks were correct when the loaded version was ordered.
     whole: bool
+    incarnation: int  # its number, which is also its start time
+    began_at: float  # when the incarnation began
+    reports_start: bool
     # Loads with wrong chunks that its daemon nevertheless confirmed.
     false_confirmations: list[str]
 
@@ -94,8 +97,9 @@
         self._corrupted: dict[int, CorruptedChunk] = {}
         self._orders = 0
         self._loading = False
-        self._incarnation = 1
-        self._reports_start = generator.random() < 0.5
+        self.incarnation = 1
+        self.began_at = trio.current_time()
+        self.reports_start = generator.random() < 0.5
 
     # Fault injection.
 
@@ -123,7 +127,8 @@
 
     def end_incarnation(self, *, power: bool) -> None:
         """Begin an incarnation without weights; staged chunks survive a crash only."""
-        self._incarnation += 1
+        self.incarnation += 1
+        self.began_at = trio.current_time()
         self._orders = 0
         self.loaded = 0
         self.whole = True
@@ -139,7 +144,7 @@
         if not await self._delay_read():
             return Failure(LINK_LOST, "no answer")
         loaded = (LoadedModel(MODEL, self.loaded),) if self.loaded else ()
-        started = self._incarnation if self._reports_start else None
+        started = self.incarnation if self.reports_start else None
         return Ok(
             ReplicaReport(loaded, self._loading, self._orders, 0, 0, 0, 1, 1.0, started_ms=started)
         )
@@ -172,7 +177,7 @@
         """Open an order line to the current incarnation."""
         if self._generator.random() < self.fault_rates.lost / 2:
             return Failure(CONNECT_FAILED, "refused")
-        return Ok(_OrderLine(self, self._incarnation))
+        return Ok(_OrderLine(self, self.incarnation))
 
     # Orders.
 
@@ -180,7 +185,7 @@
         self, incarnation: int, version: int, expected: ReplicaReport
     ) -> Ok[OrderTaken | OrderRefused] | Failure:
         """Take an order that was sent over a line to an incarnation."""
-        if incarnation != self._incarnation:
+        if incarnation != self.incarnation:
             return Ok(OrderRefused("not sent: another life"))
         outcomes: list[OrderTaken | OrderRefused] = []
 
@@ -200,12 +205,12 @@
         self.loads += 1
         whole = self._check(version)
         self._loading = True
-        self._nursery.start_soon(self._load, version, self._incarnation, whole)
+        self._nursery.start_soon(self._load, version, self.incarnation, whole)
         return OrderTaken(done=False)
 
     async def _load(self, version: int, incarnation: int, whole: bool) -> None:
         await trio.sleep(LOAD_SECONDS)
-        if incarnation == self._incarnation:
+        if incarnation == self.incarnation:
             self._loading = False
             self.loaded = version
             self.loaded_at = trio.current_time()
@@ -234,22 +239,22 @@
         The loss rate is divided by the number of chunks: reading back needs an answer for every
         chunk, and nothing is loaded unless the chunks were read back.
         """
-        incarnation = self._incarnation
+        incarnation = self.incarnation
         await trio.sleep(self._generator.uniform(0, self.fault_rates.slow_seconds))
         lost = 0.0 if self.fault_rates.orders_only else self.fault_rates.lost / CHUNKS
         if self._generator.random() < lost:
             await trio.sleep(SILENT_SECONDS)
             return False
-        return incarnation == self._incarnation
+        return incarnation == self.incarnation
 
     async def _apply(self, effect: Callable[[], None], result: CallResult) -> bool:
         """Delay a call and apply its effect; return whether it is answered."""
-        incarnation = self._incarnation
+        incarnation = self.incarnation
         if result is CallResult.LATE:
             delay = self._generator.uniform(0, LATE_SECONDS)
             self._nursery.start_soon(self._apply_later, incarnation, delay, effect)
         await trio.sleep(self._generator.uniform(0, self.fault_rates.slow_seconds))
-        if incarnation != self._incarnation:
+        if incarnation != self.incarnation:
             return False
         if result in (CallResult.ANSWERED, CallResult.UNANSWERED):
             effect()
@@ -262,7 +267,7 @@
         self, incarnation: int, delay: float, effect: Callable[[], None]
     ) -> None:
         await trio.sleep(delay)
-        if incarnation == self._incarnation:
+        if incarnation == self.incarnation:
             effect()
 
     def _draw_result(self) -> CallResult:
@@ -284,13 +289,13 @@
 
     def __init__(self, replica: LateReplica, incarnation: int) -> None:
         self._replica = replica
-        self._incarnation = incarnation
+        self.incarnation = incarnation
 
     async def start(
         self, model: str, version: int, expected: ReplicaReport, *, break_off: bool
     ) -> Ok[OrderTaken | OrderRefused] | Failure:
         """Send an order to the incarnation of this line."""
-        return await self._replica.take_order(self._incarnation, version, expected)
+        return await self._replica.take_order(self.incarnation, version, expected)
 
     async def close(self) -> None:
         """Do nothing: the line holds no resources."""
--- a/tests/test_confirmation.py
+++ b/tests/test_confirmation.py
@@ -2,6 +2,7 @@
 
 import pytest
 from headcross_base.addresses import Address
+from headcross_facts.loadevidence import LoadStatus
 from headcross_gateway.confirmedloads import ConfirmedLoads
 from headcross_gateway.replicastate import ReplicaState
 from headcross_ports.published import LoadedModel, Replica
@@ -10,9 +11,8 @@
     NEVER,
     READ_BACK_PRIORITY_SECONDS,
     Confirmation,
-    LoadStatus,
 )
-from headcross_renewal.loadkey import key_of
+from headcross_renewal.loadkey import LoadKey, key_of
 from headcross_wire.peermessages import ReplicaLoad
 
 OLDER, NEWER = LoadedModel("m", 1), LoadedModel("m", 2)
@@ -138,11 +138,78 @@
     assert not confirmation_after(BEFORE).blocks_other_versions(1.1)
 
 
+KEY = key_of(AFTER)
+
+
+@pytest.mark.parametrize(
+    ("told", "bad", "status"),
+    [
+        ([LoadStatus.CONFIRMED], None, LoadStatus.CONFIRMED),
+        ([LoadStatus.CONFIRMED], BAD, LoadStatus.CONFIRMED),  # turned bad after the load
+        ([LoadStatus.SUSPECT], None, LoadStatus.SUSPECT),
+        ([LoadStatus.SUSPECT], WHOLE, LoadStatus.SUSPECT),  # the bad chunk was replaced
+        ([LoadStatus.CONFIRMED, LoadStatus.SUSPECT], WHOLE, LoadStatus.SUSPECT),
+        ([LoadStatus.SUSPECT, LoadStatus.CONFIRMED], WHOLE, LoadStatus.SUSPECT),
+        ([], BAD, LoadStatus.UNCONFIRMED),
+        ([], WHOLE, LoadStatus.CONFIRMED),
+    ],
+)
+def test_a_process_goes_by_what_others_know_of_a_load_from_before_its_start(
+    told: list[LoadStatus], bad: frozenset[int] | None, status: LoadStatus
+) -> None:
+    confirmation = confirmation_after(AFTER)
+    if bad is not None:
+        confirmation.note_read_back(KEY, bad, NEVER)
+    for statement in told:
+        confirmation.record_told(KEY, NEWER, statement)
+    confirmation.observe(AFTER, 2.0)
+    assert confirmation.status is status
+
+
+@pytest.mark.parametrize(
+    ("key", "loaded"),
+    [
+        (LoadKey(7, 2), NEWER),  # another load of this incarnation
+        (LoadKey(9, 1), NEWER),  # another incarnation
+        (KEY, OLDER),  # another version
+    ],
+)
+def test_what_others_know_of_another_load_changes_nothing(
+    key: LoadKey, loaded: LoadedModel
+) -> None:
+    for statement in (LoadStatus.CONFIRMED, LoadStatus.SUSPECT):
+        confirmation = Confirmation()
+        confirmation.record_told(key, loaded, statement)
+        confirmation.observe(AFTER, 1.0)
+        assert confirmation.status is LoadStatus.UNCONFIRMED
+
+
+def test_what_others_know_arrives_before_the_first_report() -> None:
+    confirmation = Confirmation()
+    confirmation.record_told(KEY, NEWER, LoadStatus.CONFIRMED)
+    confirmation.observe(AFTER, 1.0)
+    assert confirmation.status is LoadStatus.CONFIRMED
+    assert confirmation.confirmed(AFTER) == {"m": 2}
+
+
+def test_the_process_that_got_the_answer_of_an_order_knows_better_than_others() -> None:
+    confirmation = confirmation_after(BEFORE)
+    confirmation.record_accepted_order(NEWER, BEFORE)
+    confirmation.record_told(KEY, NEWER, LoadStatus.SUSPECT)
+    confirmation.observe(AFTER, 2.0)
+    assert confirmation.status is LoadStatus.CONFIRMED
+
+
 # At an entry.
 
 
 def load_of(
-    version: int, *, confirmed: int = 0, suspect: int = 0, started_ms: int = 7
+    version: int,
+    *,
+    confirmed: int = 0,
+    suspect: int = 0,
+    started_ms: int = 7,
+    orders: int | None = None,
 ) -> ReplicaLoad:
     """Return a daemon's message about its replica's load."""
     return ReplicaLoad(
@@ -159,14 +226,17 @@
         started_ms=started_ms,
         confirmed={"m": confirmed} if confirmed else {},
         suspect={"m": suspect} if suspect else {},
+        orders=orders,
     )
 
 
 @pytest.mark.parametrize(
     ("messages", "version", "serves"),
     [
-        ([], 2, True),  # no message of its daemon yet, so the list decides
-        ([load_of(1)], 1, True),  # loaded when the entry started
+        ([], 1, False),  # listed when the entry started, but nobody vouches for it
+        ([], 2, False),
+        ([load_of(1)], 1, False),  # loaded when the entry started, not confirmed
+        ([load_of(1, orders=0)], 1, True),  # loaded by the platform
         ([load_of(1)], 2, False),  # listed, but not confirmed by its daemon
         ([load_of(1), load_of(2)], 2, False),  # an older daemon's message has no such field
         ([load_of(1), load_of(2, confirmed=2)], 2, True),
@@ -175,6 +245,15 @@
         ([load_of(1), load_of(2, suspect=2)], 2, False),
         ([load_of(2, suspect=2), load_of(2)], 2, False),  # another process of its daemon
         ([load_of(1, suspect=1)], 1, False),  # the entry started after the load
+        # Another process of its daemon, of this or an older release, has read the chunks back.
+        ([load_of(2, suspect=2, orders=1), load_of(2, confirmed=2, orders=1)], 2, False),
+        ([load_of(2, suspect=2, orders=1), load_of(2, confirmed=2)], 2, False),
+        ([load_of(2, confirmed=2, orders=1), load_of(2, suspect=2, orders=1)], 2, False),
+        # The same version was loaded again.
+        ([load_of(2, suspect=2, orders=1), load_of(2, confirmed=2, orders=2)], 2, True),
+        ([load_of(2, confirmed=2, orders=2), load_of(2, suspect=2, orders=1)], 2, False),
+        # The replica has started again and holds what the platform did not load.
+        ([load_of(2, confirmed=2, orders=2), load_of(2, orders=1)], 2, False),
     ],
 )
 def test_a_version_serves_by_the_messages_of_its_daemon(
@@ -186,11 +265,12 @@
     assert loads.may_serve("m", version) == serves
 
 
-def test_an_entry_without_a_subscription_uses_the_list() -> None:
+def test_an_entry_that_hears_no_daemon_serves_what_the_platform_loaded() -> None:
     loads = ConfirmedLoads([OLDER])
-    loads.record_report(load_of(1), 1.0)
-    loads.rely_on_list()
-    assert loads.may_serve("m", 2)
+    assert not loads.record_replica_report(report_of(1, 1))
+    assert not loads.may_serve("m", 1)
+    assert loads.record_replica_report(report_of(1, 0))
+    assert loads.may_serve("m", 1) and not loads.may_serve("m", 2)
 
 
 def test_an_entry_records_when_it_first_saw_a_new_version_loaded() -> None:
@@ -226,7 +306,7 @@
 
 def test_requests_name_the_expected_version_while_a_daemon_is_silent() -> None:
     state = replica_state()
-    state.record_report(load_of(1), 1)
+    state.record_report(load_of(1, confirmed=1), 1)
     assert state.version_to_expect("m") is None
     assert state.last_report is not None
     state.last_report.at -= 1.0
--- a/tests/test_confirmed_loads.py
+++ b/tests/test_confirmed_loads.py
@@ -34,13 +34,13 @@
 
 
 @asynccontextmanager
-async def steady_requests(site: Machines) -> AsyncIterator[list[Reply]]:
+async def steady_requests(site: Machines, entry: str = "entry0") -> AsyncIterator[list[Reply]]:
     """Send requests to the model continuously; yield the list that collects the replies."""
     replies: list[Reply] = []
 
     async def send_requests() -> None:
         while True:
-            replies.append(await ask(site.callers("entry0"), "/stream/x"))
+            replies.append(await ask(site.callers(entry), "/stream/x"))
             await trio.sleep(REQUEST_INTERVAL_SECONDS)
 
     async with trio.open_nursery() as nursery:
--- a/tests/test_early_repair.py
+++ b/tests/test_early_repair.py
@@ -236,6 +236,22 @@
     assert [goal.version for goal in repair.results.unanswered_puts] == [2]
 
 
+async def test_a_chunk_replaced_after_its_load_began_is_put_back(beside: Beside) -> None:
+    """The staged chunk is the only sign that the load was bad."""
+    corrupt_chunk(beside.replica, 3)
+    bad = beside.replica.staged[3]
+
+    async def load_before_put(call: DaemonCall) -> bool:
+        if call.puts_chunk and not beside.replica.orders:
+            beside.replica.orders = 1
+        return await beside.note_put(call)
+
+    beside.replica.drops_call = load_before_put
+    await beside.repair_once()
+    assert [put.number for put in beside.puts] == [3, 3]
+    assert beside.replica.staged[3] == bad
+
+
 async def test_without_an_entry_nothing_is_done_and_the_thread_ends(beside: Beside) -> None:
     corrupt_chunk(beside.replica, 3)
     beside.entry.answers = False
--- a/tests/test_gateway_places.py
+++ b/tests/test_gateway_places.py
@@ -27,6 +27,7 @@
 from headcross_ports.published import LoadedModel, Replica
 from headcross_wire.peermessages import ReplicaLoad
 
+from testing.platformloads import with_platform_loads
 from tests.test_gateway_rules import rules
 
 
@@ -34,9 +35,12 @@
     """Return a replica of a model whose daemon has just reported its load."""
     address = Address("127.0.0.1", 1 + len(name))
     replica = Replica(name, "lm", address, "z", 8, False, (LoadedModel("m", version),))
-    load = ReplicaLoad(str(address), 1, True, False, {"m": version}, busy, 0, 0.0, 1.0, 5)
+    load = ReplicaLoad(
+        str(address), 1, True, False, {"m": version}, busy, 0, 0.0, 1.0, 5, orders=0
+    )
     last_report = LoadReport(msgspec.structs.replace(load, subscribed_ms=now_ms()), monotonic(), 0)
-    return ReplicaState(replica, last_report=last_report, own_share=1 / load.listeners)
+    state = ReplicaState(replica, last_report=last_report, own_share=1 / load.listeners)
+    return with_platform_loads(state)
 
 
 def report_now(directory: Directory, load: ReplicaLoad, now: float) -> None:
--- a/tests/test_gateway_rules.py
+++ b/tests/test_gateway_rules.py
@@ -89,7 +89,18 @@
     def report_load(subscribed_seconds_ago: float) -> None:
         sent_ms = int((monotonic() - subscribed_seconds_ago) * 1000)
         load = ReplicaLoad(
-            str(address), 1, True, False, {"m": 1}, 0, 0, 0.0, 1.0, 1, subscribed_ms=sent_ms
+            str(address),
+            1,
+            True,
+            False,
+            {"m": 1},
+            0,
+            0,
+            0.0,
+            1.0,
+            1,
+            subscribed_ms=sent_ms,
+            orders=0,
         )
         directory.record_report(load)
 
--- a/tests/test_gateway_subsetting.py
+++ b/tests/test_gateway_subsetting.py
@@ -27,6 +27,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from testing.platformloads import with_platform_loads
 from tests.test_gateway_rules import rules
 
 WEIGHTS = Service("lm", 100, WeightsLayout(("m",), 1, 1))
@@ -59,6 +60,8 @@
     directory = Directory(facts, host=host, zone="z0")
     directory.update()
     directory.choose_subset()
+    for state in directory.states():
+        with_platform_loads(state)
     return directory
 
 
--- a/tests/test_gateway_unbegun.py
+++ b/tests/test_gateway_unbegun.py
@@ -20,6 +20,7 @@
 from headcross_wire.peermessages import ReplicaLoad
 from msgspec.structs import replace
 
+from testing.platformloads import with_platform_loads
 from tests.test_gateway_rules import rules
 
 BOUND_SECONDS = 8.0  # of the rules under test
@@ -28,7 +29,8 @@
 def state_of(version: int) -> ReplicaState:
     """Return the state of a replica that holds a version of the model."""
     address = Address("127.0.0.1", 1)
-    return ReplicaState(Replica("i", "lm", address, "z", 8, False, (LoadedModel("m", version),)))
+    replica = Replica("i", "lm", address, "z", 8, False, (LoadedModel("m", version),))
+    return with_platform_loads(ReplicaState(replica))
 
 
 @pytest.fixture(autouse=True)
--- a/tests/test_in_doubt.py
+++ b/tests/test_in_doubt.py
@@ -105,6 +105,15 @@
     assert doubt.may_order(NEWER, 1.0 + LATE_SECONDS)
 
 
+def test_an_unanswered_put_may_take_effect_until_long_after_it() -> None:
+    doubt = nothing_in_doubt()
+    doubt.last_put_at = 5.0
+    assert doubt.puts_effective_until(OLDER) == 5.0
+    doubt.record_unanswered_put(OLDER, 6.0)
+    assert doubt.puts_effective_until(OLDER) == 6.0 + LATE_SECONDS
+    assert doubt.puts_effective_until(NEWER) == 5.0
+
+
 def test_a_process_waits_until_no_earlier_order_can_be_in_doubt() -> None:
     doubt = InDoubtCalls(10.0)
     assert not doubt.may_stage(NEWER, report_of(), 9.9 + LATE_SECONDS)
--- a/tests/test_renewal_histories.py
+++ b/tests/test_renewal_histories.py
@@ -19,13 +19,14 @@
 from headcross_base.errors import Failure, Ok
 from headcross_base.hashing import digest_of
 from headcross_facts.facts import Facts
+from headcross_facts.loadevidence import LoadStatus, ReadBack
 from headcross_fleet.fleetfile import Artifact
+from headcross_gateway.confirmedloads import ConfirmedLoads
 from headcross_platform import names
 from headcross_platform.store import MetadataStore
 from headcross_ports.published import Changes, Item, Listing, LoadedModel, Replica, Topic
 from headcross_ports.replicas import ChunkDigests
 from headcross_renewal import indoubt
-from headcross_renewal.confirmation import Confirmation
 from headcross_renewal.fetching import DaemonLocation, Fetcher
 from headcross_renewal.goalchoice import GoalSelector
 from headcross_renewal.indoubt import InDoubtCalls
@@ -37,7 +38,7 @@
 from headcross_renewal.reporting import Reporter
 from headcross_renewal.weightsname import parse_weights_name
 from headcross_weights.chunkstore import ChunkStore, StoredArtifact
-from headcross_wire.peermessages import PeerMessage, ReplicaLoad
+from headcross_wire.peermessages import LoadVerdict, PeerMessage, ReplicaLoad
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -120,11 +121,59 @@
         """Do nothing: all chunks have the same size."""
 
 
+class RememberingEntry:
+    """An entry that outlives the daemon's processes and tells them what it heard of loads."""
+
+    # How long it takes until a new incarnation is listed in place of the earlier one.
+    LIST_SECONDS = 2.0
+
+    def __init__(self, replica: LateReplica) -> None:
+        self._replica = replica
+        self._listed = replica.incarnation
+        self._loads = ConfirmedLoads([])
+
+    def listed_id(self) -> str:
+        """Return the id under which the replica is listed."""
+        age = trio.current_time() - self._replica.began_at
+        if self._replica.incarnation != self._listed and age >= self.LIST_SECONDS:
+            self._listed = self._replica.incarnation
+            self._loads = ConfirmedLoads([])
+        return f"i-{self._listed}"
+
+    async def converse(self, reporter: Reporter) -> None:
+        """Exchange messages with one process of the daemon until cancelled."""
+        while True:
+            listed_id = self.listed_id()
+            started_ms = self._listed if self._replica.reports_start else None
+            verdicts = [
+                LoadVerdict(
+                    listed_id,
+                    started_ms,
+                    known.orders,
+                    loaded.model,
+                    loaded.version,
+                    known.status is LoadStatus.CONFIRMED,
+                )
+                for loaded, known in self._loads.known().items()
+            ]
+            reporter.receive_verdicts(verdicts, {listed_id})
+            reporter.add_listener("remembering", self._receive)
+            await trio.sleep(1.0)
+
+    def _receive(self, message: PeerMessage, payload: bytes | None) -> bool:
+        assert isinstance(message, ReplicaLoad)
+        is_listed = message.started_ms in (None, self._listed)
+        if message.reachable and is_listed:
+            self._loads.record_report(message, trio.current_time())
+        return True
+
+
 async def run_daemon(
     replica: LateReplica,
     facts: Facts,
     generator: random.Random,
     first_digests_seconds: float = 0.0,
+    entry: RememberingEntry | None = None,
 ) -> None:
     """Run the renewal of a replica until cancelled."""
     reporter = Reporter(ADDRESS, replica)
@@ -160,6 +209,8 @@
         nursery.start_soon(reporter.run)
         nursery.start_soon(renewer.run)
         nursery.start_soon(record_false_confirmations, replica, reporter)
+        if entry is not None:
+            nursery.start_soon(entry.converse, reporter)
 
 
 async def record_false_confirmations(replica: LateReplica, reporter: Reporter) -> None:
@@ -271,6 +322,7 @@
     # out are a replica that does not answer (tested in test_beside_replica, a known failure) and
     # seconds without a running process.
     only_repairable: bool = True
+    has_entry: bool = False  # whether an entry remembers what processes of the daemon reported
 
 
 async def simulate(history: History) -> LateReplica:
@@ -294,10 +346,11 @@
                 restarts_per_second, min_uptime_seconds=4.0, max_pause_seconds=0.5
             )
         replica = LateReplica(generator, nursery, fault_rates)
+        entry = RememberingEntry(replica) if history.has_entry else None
         nursery.start_soon(replica.inject_faults)
         nursery.start_soon(
             restart_at_random,
-            lambda: run_daemon(replica, facts, generator),
+            lambda: run_daemon(replica, facts, generator, entry=entry),
             generator,
             restarts,
             FAULT_PHASE_SECONDS,
@@ -349,6 +402,14 @@
     assert not replica.false_confirmations, f"seed {seed}: {replica.false_confirmations[:3]}"
 
 
+@settings(max_examples=60, deadline=None)
+@given(seed=st.integers(0, 2**32 - 1))
+def test_no_history_confirms_a_bad_load_beside_an_entry_that_remembers(seed: int) -> None:
+    history = History(seed, only_repairable=False, ends_with_newest=False, has_entry=True)
+    replica = run_history(history)
+    assert not replica.false_confirmations, f"seed {seed}: {replica.false_confirmations[:3]}"
+
+
 def test_a_version_named_right_after_the_start_does_not_wait_for_earlier_processes() -> None:
     """Guards against a needless wait until calls of an earlier process can no longer take effect.
 
@@ -423,7 +484,7 @@
     """Without repairs, bad loads happen, and only the read-back keeps them from confirmation."""
     monkeypatch.setattr(Recovery, "_keep_whole", do_nothing)
     if not reads_back:
-        monkeypatch.setattr(Confirmation, "note_read_back", lambda self, *about: self._confirm())
+        monkeypatch.setattr(ReadBack, "shows_intact", True)
     fault_rates = FaultRates(late=0.3, corruption=1.0, orders_only=True)
     replicas = [
         run_history(History(seed, fault_rates, 0.3, ends_with_newest=False)) for seed in range(60)
--- a/tests/test_tool.py
+++ b/tests/test_tool.py
@@ -213,6 +213,30 @@
     assert len(printed_lines) == 5
 
 
+async def test_explain_shows_for_a_refused_request_which_replicas_were_kept_from_service(
+    tmp_path: Path,
+) -> None:
+    def service(at: str, message: str, replica: str, host: str = "e") -> dict[str, object]:
+        return {"at": at, "host": host, "message": message, "replica": replica}
+
+    lines = [
+        {"at": "T5", "host": "e", "message": "refused", "request": "r1", "reason": "no-replica"},
+        service("T1", "replica kept from service", "i-1"),
+        service("T2", "replica kept from service", "i-2"),
+        service("T3", "replica not kept from service any more", "i-2"),
+        service("T4", "replica kept from service", "i-3", host="other"),
+        service("T6", "replica kept from service", "i-4"),
+    ]
+    log = tmp_path / "entry.log"
+    log.write_text("\n".join(json.dumps(line) for line in lines))
+    code, output, errors = await headcross("explain", "r1", str(log))
+    assert (code, errors) == (0, "")
+    printed_lines = output.splitlines()
+    assert printed_lines[1] == "Replicas whose weights nothing vouched for there:"
+    assert printed_lines[2] == "T1  e  replica kept from service  replica=i-1"
+    assert len(printed_lines) == 4
+
+
 async def test_explain_fails_if_no_log_has_the_request(tmp_path: Path) -> None:
     log = tmp_path / "entry.log"
     log.write_text("")
