An answer that comes long after its order's read-back does not confirm the load

What callers could see: answers from a bad load, where the answer to an order arrives in the first moment after a freeze of the host: the replica took the order then, with chunks that had been bad for as long as the freeze.

Cause: Orders._send confirmed the load of any order answered as taken, whatever the answer's age.

Why this works: the order may have been taken at any time until its answer arrived, so the load is known to be intact only if all chunks were read back intact within the 3 s before the answer; else the load is read back like that of an order in doubt.

--- a/libs/renewal/src/headcross_renewal/indoubt.py
+++ b/libs/renewal/src/headcross_renewal/indoubt.py
@@ -28,9 +28,11 @@
 LATE_SECONDS: Final = 15.0
 # Within this time of a process's start, running entries send it the recently named versions.
 ENTRY_NOTICE_SECONDS: Final = 2.0
-# An order is sent only if the read-back of its chunks began at most this long ago. Chunks can turn
-# bad at any time, and one that has been bad for 3 s must not be loaded; sending the order takes at
-# most 1 s.
+# Chunks can turn bad at any time. A load is intact if each of its chunks was intact within this
+# time before it.
+BAD_CHUNK_SECONDS: Final = 3.0
+# An order is sent only if the read-back of its chunks began at most this long ago. Sending it
+# takes at most 1 s.
 READ_BACK_VALID_SECONDS: Final = 1.5
 
 
--- a/libs/renewal/src/headcross_renewal/orders.py
+++ b/libs/renewal/src/headcross_renewal/orders.py
@@ -19,7 +19,12 @@
 from headcross_ports.replicas import OrderLine, OrderRefused, ReplicaControl, ReplicaReport
 from headcross_weights.chunkstore import StoredArtifact
 
-from headcross_renewal.indoubt import READ_BACK_VALID_SECONDS, InDoubtCalls, SentOrder
+from headcross_renewal.indoubt import (
+    BAD_CHUNK_SECONDS,
+    READ_BACK_VALID_SECONDS,
+    InDoubtCalls,
+    SentOrder,
+)
 from headcross_renewal.polling import POLL_INTERVAL_SECONDS, poll_until
 from headcross_renewal.reporting import Reporter
 from headcross_renewal.staging import Staging
@@ -186,12 +191,21 @@
             await trio.sleep(RETRY_SECONDS)
             return False
         self.in_doubt.settle()
-        if not outcome.value.done and self.in_doubt.earlier_puts_expired(sent_at):
+        if not outcome.value.done and self._shows_intact_load(read_at, sent_at):
             self._reporter.confirmation.record_accepted_order(goal, report)
             self._reporter.notify_listeners()
         logger.info("order taken", extra={**fields, "done": outcome.value.done})
         return True
 
+    def _shows_intact_load(self, read_at: float, sent_at: float) -> bool:
+        """Return whether an order whose answer has just arrived loaded what was read back.
+
+        The replica may have accepted it at any time until now, for example as a frozen host woke.
+        """
+        if monotonic() - read_at >= BAD_CHUNK_SECONDS:
+            return False
+        return self.in_doubt.earlier_puts_expired(sent_at)
+
     def _is_overwritten(self) -> bool:
         """Return whether another writer has overwritten the list entry of this replica."""
         overwritten = self._facts.overwritten.values()
