Entries of large fleets look less often for loads that nothing vouches for

Each look reads the state of every replica with a daemon. At 540 replicas and 0.15 s that would take some percent of a core (by the number of looks, not measured); the interval now grows with the number of replicas beyond 64.

--- a/libs/daemon/src/headcross_daemon/loadinquiry.py
+++ b/libs/daemon/src/headcross_daemon/loadinquiry.py
@@ -27,6 +27,8 @@
 from headcross_wire.peernode import PeerNode
 
 CHECK_SECONDS: Final = 0.15
+# In a larger fleet, checks are less frequent in proportion, so that they take no more time in all.
+REPLICAS_PER_CHECK: Final = 64
 # The daemon of a replica gets this long to report its load before others are asked.
 DAEMON_SECONDS: Final = 0.25
 # Interval between two questions about the same load: it doubles up to the longest one.
@@ -78,7 +80,8 @@
         """Ask at short intervals until cancelled."""
         async with trio.open_nursery() as nursery:
             while True:
-                await trio.sleep(CHECK_SECONDS)
+                replicas = len(self._directory.replicas_with_daemons())
+                await trio.sleep(CHECK_SECONDS * max(1.0, replicas / REPLICAS_PER_CHECK))
                 kept = self._directory.kept_from_service()
                 self._update(kept, monotonic())
                 self._ask(kept, nursery, monotonic())
