--- a/libs/daemon/src/headcross_daemon/gatewayrole.py
+++ b/libs/daemon/src/headcross_daemon/gatewayrole.py
@@ -19,7 +19,7 @@
 from headcross_gateway.budget import RetryBudget
 from headcross_gateway.containment import Containment
 from headcross_gateway.directory import Directory
-from headcross_gateway.loadnews import answer, receive_news
+from headcross_gateway.loadnews import answer_question, receive_load_news
 from headcross_gateway.losscatchup import LossCatchUp
 from headcross_gateway.overload import Overload
 from headcross_gateway.picking import Picker
@@ -377,10 +377,10 @@
             self._news.answer_losses(incoming.message, incoming.reply)
             return
         if isinstance(incoming.message, AskLoads):
-            incoming.reply(answer(incoming.message, self._directory.find), None)
+            incoming.reply(answer_question(incoming.message, self._directory.find), None)
             return
         if isinstance(incoming.message, LoadNews):
-            for changed in receive_news(incoming.message, self._directory.find):
+            for changed in receive_load_news(incoming.message, self._directory.find):
                 self._admission.notify(changed.replica.service)
             return
         if isinstance(incoming.message, ReplicaNews):
--- a/libs/gateway/src/headcross_gateway/loadnews.py
+++ b/libs/gateway/src/headcross_gateway/loadnews.py
@@ -39,7 +39,7 @@
     ]
 
 
-def answer(question: AskLoads, find: FindReplica) -> LoadNews:
+def answer_question(question: AskLoads, find: FindReplica) -> LoadNews:
     """Return what this entry knows of the replicas that another one asks about.
 
     `find` returns a listed replica by its id, None if it is not listed.
@@ -49,7 +49,7 @@
     return LoadNews(verdicts[:MAX_VERDICTS])
 
 
-def receive_news(news: LoadNews, find: FindReplica) -> list[ReplicaState]:
+def receive_load_news(news: LoadNews, find: FindReplica) -> list[ReplicaState]:
     """Apply the verdicts of another entry; return the replicas whose loads' status changed."""
     changed: dict[str, ReplicaState] = {}
     for verdict in news.verdicts[:MAX_VERDICTS]:
--- a/tests/test_load_news.py
+++ b/tests/test_load_news.py
@@ -4,7 +4,12 @@
 import pytest
 from headcross_base.addresses import Address
 from headcross_facts.loadevidence import LoadEvidence, LoadStatus, ReadBack, judge
-from headcross_gateway.loadnews import answer, receive_news, unknown_loads, verdicts_of
+from headcross_gateway.loadnews import (
+    answer_question,
+    receive_load_news,
+    unknown_loads,
+    verdicts_of,
+)
 from headcross_gateway.replicastate import ReplicaState
 from headcross_ports.published import LoadedModel, Replica
 from headcross_wire.peermessages import (
@@ -47,16 +52,16 @@
     knowing, asking = replica_state(), replica_state()
     knowing.record_report(load_of(confirmed=confirmed, suspect=suspect, orders=1), 1)
     assert unknown_loads([asking]) == [asking]
-    news = decode(encode(answer(AskLoads(["i-1", "i-2"]), {"i-1": knowing}.get)))
+    news = decode(encode(answer_question(AskLoads(["i-1", "i-2"]), {"i-1": knowing}.get)))
     assert isinstance(news, LoadNews)
-    assert receive_news(news, {"i-1": asking}.get) == [asking]
+    assert receive_load_news(news, {"i-1": asking}.get) == [asking]
     assert asking.confirmed_loads.may_serve("m", 2) == bool(confirmed)
     assert unknown_loads([asking]) == []
     assert verdicts_of(asking) == verdicts_of(knowing)
 
 
 def test_an_entry_that_knows_nothing_tells_nothing() -> None:
-    assert answer(AskLoads(["i-1"]), {"i-1": replica_state()}.get) == LoadNews([])
+    assert answer_question(AskLoads(["i-1"]), {"i-1": replica_state()}.get) == LoadNews([])
 
 
 @pytest.mark.parametrize(
@@ -72,7 +77,7 @@
 )
 def test_a_verdict_on_anything_else_confirms_nothing(fields: dict[str, object]) -> None:
     state = replica_state()
-    receive_news(LoadNews([verdict(**fields)]), {"i-1": state}.get)
+    receive_load_news(LoadNews([verdict(**fields)]), {"i-1": state}.get)
     assert not state.confirmed_loads.may_serve("m", 2)
 
 
