--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -310,7 +310,9 @@
     replica.held_orders.append({"op": "start", "version": 2})
     replica.take_held_orders()
     assert not list(find_mixed_loads([replica], versions, 9.0))
-    replica.staged[1] = versions[1][1]
+    # The replica holds version 2 now, so only a later incarnation loads it again.
+    replica.start_again()
+    replica.staged = {0: versions[2][0], 1: versions[1][1]}
     replica.held_orders.append({"op": "start", "version": 2})
     replica.take_held_orders()
     (finding,) = find_mixed_loads([replica], versions, 9.0)
