An entry is not ready before it knows whether most of its replicas' loads were intact

Cause: readiness waits for the reports of most daemons, 1 s at most. Since an entry sends nothing to weights that nobody vouches for, one that has heard nobody refuses every request for a model, and callers that another entry could serve are sent to it.

Why this works: it is ready once the loads of most replicas of its subset are known, good or bad, 3 s after its facts at the latest, so that plain services are served where nobody can tell.

tests/test_readiness.py has both; without the wait the first of the new tests fails.

--- a/libs/daemon/src/headcross_daemon/gatewayrole.py
+++ b/libs/daemon/src/headcross_daemon/gatewayrole.py
@@ -173,7 +173,9 @@
         )
         self._server = HttpServer(self._path.handle, self._limits(), self._path.refuse)
         self._readiness = Readiness(
-            lambda: self.process.facts.complete, self._directory.has_most_reports
+            lambda: self.process.facts.complete,
+            self._directory.has_most_reports,
+            self._directory.knows_most_loads,
         )
         # Number of rounds in which this mirror was announced to daemons outside of the subset.
         self._announcements = 0
--- a/libs/daemon/src/headcross_daemon/readiness.py
+++ b/libs/daemon/src/headcross_daemon/readiness.py
@@ -3,6 +3,7 @@
 An entry needs a configuration and the list of replicas. It also waits for a limited time for
 reports of most daemons in its subset: without them it knows neither the load of replicas nor which
 of them are about to load new weights, and would treat those as idle replicas with the old weights.
+Nor does it send any request to weights of which nobody has told it that they were loaded intact.
 """
 
 from collections.abc import Callable
@@ -13,6 +14,9 @@
 # take longer. Without the wait, a request 0.9 s after a start was refused by two replicas that
 # were loading weights.
 MAX_REPORT_WAIT_SECONDS: Final = 1.0
+# The longest wait, from the same moment, until it is known of most loads whether they were intact.
+# Until then, requests would be refused here that other entries can serve.
+MAX_LOADS_WAIT_SECONDS: Final = 3.0
 
 
 class Readiness:
@@ -22,11 +26,15 @@
     """
 
     def __init__(
-        self, facts_complete: Callable[[], bool], has_most_reports: Callable[[], bool]
+        self,
+        facts_complete: Callable[[], bool],
+        has_most_reports: Callable[[], bool],
+        knows_most_loads: Callable[[], bool] = lambda: True,
     ) -> None:
-        """Take predicates: `facts_complete` on facts, `has_most_reports` on reports of daemons."""
+        """Take predicates on the facts, on the reports of daemons and on the loads of replicas."""
         self._facts_complete = facts_complete
         self._has_most_reports = has_most_reports
+        self._knows_most_loads = knows_most_loads
         self._complete_since: float | None = None
         self._was_ready = False
         self._stopping = False
@@ -46,6 +54,11 @@
             return False
         if self._complete_since is None:
             self._complete_since = now
-        waited = now - self._complete_since >= MAX_REPORT_WAIT_SECONDS
-        self._was_ready = self._was_ready or waited or self._has_most_reports()
+        if not self._was_ready:
+            self._was_ready = self._knows_enough(now - self._complete_since)
         return self._was_ready
+
+    def _knows_enough(self, waited: float) -> bool:
+        if waited < MAX_REPORT_WAIT_SECONDS and not self._has_most_reports():
+            return False
+        return waited >= MAX_LOADS_WAIT_SECONDS or self._knows_most_loads()
--- a/libs/gateway/src/headcross_gateway/directory.py
+++ b/libs/gateway/src/headcross_gateway/directory.py
@@ -13,7 +13,7 @@
 from headcross_ports.published import Replica
 from headcross_wire.peermessages import LoadedVersionNews, LoadVerdict, ReplicaLoad
 
-from headcross_gateway.loadnews import verdicts_of
+from headcross_gateway.loadnews import unknown_loads, verdicts_of
 from headcross_gateway.replicastate import ReplicaState, draw_allowance
 from headcross_gateway.subsetting import choose_subset
 
@@ -161,6 +161,14 @@
         states = [state for state in self._with_daemons() if state.in_subset]
         return 2 * sum(state.last_report is not None for state in states) >= len(states)
 
+    def knows_most_loads(self) -> bool:
+        """Return whether the loads of at least half of the subset's replicas are known.
+
+        A load is known if it was intact or found bad; a replica without weights has none.
+        """
+        states = [state for state in self._with_daemons() if state.in_subset]
+        return 2 * len(unknown_loads(states)) <= len(states)
+
     def choose_subset(self) -> None:
         """Choose the subset of replicas whose load reports this entry receives."""
         states = self._with_daemons()
--- a/tests/test_readiness.py
+++ b/tests/test_readiness.py
@@ -2,7 +2,11 @@
 
 from dataclasses import dataclass
 
-from headcross_daemon.readiness import MAX_REPORT_WAIT_SECONDS, Readiness
+from headcross_daemon.readiness import (
+    MAX_LOADS_WAIT_SECONDS,
+    MAX_REPORT_WAIT_SECONDS,
+    Readiness,
+)
 
 
 @dataclass
@@ -11,10 +15,13 @@
 
     complete: bool = False
     has_most_reports: bool = False
+    knows_most_loads: bool = True
 
     def readiness(self) -> Readiness:
         """Return the readiness of an entry with these facts and reports."""
-        return Readiness(lambda: self.complete, lambda: self.has_most_reports)
+        return Readiness(
+            lambda: self.complete, lambda: self.has_most_reports, lambda: self.knows_most_loads
+        )
 
 
 def test_without_facts_an_entry_is_never_ready() -> None:
@@ -47,6 +54,25 @@
     assert readiness.is_ready(60.0 + MAX_REPORT_WAIT_SECONDS)
 
 
+def test_unknown_loads_delay_readiness_for_a_limited_time_only() -> None:
+    """Guards against an entry that is ready and refuses every request for a model."""
+    knowledge = Knowledge(complete=True, has_most_reports=True, knows_most_loads=False)
+    readiness = knowledge.readiness()
+    assert not readiness.is_ready(60.0)
+    assert not readiness.is_ready(60.0 + MAX_LOADS_WAIT_SECONDS - 0.01)
+    assert readiness.is_ready(60.0 + MAX_LOADS_WAIT_SECONDS)
+
+
+def test_an_entry_is_ready_once_it_knows_most_loads_and_stays_ready() -> None:
+    knowledge = Knowledge(complete=True, has_most_reports=True, knows_most_loads=False)
+    readiness = knowledge.readiness()
+    assert not readiness.is_ready(0.0)
+    knowledge.knows_most_loads = True
+    assert readiness.is_ready(0.1)
+    knowledge.knows_most_loads = False
+    assert readiness.is_ready(0.2)
+
+
 def test_a_stopping_entry_is_not_ready() -> None:
     readiness = Knowledge(complete=True, has_most_reports=True).readiness()
     assert readiness.is_ready(0.0)
