An entry is not ready before its directory shows the listed replicas

Cause: readiness looked at whether the facts were complete, and then at the replicas of the directory; between the two the directory was still empty, and an empty one needs no reports. Before loads had to be vouched for, such an entry sent its first requests by the list alone.

Why this works: readiness counts from the moment at which the directory was made from the complete facts.

--- a/libs/daemon/src/headcross_daemon/gatewayrole.py
+++ b/libs/daemon/src/headcross_daemon/gatewayrole.py
@@ -173,10 +173,12 @@
         )
         self._server = HttpServer(self._path.handle, self._limits(), self._path.refuse)
         self._readiness = Readiness(
-            lambda: self.process.facts.complete,
+            lambda: self._has_applied_facts,
             self._directory.has_most_reports,
             self._directory.knows_most_loads,
         )
+        # Whether the directory shows all replicas that were listed once the facts were complete.
+        self._has_applied_facts = False
         # Number of rounds in which this mirror was announced to daemons outside of the subset.
         self._announcements = 0
         # When to stop requesting losses from daemons (monotonic time).
@@ -321,6 +323,7 @@
         self._directory.entries = len(self.process.known_entries()) + 1
         self._update_directory()
         self._directory.choose_subset()
+        self._has_applied_facts = self.process.facts.complete
         self._is_ready()  # starts the wait for daemons once the facts are complete
         self._server.limits = self._limits()
         configuration = self.process.facts.configuration
