--- a/tests/test_loads_after_restart.py
+++ b/tests/test_loads_after_restart.py
@@ -82,8 +82,14 @@
     Restart(("daemon0",), AT_THE_LOAD),
     Restart(("daemon0",), signal=Signals.SIGTERM),
     Restart(("daemon0",), times=2),
+    Restart(("daemon0", "daemon1"), AT_THE_LOAD),
+    Restart(("daemon0", "daemon1"), signal=Signals.SIGTERM),
+    Restart(("entry0", "daemon0")),
+    Restart(("entry0", "daemon0"), AT_THE_LOAD),
+    Restart(("entry0", "daemon0"), signal=Signals.SIGTERM),
     Restart(("entry0",)),
     Restart(("entry0",), AT_THE_LOAD),
+    Restart(("entry0",), signal=Signals.SIGTERM),
     Restart(("entry0", "daemon0"), stay_away=("daemon0",)),
     Restart(("entry0", "daemon0"), AT_THE_LOAD, stay_away=("daemon0",)),
 ]
@@ -288,7 +294,9 @@
         replica = await load_bad_chunk(site)
         with trio.fail_after(SERVED_SECONDS):
             while not any(
-                line["message"] == "replica kept from service" and line["replica"] == replica.id
+                line["message"] == "replica kept from service"
+                and line["replica"] == replica.id
+                and line["loads"] == {"m@2": "suspect"}
                 for line in site.log("entry0")
             ):
                 await trio.sleep(0.05)
