--- a/testing/platformorigin.py
+++ b/testing/platformorigin.py
@@ -6,10 +6,11 @@
 from urllib.parse import parse_qs
 
 import h11
+import msgspec
 import trio
 from headcross_platform import names
 
-from testing.rawhttp import json_bytes, next_cycle, read_request, response_bytes
+from testing.rawhttp import add_fields, json_bytes, next_cycle, read_request, response_bytes
 
 
 @dataclass
@@ -21,6 +22,8 @@
     sent: Counter[tuple[int, int]] = field(default_factory=Counter)  # by version and chunk
     corrupt_next: int = 0  # how many of the next chunks to corrupt
     corrupt_digests: int = 0  # how many of the next lists of digests to corrupt
+    # Fields that are added to manifests, encoded as JSON; the values may be of any form.
+    manifest_fields: bytes = b""
     down: bool = False
     seconds_per_chunk: float = 0.0
 
@@ -55,9 +58,9 @@
             if self.corrupt_digests:
                 self.corrupt_digests -= 1
                 digests[1] = digests[0]
-            return json_bytes(
-                200, {"version": version, "chunk_bytes": self.chunk_bytes, "digests": digests}
-            )
+            manifest = {"version": version, "chunk_bytes": self.chunk_bytes, "digests": digests}
+            body = add_fields(msgspec.json.encode(manifest), self.manifest_fields)
+            return response_bytes(200, [], body)
         number = int(query["num"][0])
         await trio.sleep(self.seconds_per_chunk)
         self.sent[version, number] += 1
--- a/testing/platformreplica.py
+++ b/testing/platformreplica.py
@@ -23,6 +23,7 @@
 
 from testing.rawhttp import (
     CallerDisconnected,
+    add_fields,
     chunk_bytes,
     head_bytes,
     json_bytes,
@@ -178,6 +179,10 @@
     staged: dict[int, bytes] = field(default_factory=dict)
     loads: list[tuple[int, list[str]]] = field(default_factory=list)  # version, chunk digests
     reports_start: bool = True
+    # Sends anything in place of the answer to a request with this id, then closes the connection.
+    answer_with: Callable[[trio.SocketStream, str], Awaitable[None]] | None = None
+    # Fields that are added to reports, encoded as JSON; the values may be of any form.
+    report_fields: bytes = b""
     # Whether the replica fails when it begins to run a request with this body.
     fails_on: Callable[[bytes], bool] = lambda body: False
     # Whether the replica crashes when it begins to answer a request with these headers.
@@ -256,7 +261,8 @@
         """Perform a call of the daemon; return the response, None if it is another request."""
         if call.path == names.REPORT_PATH:
             leaving = [(names.LEAVING, "1")] if self.reports_leaving else []
-            return json_bytes(200, self._report(), leaving)
+            body = add_fields(msgspec.json.encode(self._report()), self.report_fields)
+            return response_bytes(200, leaving, body)
         if call.puts_chunk and call.method == "PUT":
             self.staged[call.number] = call.body
             return json_bytes(200, {})
@@ -404,6 +410,9 @@
         fault: Fault | None,
     ) -> bool:
         await sleep_while_connected(stream, self.service_seconds)
+        if self.answer_with is not None:
+            await self.answer_with(stream, headers[names.REQUEST_ID])
+            return False
         sealed = [*base, (names.SEAL, SEAL)]
         if self.model is not None:
             sealed.append((names.WEIGHT_VERSIONS, str(self.version)))
--- a/testing/platformstore.py
+++ b/testing/platformstore.py
@@ -15,6 +15,8 @@
 from headcross_platform import names
 from headcross_wire.httpexchange import Exchange
 
+from testing.rawhttp import add_fields
+
 
 class StoreCondition(Enum):
     """How the store responds to a caller."""
@@ -58,6 +60,8 @@
     era_header: str | None = None
     # Era headers of the next answer to a caller, by its IP address.
     wrong_eras: dict[str, str] = field(default_factory=dict)
+    # Fields that are added to items in answers, by key, encoded as JSON; of any form.
+    item_fields: dict[str, bytes] = field(default_factory=dict)
     condition: StoreCondition = StoreCondition.WELL
     # Conditions that differ from `condition`, by the caller's IP address.
     condition_by_ip: dict[str, StoreCondition] = field(default_factory=dict)
@@ -188,7 +192,11 @@
         """Return the keys with a prefix that changed after a revision."""
         return {c.key for c in self._log if c.revision > revision and c.key.startswith(prefix)}
 
-    def _show(self, key: str) -> dict[str, object]:
+    def _show(self, key: str) -> msgspec.Raw:
+        shown = msgspec.json.encode(self._describe(key))
+        return msgspec.Raw(add_fields(shown, self.item_fields.get(key, b"")))
+
+    def _describe(self, key: str) -> dict[str, object]:
         item = self.items.get(key)
         if item is None:
             revision = max(change.revision for change in self._log if change.key == key)
--- a/testing/rawhttp.py
+++ b/testing/rawhttp.py
@@ -88,3 +88,8 @@
 def chunk_bytes(data: bytes) -> bytes:
     """Return data as one chunk of the chunked transfer coding."""
     return b"%x\r\n%s\r\n" % (len(data), data)
+
+
+def add_fields(body: bytes, fields: bytes) -> bytes:
+    """Return a JSON object with more fields, given as `"name":value` and separated by commas."""
+    return body[:-1] + b"," + fields + b"}" if fields else body
