Decode all outside bytes at one boundary, bounded in depth, size and 64 bits

Callers saw: 598 of 600 requests without an answer after another writer had put one list entry with a field nested 2,000 deep or more; all entries and daemons ended with code 1, again at every start. An entry ended as it told another one of a replica whose start was 2^64 or -10^400, a daemon as its replica's report named 10^400 orders; a nested manifest ended daemons and entries.

Cause: decoders caught msgspec's errors and not RecursionError, so the exception cancelled all tasks of the process; whole numbers of JSON had no upper bound and failed only when they were encoded for a peer, in 64 bits.

headcross_base.decoding has the only decoders now. Each returns a value or a Failure, whatever the bytes; values nested too deeply for the interpreter are replaced by null, since only fields that are not read can be, so they cost nothing else; more than 50,000 strings and brackets of such JSON are refused, as replacing takes time. Types state the bounds of their numbers.

The tests of reports, manifests, items and the configuration now nest 2,000 deep, which must cost nothing, where they nested 100,000 deep: that much is refused, and a new test holds that it ends no process and is over once it is gone.

--- a/libs/base/src/headcross_base/addresses.py
+++ b/libs/base/src/headcross_base/addresses.py
@@ -6,6 +6,11 @@
 
 import ipaddress
 from dataclasses import dataclass
+from typing import Final
+
+from headcross_base.decoding import parse_whole_number
+
+MAX_PORT: Final = 65535
 
 
 @dataclass(frozen=True, slots=True, order=True)
@@ -37,10 +42,11 @@
 address
     """
     ip, colon, port = text.rpartition(":")
-    if not colon or not port.isdecimal() or int(port) > 65535:
-        raise ValueError(f"{text!r} is not IP:PORT")
+    number = parse_whole_number(port)
+    if not colon or number is None or number > MAX_PORT:
+        raise ValueError(f"{text[:100]!r} is not IP:PORT")
     try:
         parsed_ip = ipaddress.ip_address(ip.removeprefix("[").removesuffix("]"))
     except ValueError as error:
         raise ValueError(f"{text!r} is not IP:PORT: {error}") from None
-    return Address(str(parsed_ip), int(port))
+    return Address(str(parsed_ip), number)
--- a/libs/base/src/headcross_base/errorcodes.py
+++ b/libs/base/src/headcross_base/errorcodes.py
@@ -154,6 +154,12 @@
 )
 
 # Kinds that appear in dumps and logs only, never in answers to callers.
+MALFORMED: Final = _define(
+    "malformed",
+    0,
+    "Bytes could not be decoded.",
+    "Another process or writer sent them; see detail.",
+)
 FILE_REJECTED: Final = _define(
     "file-rejected", 0, "The fleet file was rejected whole.", "Mend the file; the last good holds."
 )
--- a/libs/cli/src/headcross_cli/adminclient.py
+++ b/libs/cli/src/headcross_cli/adminclient.py
@@ -5,6 +5,7 @@
 
 import msgspec
 from headcross_base.addresses import Address
+from headcross_base.decoding import Int64, JsonDecoder, parse_whole_number
 from headcross_base.errorcodes import SOURCE_FAILED
 from headcross_base.errors import Failure, Ok
 from headcross_base.version import ADMIN_API
@@ -34,7 +35,7 @@
     state: str
     pool: str
     digest: str
-    revision: int
+    revision: Int64
     progress: float
     silent: bool = False
 
@@ -43,6 +44,9 @@
     upstreams: list[UpstreamRow]
 
 
+_UPSTREAM_PAGE: Final = JsonDecoder(_UpstreamPage, MAX_PAGE_BYTES, SOURCE_FAILED)
+
+
 async def read_page(address: Address, page: str) -> Ok[WholeAnswer] | Failure:
     """Return one page of the API; any status but 200 is a failure."""
     outcome = await call(
@@ -64,10 +68,10 @@
     outcome = await read_page(address, "upstreams")
     if isinstance(outcome, Failure):
         return outcome
-    try:
-        return Ok(msgspec.json.decode(outcome.value.body, type=_UpstreamPage).upstreams)
-    except msgspec.MsgspecError as error:
-        return Failure(SOURCE_FAILED, f"{address}/upstreams: {error}")
+    decoded = _UPSTREAM_PAGE.decode(outcome.value.body)
+    if isinstance(decoded, Failure):
+        return Failure(decoded.reason, f"{address}/upstreams: {decoded.detail}")
+    return Ok(decoded.value.upstreams)
 
 
 async def read_in_force(address: Address) -> Ok[InForce] | Failure:
@@ -84,6 +88,6 @@
         return parsed_fleet
     if isinstance(parsed_hosts, Failure):
         return parsed_hosts
-    revision = int(dict(fleet.value.headers).get("revision", "0"))
+    revision = parse_whole_number(dict(fleet.value.headers).get("revision", ""))
     fleet_file = parsed_fleet.value if revision else EMPTY_FLEET
-    return Ok(InForce(fleet_file, parsed_hosts.value, revision))
+    return Ok(InForce(fleet_file, parsed_hosts.value, revision or 0))
--- a/libs/cli/src/headcross_cli/explaining.py
+++ b/libs/cli/src/headcross_cli/explaining.py
@@ -9,8 +9,9 @@
 from pathlib import Path
 from typing import Any, Final
 
-import msgspec
+from headcross_base.decoding import JsonDecoder
 from headcross_base.errorcodes import ERROR_CODES
+from headcross_base.errors import Failure
 
 # Fields that describe_line prints first or leaves out.
 COMMON_FIELDS: Final = ("at", "host", "message", "request", "level", "logger")
@@ -32,6 +33,8 @@
 NO_REPLICA_REASONS: Final = ("no-room", "not-serving", "no-replica")
 
 Line = dict[str, Any]
+MAX_LINE_BYTES: Final = 1024 * 1024
+_LINE: Final[JsonDecoder[Line]] = JsonDecoder(dict, MAX_LINE_BYTES)
 
 
 @dataclass
@@ -64,13 +67,12 @@
     service: list[Line] = []
     for path in files:
         for raw in path.read_bytes().splitlines():
-            try:
-                line = msgspec.json.decode(raw)
-            except msgspec.DecodeError:
-                line = None
-            if not isinstance(line, dict):
+            decoded = _LINE.decode(raw)
+            if isinstance(decoded, Failure):
                 trace.malformed += bool(raw.strip())
-            elif line.get("request") == request:
+                continue
+            line = decoded.value
+            if line.get("request") == request:
                 trace.lines.append(line)
             elif "request_digest" in line or "cause" in line:
                 blamed.append(line)
--- a/libs/daemon/src/headcross_daemon/settings.py
+++ b/libs/daemon/src/headcross_daemon/settings.py
@@ -6,10 +6,11 @@
 
 import ipaddress
 from pathlib import Path
-from typing import Annotated
+from typing import Annotated, Final
 
 import msgspec
 from headcross_base.addresses import parse_address
+from headcross_base.decoding import decode_toml
 from headcross_base.errorcodes import SETTINGS_INVALID
 from headcross_base.errors import Failure, Ok
 from headcross_base.logs import LEVELS
@@ -110,17 +111,22 @@
     stop: Stop = Stop()
 
 
+MAX_SETTINGS_BYTES: Final = 1024 * 1024
+
+
 def read_settings(path: Path) -> Ok[Settings] | Failure:
     """Read and validate a settings file; a failure names file, field and reason."""
     try:
-        settings = msgspec.toml.decode(path.read_bytes(), type=Settings)
+        raw = decode_toml(path.read_bytes(), MAX_SETTINGS_BYTES)
     except OSError as error:
         return Failure(SETTINGS_INVALID, f"{path}: {error.strerror}")
+    if isinstance(raw, Failure):
+        return Failure(SETTINGS_INVALID, f"{path}: file: {raw.detail}")
+    try:
+        settings = msgspec.convert(raw.value, Settings)
     except msgspec.ValidationError as error:
         reason, _, field = str(error).partition(" - at `$.")
         return Failure(SETTINGS_INVALID, f"{path}: {field.rstrip('`') or 'file'}: {reason}")
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        return Failure(SETTINGS_INVALID, f"{path}: file: {error}")
     problem = _find_problem(settings)
     return Ok(settings) if problem is None else Failure(SETTINGS_INVALID, f"{path}: {problem}")
 
--- a/libs/fleet/src/headcross_fleet/fleetfile.py
+++ b/libs/fleet/src/headcross_fleet/fleetfile.py
@@ -5,11 +5,11 @@
 few of them) is not checked here. Each error names the field and the reason.
 """
 
-import tomllib
 from collections.abc import Iterator
 from typing import Annotated, Any, Final
 
 import msgspec
+from headcross_base.decoding import decode_toml
 from headcross_base.errorcodes import FILE_REJECTED
 from headcross_base.errors import Failure, Ok
 
@@ -123,14 +123,11 @@
 
 def parse_fleet_file(body: bytes) -> Ok[FleetFile] | Failure:
     """Parse and validate a fleet file; a failure's detail gives the first bad field and why."""
-    if len(body) > MAX_FILE_BYTES:
-        return Failure(FILE_REJECTED, f"file: {len(body)} bytes, at most {MAX_FILE_BYTES}")
+    raw = decode_toml(body, MAX_FILE_BYTES)
+    if isinstance(raw, Failure):
+        return Failure(FILE_REJECTED, f"file: {raw.detail}")
     try:
-        raw = tomllib.loads(body.decode("utf-8"))
-    except (tomllib.TOMLDecodeError, UnicodeDecodeError, RecursionError) as error:
-        return Failure(FILE_REJECTED, f"file: {error}")
-    try:
-        fleet = _convert_file(raw)
+        fleet = _convert_file(raw.value)
     except _FieldError as error:
         return Failure(FILE_REJECTED, str(error))
     problem = next(_problems(fleet), None)
--- a/libs/native/src/headcross_native/engine.py
+++ b/libs/native/src/headcross_native/engine.py
@@ -14,6 +14,7 @@
 
 import msgspec
 from headcross_base.addresses import Address
+from headcross_base.decoding import Int64, JsonDecoder
 from headcross_base.errorcodes import ORDER_FAILED, ORDER_REFUSED
 from headcross_base.errors import Failure, Ok
 from headcross_base.hashing import digest_of
@@ -33,9 +34,9 @@
 class Fence(msgspec.Struct, frozen=True, order=True, array_like=True):
     """The fencing token of an order; engines that check it refuse one below the highest seen."""
 
-    revision: int  # of the fleet file that the order is derived from
-    incarnation: int  # of the daemon that issues it
-    sequence: int  # number of the order within that incarnation
+    revision: Int64  # of the fleet file that the order is derived from
+    incarnation: Int64  # of the daemon that issues it
+    sequence: Int64  # number of the order within that incarnation
 
 
 class WeightsOrder(msgspec.Struct, frozen=True):
@@ -63,7 +64,7 @@
     checks_fences: bool
     load: float  # from 0 (idle) to 1 (full)
     load_age: float  # seconds since the load was measured, which lags
-    running: int  # number of requests being served
+    running: Int64  # number of requests being served
 
 
 def serving_digest(digests: list[str]) -> str:
@@ -78,7 +79,7 @@
     return digests[0] if len(digests) == 1 else digest_of("\n".join(digests).encode())
 
 
-_STATE_DECODER: Final = msgspec.json.Decoder(EngineState)
+_STATE_DECODER: Final = JsonDecoder(EngineState, MAX_STATE_BYTES, ORDER_FAILED)
 
 
 class Engine:
@@ -98,10 +99,10 @@
         )
         if isinstance(outcome, Failure):
             return outcome
-        try:
-            return Ok(_STATE_DECODER.decode(outcome.value.body))
-        except msgspec.MsgspecError as error:
-            return Failure(ORDER_FAILED, f"engine state: {error}")
+        state = _STATE_DECODER.decode(outcome.value.body)
+        if isinstance(state, Failure):
+            return Failure(state.reason, f"engine state: {state.detail}")
+        return state
 
     async def send_order(self, order: Order) -> Ok[None] | Failure:
         """Send an order.
--- a/libs/native/src/headcross_native/hostlist.py
+++ b/libs/native/src/headcross_native/hostlist.py
@@ -9,6 +9,7 @@
 
 import msgspec
 from headcross_base.addresses import Address, parse_address
+from headcross_base.decoding import JsonDecoder
 from headcross_base.errorcodes import FILE_REJECTED
 from headcross_base.errors import Failure, Ok
 
@@ -70,16 +71,21 @@
 
 EMPTY_HOST_LIST: Final = HostList([])
 
-_DECODER: Final = msgspec.json.Decoder(HostList)
+# The largest document that the configuration service holds.
+MAX_LIST_BYTES: Final = 1024 * 1024
+_DECODER: Final = JsonDecoder(HostList, MAX_LIST_BYTES, FILE_REJECTED)
 
 
 def parse_host_list(body: bytes) -> Ok[HostList] | Failure:
     """Parse and validate a host list; a single invalid host rejects the entire list."""
+    decoded = _DECODER.decode(body)
+    if isinstance(decoded, Failure):
+        return Failure(decoded.reason, f"host list: {decoded.detail}")
+    hosts = decoded.value
     try:
-        hosts = _DECODER.decode(body)
         for host in hosts.hosts:
             _check_host(host)
-    except (msgspec.MsgspecError, ValueError) as error:
+    except ValueError as error:
         return Failure(FILE_REJECTED, f"host list: {error}")
     names = [host.name for host in hosts.hosts]
     names += [upstream.name for host in hosts.hosts for upstream in host.upstreams]
--- a/libs/weights/src/headcross_weights/manifest.py
+++ b/libs/weights/src/headcross_weights/manifest.py
@@ -12,6 +12,7 @@
 from typing import Annotated, Final
 
 import msgspec
+from headcross_base.decoding import Count, Int64, JsonDecoder
 from headcross_base.errorcodes import MANIFEST_MISMATCH
 from headcross_base.errors import Failure, Ok
 from headcross_base.hashing import digest_of
@@ -20,20 +21,21 @@
 DEFAULT_CHUNK_BYTES: Final = 4 * MIB
 MAX_CHUNK_BYTES: Final = 64 * MIB
 MANIFEST_FORMAT: Final = 1
+MAX_MANIFEST_BYTES: Final = 16 * MIB
 
 
 class ManifestFile(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """One file of a version."""
 
     path: Annotated[str, msgspec.Meta(min_length=1, max_length=1024)]  # relative, with slashes
-    size: Annotated[int, msgspec.Meta(ge=0)]  # bytes
+    size: Count  # bytes
     chunks: list[str]  # SHA-256 of each chunk, in order
 
 
 class Manifest(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """All files of a version."""
 
-    format: int
+    format: Int64
     chunk_bytes: Annotated[int, msgspec.Meta(ge=1, le=MAX_CHUNK_BYTES)]
     files: list[ManifestFile]
 
@@ -43,6 +45,9 @@
         return sum(file.size for file in self.files)
 
 
+_MANIFEST: Final = JsonDecoder(Manifest, MAX_MANIFEST_BYTES)
+
+
 @dataclass(frozen=True, slots=True)
 class ChunkLocation:
     """Position, size and digest of one chunk."""
@@ -70,10 +75,10 @@
     actual = digest_of(body)
     if actual != digest:
         return Failure(MANIFEST_MISMATCH, f"expected {digest}, the bytes have {actual}")
-    try:
-        manifest = msgspec.json.decode(body, type=Manifest)
-    except msgspec.MsgspecError as error:
-        return Failure(MANIFEST_MISMATCH, f"not a manifest: {error}")
+    decoded = _MANIFEST.decode(body)
+    if isinstance(decoded, Failure):
+        return Failure(MANIFEST_MISMATCH, f"not a manifest: {decoded.detail}")
+    manifest = decoded.value
     problem = next(_problems(manifest), None)
     return Ok(manifest) if problem is None else Failure(MANIFEST_MISMATCH, problem)
 
--- a/libs/wire/src/headcross_wire/peermessages.py
+++ b/libs/wire/src/headcross_wire/peermessages.py
@@ -9,6 +9,8 @@
 from typing import Final, Literal
 
 import msgspec
+from headcross_base.decoding import MessagePackDecoder, Real
+from headcross_base.errors import Failure
 
 # A longer first frame is dropped without decoding. The longest message is a document, whose body
 # has at most 1 MiB, the largest value that the configuration service holds.
@@ -26,7 +28,7 @@
     revision: int  # in the configuration service
     digest: str  # SHA-256 of the body
     accepted: int  # newest revision in force at the sender; below `revision` if that was rejected
-    age: float  # seconds since the service was last known to have nothing newer
+    age: Real  # seconds since the service was last known to have nothing newer
 
 
 class AskDocument(_Message, frozen=True, tag=2):
@@ -41,7 +43,7 @@
     key: str
     revision: int
     digest: str  # SHA-256 of the body, verified by the receiver
-    age: float
+    age: Real
     body: bytes
 
 
@@ -55,9 +57,9 @@
     in_flight: int  # number of requests handed over to it that have not ended
     queued: int  # number of requests waiting in the daemon
     slots: int  # number of requests that may be handed over at the same time
-    engine_load: float  # reported by the engine, from 0 (idle) to 1 (full)
-    engine_load_age: float  # seconds since the engine reported its load
-    progress: float  # share of the weights being staged that has arrived, 0 to 1
+    engine_load: Real  # reported by the engine, from 0 (idle) to 1 (full)
+    engine_load_age: Real  # seconds since the engine reported its load
+    progress: Real  # share of the weights being staged that has arrived, 0 to 1
 
 
 class Status(_Message, frozen=True, tag=4):
@@ -68,7 +70,7 @@
     sequence: int  # increases with every message of one incarnation
     revision: int  # of the fleet file in force at the sender
     hosts_revision: int  # of the host list in force at the sender
-    period: float  # maximum seconds until the next heartbeat
+    period: Real  # maximum seconds until the next heartbeat
     upstreams: list[UpstreamStatus]
 
 
@@ -126,7 +128,7 @@
     host: str
     artifact: str
     index: int
-    rate: float = 0.0  # bytes per second that the sender's link can receive; 0 for no limit
+    rate: Real = 0.0  # bytes per second that the sender's link can receive; 0 for no limit
 
 
 class Chunk(_Message, frozen=True, tag=23):
@@ -199,7 +201,7 @@
 
     topic: str
     revision: int  # -1 if the sender has no listing of the topic
-    age: float  # seconds since the sender knew this to be the newest state
+    age: Real  # seconds since the sender knew this to be the newest state
     epoch: int = -1  # in which the revision was given out; -1 if unknown
 
 
@@ -216,7 +218,7 @@
 
     topic: str
     revision: int
-    age: float  # seconds since the sender knew this to be the newest state
+    age: Real  # seconds since the sender knew this to be the newest state
     items: list[PublishedItem]
     epoch: int = -1  # of the revisions; -1 if unknown
 
@@ -241,7 +243,7 @@
 
     model: str
     version: int
-    age: float  # seconds since the sender learned of it as a new version
+    age: Real  # seconds since the sender learned of it as a new version
 
 
 class LoadedVersionNews(_Message, frozen=True):
@@ -249,7 +251,7 @@
 
     model: str
     version: int
-    age: float  # seconds since the sender learned of it
+    age: Real  # seconds since the sender learned of it
 
 
 class LoadVerdict(_Message, frozen=True):
@@ -279,7 +281,7 @@
     wants_losses: bool = False  # requests one `LossNews` with all known losses
     # Seconds since the sender first received a report of the receiver's replica; None if it never
     # did.
-    first_heard_age: float | None = None
+    first_heard_age: Real | None = None
     verdicts: list[LoadVerdict] = []  # on loads of the receiver's replica
 
 
@@ -309,8 +311,8 @@
     versions: dict[str, int]  # loaded version by model
     active: int  # number of requests being processed
     queued: int  # number of requests waiting
-    memory_share: float  # share of the memory in use, 0 to 1
-    pace: float  # above 1: slower than expected
+    memory_share: Real  # share of the memory in use, 0 to 1
+    pace: Real  # above 1: slower than expected
     listeners: int  # number of processes that receive this report
     named: list[NamedVersionNews] = []  # versions that were recently the newest
     # `sent_ms` of the newest subscription from the receiver.
@@ -336,7 +338,7 @@
 
     replica: str  # id of the replica
     started_ms: int | None  # start of the incarnation, Unix milliseconds; None if unknown
-    age: float  # seconds since it was lost, or was found alive
+    age: Real  # seconds since it was lost, or was found alive
     evidence: int = 1  # value of Evidence; see headcross_gateway
     requests: list[bytes] = []  # identities of requests that ran there; see headcross_gateway
     shared_traits: list[bytes] = []  # that these requests may share with others
@@ -347,14 +349,14 @@
     """A request that was blamed for losses and has been answered completely."""
 
     request: bytes  # identity of the request
-    age: float  # seconds since the answer
+    age: Real  # seconds since the answer
 
 
 class TraitAge(_Message, frozen=True):
     """A trait that requests may share, and something that happened to one of them."""
 
     trait: bytes  # see headcross_gateway
-    age: float  # seconds since then
+    age: Real  # seconds since then
 
 
 class LossNews(_Message, frozen=True, tag=54):
@@ -387,8 +389,8 @@
 
     replica: str  # id of the replica
     started_ms: int | None  # start of the incarnation, Unix milliseconds; None if unknown
-    age: float  # seconds since it stated its limit
-    limit: float | None  # requests per second from all entries together; None if it states none
+    age: Real  # seconds since it stated its limit
+    limit: Real | None  # requests per second from all entries together; None if it states none
     leaving: bool = False  # this incarnation takes no new requests any more
 
 
@@ -456,7 +458,9 @@
 )
 PeerMessage = ControlMessage | SwarmMessage
 
-_DECODER: Final = msgspec.msgpack.Decoder(PeerMessage)
+_DECODER: Final[MessagePackDecoder[PeerMessage]] = MessagePackDecoder(
+    PeerMessage, MAX_MESSAGE_BYTES
+)
 _ENCODER: Final = msgspec.msgpack.Encoder()
 
 
@@ -475,7 +479,5 @@
     >>> decode(b"junk") is None
     True
     """
-    try:
-        return _DECODER.decode(data)
-    except (msgspec.DecodeError, ValueError, RecursionError):
-        return None
+    message = _DECODER.decode(data)
+    return None if isinstance(message, Failure) else message.value
--- a/libs/wire/src/headcross_wire/replies.py
+++ b/libs/wire/src/headcross_wire/replies.py
@@ -8,7 +8,9 @@
 from typing import Final
 
 import msgspec
+from headcross_base.decoding import JsonDecoder, parse_whole_number
 from headcross_base.errorcodes import ERROR_CODES, UPSTREAM_ERROR
+from headcross_base.errors import Failure
 from headcross_base.verdicts import (
     MAY_HAVE_RUN,
     NOT_RUN,
@@ -34,6 +36,9 @@
     verdict: str
 
 
+_ERROR_BODY: Final = JsonDecoder(ErrorBody, MAX_ERROR_BYTES)
+
+
 async def send_refusal(exchange: Exchange, refusal: Refusal, headers: Headers) -> None:
     """Answer an exchange with a refusal, adding `headers`."""
     extra = [*headers, (VERDICT_HEADER, verdict_name(refusal))]
@@ -51,11 +56,11 @@
 
 def parse_refusal(verdict: str, retry_after: str | None, body: bytes) -> Refusal:
     """Decode a daemon's refusal; if verdict or body is invalid, the request may have run."""
-    seconds = float(retry_after) if retry_after and retry_after.isdecimal() else None
-    try:
-        error = msgspec.json.decode(body, type=ErrorBody)
-    except msgspec.MsgspecError:
+    seconds = parse_whole_number(retry_after or "")
+    decoded = _ERROR_BODY.decode(body)
+    if isinstance(decoded, Failure):
         return MayHaveRun(UPSTREAM_ERROR, "unreadable error")
+    error = decoded.value
     kind = ERROR_CODES.get(error.code, UPSTREAM_ERROR)
     if verdict == NOT_RUN:
         return NotRun(kind, error.detail, seconds)
--- a/testing/hostile.py
+++ b/testing/hostile.py
@@ -12,9 +12,20 @@
 
 AnswerSender = Callable[[trio.SocketStream, str], Awaitable[None]]
 
-NESTING: Final = 100_000
-NESTED_LISTS: Final = b"[" * NESTING + b"]" * NESTING
-NESTED_OBJECTS: Final = b'{"a":' * NESTING + b"1" + b"}" * NESTING
+
+def nested_lists(depth: int) -> bytes:
+    """Return lists within lists, as JSON."""
+    return b"[" * depth + b"]" * depth
+
+
+def nested_objects(depth: int) -> bytes:
+    """Return objects within objects, as JSON."""
+    return b'{"a":' * depth + b"1" + b"}" * depth
+
+
+# Deeper than any interpreter decodes.
+NESTED_LISTS: Final = nested_lists(100_000)
+NESTED_OBJECTS: Final = nested_objects(100_000)
 # More digits than Python converts to an integer.
 MANY_DIGITS: Final = "9" * 5000
 REPEATS: Final = 8000  # of a short piece in one write
--- a/tests/test_odd_items.py
+++ b/tests/test_odd_items.py
@@ -8,7 +8,7 @@
 import trio
 from headcross_platform import names
 
-from testing.hostile import NESTED_LISTS, NESTED_OBJECTS
+from testing.hostile import NESTED_LISTS, NESTED_OBJECTS, nested_lists, nested_objects
 from testing.machinecaller import ask
 from testing.machinelayout import MODEL_SERVICE, PLAIN_SERVICE
 from testing.machines import VERSION_KEY, Machines, replicas_of, small_site
@@ -215,18 +215,20 @@
             value = b'{"model":"other","version":1,' + field + b"}"
             site.store.put(f"{names.VERSION_PREFIX}other", value)
         case "item":
-            site.store.item_fields[VERSION_KEY] = field
-            for key in list(site.store.items):
-                if key.startswith(names.REPLICA_PREFIX):
-                    site.store.item_fields[key] = field
-                    break
+            site.store.item_fields[VERSION_KEY] = b'"note":' + nested_lists(2000)
+            for listed in site.replicas.values():
+                key = f"{names.REPLICA_PREFIX}{listed.replica.id}"
+                site.store.item_fields[key] = b'"note":' + nested_objects(2000)
             site.change()
         case "configuration":
             document = msgspec.json.encode(site.configuration)
+            field = b'"note":' + nested_lists(2000)
             site.store.put(names.CONFIGURATION_KEY, document[:-1] + b"," + field + b"}")
 
 
-@pytest.mark.parametrize("nested", [NESTED_LISTS, NESTED_OBJECTS], ids=["lists", "objects"])
+@pytest.mark.parametrize(
+    "nested", [nested_lists(2000), nested_objects(2000)], ids=["lists", "objects"]
+)
 async def test_a_nested_field_in_a_report_stops_no_renewal(tmp_path: Path, nested: bytes) -> None:
     async with small_site(tmp_path, entries=2, daemons=True, named=1) as site:
         replicas_of(site, MODEL_SERVICE)[0].report_fields = b'"note":' + nested
@@ -237,6 +239,27 @@
         await assert_all_serve(site)
 
 
+async def test_a_report_and_a_manifest_that_cannot_be_read_end_no_process(
+    tmp_path: Path,
+) -> None:
+    async with small_site(tmp_path, entries=2, daemons=True, named=1) as site:
+        first, other = replicas_of(site, MODEL_SERVICE)
+        first.report_fields = b'"note":' + NESTED_OBJECTS
+        await trio.sleep(1)
+        site.name_version(2)
+        with trio.fail_after(WAIT_SECONDS):
+            while other.version != 2:
+                await trio.sleep(0.05)
+        site.origin.manifest_fields = b'"note":' + NESTED_LISTS
+        first.report_fields = b""
+        site.name_version(3)
+        await trio.sleep(2)
+        assert_all_run(site)
+        site.origin.manifest_fields = b""
+        await wait_loaded(site, 3)
+        await assert_all_serve(site)
+
+
 @pytest.mark.parametrize("field", [b'"seq":1%s' % (b"0" * 400), b'"pace":-1', b'"kv_total":-5'])
 async def test_a_number_out_of_range_in_a_report_ends_no_process(
     tmp_path: Path, field: bytes
@@ -255,7 +278,9 @@
         await assert_all_serve(site)
 
 
-@pytest.mark.parametrize("nested", [NESTED_LISTS, NESTED_OBJECTS], ids=["lists", "objects"])
+@pytest.mark.parametrize(
+    "nested", [nested_lists(2000), nested_objects(2000)], ids=["lists", "objects"]
+)
 async def test_a_nested_field_in_a_manifest_stops_no_renewal(
     tmp_path: Path, nested: bytes
 ) -> None:
