--- a/libs/gateway/src/headcross_gateway/connections.py
+++ b/libs/gateway/src/headcross_gateway/connections.py
@@ -9,6 +9,7 @@
 
 import trio
 from headcross_base.addresses import Address
+from headcross_base.decoding import parse_whole_number
 from headcross_wire.httpclient import HttpConnection, connect
 from headcross_wire.httpcodec import Answer
 
@@ -100,6 +101,7 @@
         return 0.0
     for part in (answer.header("keep-alive") or "").split(","):
         name, _, value = part.strip().partition("=")
-        if name.lower() == "timeout" and value.isdecimal():
-            return min(IDLE_SECONDS, int(value) - IDLE_MARGIN_SECONDS)
+        seconds = parse_whole_number(value) if name.lower() == "timeout" else None
+        if seconds is not None:
+            return min(IDLE_SECONDS, seconds - IDLE_MARGIN_SECONDS)
     return IDLE_SECONDS
--- a/libs/gateway/src/headcross_gateway/relay.py
+++ b/libs/gateway/src/headcross_gateway/relay.py
@@ -5,12 +5,18 @@
 continues after the last whole event; events that the caller already has are dropped.
 """
 
+import re
+from typing import Final
+
 import trio
+from headcross_base.decoding import parse_whole_number
 from headcross_wire.httpcodec import Answer, Headers
 from headcross_wire.httpexchange import Exchange
 
 from headcross_gateway.eventstream import EventSplitter, StreamEvent
 
+# Ids of other forms are forwarded without a check of their order.
+DIGITS: Final = re.compile(r"[0-9]+")
 # Hop-by-hop headers, which are not forwarded (RFC 9110, section 7.6.1), and the length, which is
 # set anew for the answer to the caller.
 HOP_BY_HOP_HEADERS = frozenset(
@@ -115,12 +121,16 @@
 
         Raises EventOutOfOrderError if events before it are missing.
         """
-        if event.id is None or not event.id.isdecimal():
+        if event.id is None or not DIGITS.fullmatch(event.id):
             return True
-        if self.last_id is not None and self.last_id.isdecimal():
-            if int(event.id) <= int(self.last_id):
+        number = parse_whole_number(event.id)
+        if number is None:
+            raise EventOutOfOrderError(f"an id of {len(event.id)} digits")
+        last_number = parse_whole_number(self.last_id or "")
+        if last_number is not None:
+            if number <= last_number:
                 return False
-            if int(event.id) > int(self.last_id) + 1:
+            if number > last_number + 1:
                 raise EventOutOfOrderError(f"{event.id} after {self.last_id}")
         self.last_id = event.id
         return True
--- a/libs/native/src/headcross_native/configservice.py
+++ b/libs/native/src/headcross_native/configservice.py
@@ -18,6 +18,7 @@
 from typing import Final
 
 from headcross_base.addresses import Address
+from headcross_base.decoding import parse_whole_number
 from headcross_base.errorcodes import SOURCE_FAILED
 from headcross_base.errors import Failure, Ok
 from headcross_wire.httpclient import call
@@ -83,13 +84,13 @@
         answer = outcome.value
         if answer.status == 304:
             return Ok(Unchanged(key))
-        revision = dict(answer.headers).get("revision", "")
-        if answer.status != 200 or not revision.isdecimal():
+        revision = parse_whole_number(dict(answer.headers).get("revision", ""))
+        if answer.status != 200 or revision is None:
             self._address_index += 1
             return Failure(SOURCE_FAILED, f"{key}: status {answer.status} from {address}")
         if not _matches_digest(dict(answer.headers).get("repr-digest"), answer.body):
             return Failure(SOURCE_FAILED, f"{key}: the body from {address} fails its digest")
-        return Ok(Snapshot(key, int(revision), answer.body))
+        return Ok(Snapshot(key, revision, answer.body))
 
 
 def _matches_digest(header: str | None, body: bytes) -> bool:
--- a/libs/native/src/headcross_native/weightsource.py
+++ b/libs/native/src/headcross_native/weightsource.py
@@ -14,6 +14,7 @@
 from urllib.parse import quote
 
 from headcross_base.addresses import Address
+from headcross_base.decoding import parse_whole_number
 from headcross_base.errorcodes import SOURCE_FAILED
 from headcross_base.errors import Failure, Ok
 from headcross_wire.httpclient import call
@@ -60,9 +61,9 @@
             return outcome
         answer = outcome.value
         if answer.status in (429, 503):
-            retry_after = dict(answer.headers).get("retry-after", "")
+            retry_after = parse_whole_number(dict(answer.headers).get("retry-after", ""))
             return SourceBusy(
-                float(retry_after) if retry_after.isdecimal() else DEFAULT_RETRY_AFTER_SECONDS
+                DEFAULT_RETRY_AFTER_SECONDS if retry_after is None else float(retry_after)
             )
         if answer.status not in (200, 206):
             return Failure(SOURCE_FAILED, f"{self.name}{target}: status {answer.status}")
--- a/libs/routing/src/headcross_routing/attempts.py
+++ b/libs/routing/src/headcross_routing/attempts.py
@@ -9,9 +9,9 @@
 from collections.abc import Awaitable, Callable
 from typing import Final, TypeVar
 
-import msgspec
 import trio
 from headcross_base.addresses import Address
+from headcross_base.decoding import JsonDecoder, parse_whole_number
 from headcross_base.errorcodes import (
     CONNECT_FAILED,
     DEADLINE,
@@ -68,6 +68,8 @@
 
 T = TypeVar("T")
 
+_REVOCATION: Final[JsonDecoder[dict[str, str]]] = JsonDecoder(dict[str, str], MAX_ERROR_BYTES)
+
 
 class Attempts:
     """Makes the attempts of one entry at upstreams."""
@@ -197,8 +199,8 @@
         return headers
 
     def _record_load(self, candidate: Candidate, answer: Answer) -> None:
-        load = answer.header(LOAD_HEADER) or ""
-        if load.isdecimal():
+        load = parse_whole_number(answer.header(LOAD_HEADER) or "")
+        if load is not None:
             self._picker.report_load(candidate.upstream, float(load))
 
 
@@ -217,11 +219,8 @@
     )
     if isinstance(outcome, Failure) or outcome.value.status != 200:
         return False
-    try:
-        state = msgspec.json.decode(outcome.value.body, type=dict[str, str]).get("state")
-    except msgspec.MsgspecError:
-        return False
-    return state == "revoked"
+    answer = _REVOCATION.decode(outcome.value.body)
+    return not isinstance(answer, Failure) and answer.value.get("state") == "revoked"
 
 
 async def _read_error_body(connection: HttpConnection) -> bytes:
--- a/libs/routing/src/headcross_routing/requestmeta.py
+++ b/libs/routing/src/headcross_routing/requestmeta.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 from typing import Final
 
+from headcross_base.decoding import parse_decimal
 from headcross_base.errorcodes import BAD_REQUEST, NO_ROUTE, UNKNOWN_TEAM
 from headcross_base.monotonic import monotonic
 from headcross_base.verdicts import NotRun
@@ -147,11 +148,8 @@
     """Return the seconds in a header, at most `maximum`; None if its value is invalid."""
     if text is None:
         return maximum
-    try:
-        seconds = float(text)
-    except ValueError:
-        return None
-    return min(seconds, maximum) if seconds > 0 else None
+    seconds = parse_decimal(text)
+    return min(seconds, maximum) if seconds else None
 
 
 def _read_repeatable(request: Request, route: Route) -> bool | None:
--- a/libs/routing/src/headcross_routing/upstreamhandler.py
+++ b/libs/routing/src/headcross_routing/upstreamhandler.py
@@ -13,9 +13,9 @@
 from dataclasses import dataclass
 from typing import Final
 
-import msgspec
 import trio
 from headcross_base.addresses import Address
+from headcross_base.decoding import JsonDecoder, parse_decimal, parse_whole_number
 from headcross_base.errorcodes import (
     BAD_REQUEST,
     CONNECT_FAILED,
@@ -28,6 +28,7 @@
     NOT_SERVING,
     REVOKED,
 )
+from headcross_base.errors import Failure
 from headcross_base.monotonic import monotonic
 from headcross_base.verdicts import (
     COMPLETED,
@@ -85,6 +86,9 @@
     (PRIORITY_HEADER, ENGINE_PRIORITY_HEADER),
 )
 
+MAX_CLAIM_BYTES: Final = 64 * 1024
+_KEY_CLAIM: Final = JsonDecoder(KeyClaim, MAX_CLAIM_BYTES)
+
 logger = logging.getLogger(__name__)
 
 
@@ -164,11 +168,11 @@
         await exchange.respond_json(200, {"state": state})
 
     async def _handle_claim(self, exchange: Exchange) -> None:
-        try:
-            claim = msgspec.json.decode(exchange.request.body, type=KeyClaim)
-        except msgspec.MsgspecError as error:
-            await send_refusal(exchange, NotRun(BAD_REQUEST, str(error)), [])
+        decoded = _KEY_CLAIM.decode(exchange.request.body)
+        if isinstance(decoded, Failure):
+            await send_refusal(exchange, NotRun(BAD_REQUEST, decoded.detail), [])
             return
+        claim = decoded.value
         if claim.release:
             self._keys.release(claim.key, claim.request)
             await exchange.respond_json(200, {"state": "released"})
@@ -298,20 +302,21 @@
 
 
 def _read_forwarded(request: Request) -> _ForwardedRequest | NotRun:
-    try:
-        return _ForwardedRequest(
-            id=request.header(REQUEST_HEADER) or "",
-            upstream=request.header(UPSTREAM_HEADER) or "",
-            pool=request.header(POOL_HEADER) or "",
-            digest=request.header(DIGEST_HEADER) or "",
-            team=request.header(TEAM_HEADER) or "",
-            weight=max(1, int(request.header(WEIGHT_HEADER) or "1")),
-            deadline=monotonic() + float(request.header(REMAINING_HEADER) or "0"),
-            resumable=request.header(RESUMABLE_HEADER) == "yes",
-            request=request,
-        )
-    except ValueError as error:
-        return NotRun(BAD_REQUEST, str(error))
+    weight = parse_whole_number(request.header(WEIGHT_HEADER) or "1")
+    remaining = parse_decimal(request.header(REMAINING_HEADER) or "0")
+    if weight is None or remaining is None:
+        return NotRun(BAD_REQUEST, f"{WEIGHT_HEADER} or {REMAINING_HEADER}: not a number")
+    return _ForwardedRequest(
+        id=request.header(REQUEST_HEADER) or "",
+        upstream=request.header(UPSTREAM_HEADER) or "",
+        pool=request.header(POOL_HEADER) or "",
+        digest=request.header(DIGEST_HEADER) or "",
+        team=request.header(TEAM_HEADER) or "",
+        weight=max(1, weight),
+        deadline=monotonic() + remaining,
+        resumable=request.header(RESUMABLE_HEADER) == "yes",
+        request=request,
+    )
 
 
 def _upstream_headers(forwarded: _ForwardedRequest, upstream: LocalUpstream) -> Headers:
