Renewal does not wait for a version that only the list names

Operators saw: replicas that never load the version named later, if another writer lists a replica of the model with a higher version, also a plausible one (3), before any version is named; a restarted replica loads nothing at all.

Cause, from the daemons' logs: the goal is the highest listed version until one is named, whether or not it can be had; and a replica with a higher version than the goal counted as the only holder of the goal's chunks, so a transfer waited for a host that has none or does not exist: 5 of 16 chunks after 12 s.

A goal from the list that cannot be had yields to the next one for a while; a holder has loaded the same version; if the holders send no chunk for 0.7 s, all hosts take part. A listed replica that is gone still delays the loads of others to the latest start of their group (6.4 of 8 s).

--- a/libs/renewal/src/headcross_renewal/fetching.py
+++ b/libs/renewal/src/headcross_renewal/fetching.py
@@ -15,7 +15,7 @@
 from headcross_renewal.digestregistry import DigestRegistry
 from headcross_renewal.goalchoice import GoalSelector
 from headcross_renewal.loading import Loading
-from headcross_renewal.mirrors import MirrorRegistry, SwarmPorts, has_loaded, swarm_hosts
+from headcross_renewal.mirrors import MirrorRegistry, SwarmPorts, holds_exactly, swarm_hosts
 from headcross_renewal.sources import OriginSource, manifest_of
 from headcross_renewal.weightsname import weights_name
 
@@ -64,6 +64,8 @@
         self._loading = loading
         self._goal_selector = goal_selector
         self._pinned: set[str] = set()
+        # Whether the last transfer from the holders of a version alone brought no chunk.
+        self._holders_silent = False
 
     def open_links(self) -> None:
         """Open links to other hosts ahead of the next transfer."""
@@ -100,6 +102,7 @@
         """Fetch all chunks of a version; return False if an older version is preferred instead."""
         artifact = Artifact(name=weights_name(goal), digest=stored.digest)
         while not stored.is_complete:
+            missing = len(stored.missing)
             participants = self._participants(goal)
             self._swarm.update_hosts(self._hosts())
             async with trio.open_nursery() as nursery:
@@ -111,6 +114,7 @@
                     logger.warning("weights not fetched", extra={"reason": outcome.detail})
                     await trio.sleep(RETRY_SECONDS)
                 nursery.cancel_scope.cancel()
+            self._holders_silent = len(stored.missing) == missing
             if not stored.is_complete and self._goal_selector.is_older_more_complete(goal, stored):
                 self._goal_selector.defer(goal)
                 return False
@@ -123,13 +127,13 @@
         participants: list[str],
         scope: trio.CancelScope,
     ) -> None:
-        """Cancel a stalled transfer if its participants changed or an older version is better."""
+        """Cancel a stalled transfer if others can take part, or an older version is better."""
         while True:
             missing = len(stored.missing)
             await trio.sleep(STALLED_SECONDS)
             if len(stored.missing) != missing:
                 continue
-            changed = set(self._participants(goal)) != set(participants)
+            changed = set(self._all_hosts()) != set(participants)
             if changed or self._goal_selector.is_older_more_complete(goal, stored):
                 logger.info("stalled transfer cancelled", extra={"goal": weights_name(goal)})
                 scope.cancel()
@@ -148,12 +152,16 @@
         """Return the hosts that take part in the transfer of a version.
 
         Once other replicas have loaded the version, only their hosts take part, so that the origin
-        does not send it again.
+        does not send it again. All take part if the holders send nothing: the list may name
+        replicas that are gone, or never were.
         """
-        holders = [r.address.ip for r in self._loading.service_replicas() if has_loaded(r, goal)]
+        replicas = self._loading.service_replicas()
+        holders = [r.address.ip for r in replicas if holds_exactly(r, goal)]
         others = [ip for ip in holders if ip != self._location.host]
-        if others:
-            return others
+        return others if others and not self._holders_silent else self._all_hosts()
+
+    def _all_hosts(self) -> list[str]:
+        """Return the hosts of all replicas of the service, and the mirrors."""
         return [
             *(replica.address.ip for replica in self._loading.service_replicas()),
             *(mirror.ip for mirror in self._mirrors.known()),
--- a/libs/renewal/src/headcross_renewal/goalchoice.py
+++ b/libs/renewal/src/headcross_renewal/goalchoice.py
@@ -118,16 +118,17 @@
         return max((held.version for held in loaded if held.model == model), default=0)
 
     def _goal_from_replicas(self, model: str) -> LoadedModel:
-        """Return the newest version held by a listed replica or this one, or `FIRST_VERSION`."""
-        listed = [
-            m.version
-            for r in self._loading.service_replicas()
-            for m in r.loaded
-            if m.model == model
-        ]
+        """Return the newest version held by a listed replica or this one, or `FIRST_VERSION`.
+
+        A listed version that cannot be had yields to an older one, as other writers may list any.
+        """
+        listed = [m for r in self._loading.service_replicas() for m in r.loaded]
         report = self._reporter.report
-        held = [m.version for m in report.loaded if m.model == model] if report else []
-        return LoadedModel(model, max([*listed, *held], default=FIRST_VERSION))
+        held = report.loaded if report is not None else ()
+        goals = {m for m in (*listed, *held) if m.model == model}
+        obtainable = [goal for goal in goals if not self._is_deferred(goal)]
+        versions = [goal.version for goal in obtainable or goals]
+        return LoadedModel(model, max(versions, default=FIRST_VERSION))
 
     def _is_deferred(self, goal: LoadedModel) -> bool:
         return self._deferred_until.get(goal, 0.0) > monotonic()
--- a/libs/renewal/src/headcross_renewal/mirrors.py
+++ b/libs/renewal/src/headcross_renewal/mirrors.py
@@ -100,6 +100,11 @@
     )
 
 
+def holds_exactly(replica: Replica, goal: LoadedModel) -> bool:
+    """Return whether a replica has loaded a version, so that its daemon has the chunks."""
+    return goal in replica.loaded
+
+
 def replicas_in_region_of(
     zone: str, replicas: Iterable[Replica], region_of_zone: dict[str, str]
 ) -> list[Replica]:
@@ -119,4 +124,4 @@
     not have them, and asking it delays other added replicas by 0.35 s.
     """
     all_replicas = list(replicas)
-    return [replica for replica in all_replicas if has_loaded(replica, goal)] or all_replicas
+    return [replica for replica in all_replicas if holds_exactly(replica, goal)] or all_replicas
--- a/libs/renewal/src/headcross_renewal/renewer.py
+++ b/libs/renewal/src/headcross_renewal/renewer.py
@@ -25,7 +25,7 @@
 from headcross_renewal.goalchoice import GoalSelector
 from headcross_renewal.loading import Loading
 from headcross_renewal.loadverifier import LoadVerifier
-from headcross_renewal.mirrors import has_loaded
+from headcross_renewal.mirrors import holds_exactly
 from headcross_renewal.orders import Orders
 from headcross_renewal.plan import PlanRegistry
 from headcross_renewal.recovery import Recovery
@@ -178,7 +178,7 @@
     async def _is_available(self, goal: LoadedModel) -> bool:
         """Return whether a version can be fetched now, from another replica or the origin."""
         await self._digests.obtain(goal)
-        if any(has_loaded(replica, goal) for replica in self._loading.service_replicas()):
+        if any(holds_exactly(replica, goal) for replica in self._loading.service_replicas()):
             return True
         if self._digests.settled_within(goal, ORIGIN_ANSWERED_SECONDS):
             return True
