A request is answered, with a true verdict, whatever its handling raises

Callers saw: the connection closed without an answer ("handler failed" in the log) whenever any step of a request's handling raised something that it does not expect, whether or not the request had run; and each HEAD request that was refused.

Cause: the server logged the exception and closed the connection; nothing answered. After an encoding error of h11 the connection cannot send anything either. The body of a refusal was sent to HEAD requests too, which h11 refuses.

The request path knows whether an attempt was begun: without one the request is refused as not run (503, internal-refusal), after one it may have run (500, internal-error); if an answer had begun, it ends truncated. The log line "request failed" names the request and has the stack. The server answers for every other handler (500, may have run), on a connection state of its own, and closes.

Tests: 12 steps of a request raise in a real entry, on four kinds of route, and 5 ways in which a handler raises at a server; the verdict is compared with what the replicas ran.

--- a/libs/base/src/headcross_base/errorcodes.py
+++ b/libs/base/src/headcross_base/errorcodes.py
@@ -127,7 +127,20 @@
     "deadline", 504, "The deadline passed.", "Slow upstreams, or a deadline set too short."
 )
 
+INTERNAL_REFUSAL: Final = _define(
+    "internal-refusal",
+    503,
+    "This process failed before the request was handed over.",
+    "A fault of headcross: the log line 'request failed' has its stack.",
+)
+
 # Errors after which the request may have run.
+INTERNAL_ERROR: Final = _define(
+    "internal-error",
+    500,
+    "This process failed while it handled the request.",
+    "A fault of headcross: the log line 'request failed' or 'handler failed' has its stack.",
+)
 DUPLICATE_KEY: Final = _define(
     "duplicate-key", 409, "A request with this key came before.", "The caller sent it twice."
 )
--- a/libs/daemon/src/headcross_daemon/gatewayrole.py
+++ b/libs/daemon/src/headcross_daemon/gatewayrole.py
@@ -496,6 +496,7 @@
             verdict, _, reason = outcome.partition(" ")
             samples[sample("requests_total", verdict=verdict, reason=reason)] = count
         samples[sample("ready")] = float(self._is_ready())
+        samples[sample("handler_faults_total")] = self._server.faults
         samples[sample("requests_in_flight")] = self._path.in_flight
         samples[sample("attempts_total")] = self._path.attempts.made
         samples[sample("attempts_withdrawn_total")] = self._path.unbegun.withdrawn
--- a/libs/gateway/src/headcross_gateway/requestlog.py
+++ b/libs/gateway/src/headcross_gateway/requestlog.py
@@ -81,6 +81,14 @@
     logger.info("caller gone", extra=_request_fields(request))
 
 
+def log_failed(request: Admitted | None) -> None:
+    """Log the exception that is being handled, which nobody expected from a request's handling.
+
+    `request` is None for one that was not admitted.
+    """
+    logger.exception("request failed", extra=_request_fields(request) if request else {})
+
+
 def log_refused(refusal: Refusal, request_id: str | None, request: Admitted | None = None) -> None:
     """Log a refusal; `request` is None for one that was not admitted."""
     request_fields = _request_fields(request) if request is not None else {"request": request_id}
--- a/libs/gateway/src/headcross_gateway/requestpath.py
+++ b/libs/gateway/src/headcross_gateway/requestpath.py
@@ -15,6 +15,8 @@
 from headcross_base.errorcodes import (
     BAD_REQUEST,
     DEADLINE,
+    INTERNAL_ERROR,
+    INTERNAL_REFUSAL,
     NO_REPLICA,
     NO_ROOM,
     NO_ROUTE,
@@ -33,13 +35,13 @@
 )
 from headcross_facts.facts import Facts
 from headcross_ports.requests import HandOver, RequestDialect, RequestFacts, RequestProblem
-from headcross_wire.httpexchange import Exchange
+from headcross_wire.httpexchange import CallerGone, Exchange
 from headcross_wire.httprequest import Request
 from headcross_wire.httpserver import STOPPING
 
 from headcross_gateway.admission import Admission, QueueOrder
 from headcross_gateway.admitted import Admitted, NotAdmitted
-from headcross_gateway.answers import send_refusal
+from headcross_gateway.answers import answer_after_failure, send_refusal
 from headcross_gateway.attempts import Attempts, AttemptTimes
 from headcross_gateway.budget import RetryBudget
 from headcross_gateway.containment import Containment
@@ -59,6 +61,7 @@
     log_attempt,
     log_caller_gone,
     log_completed,
+    log_failed,
     log_refused,
 )
 from headcross_gateway.retries import RUN_AGAIN_WAIT_SECONDS, Retries
@@ -111,8 +114,16 @@
         self._observe_verdict = observe_verdict
 
     async def handle(self, exchange: Exchange) -> None:
-        """Serve one request: answer it, or refuse it with a reason."""
-        request = self._admit(exchange)
+        """Serve one request: answer it, or refuse it with a reason.
+
+        An unexpected exception at any step costs this request only, and its caller is told
+        whether it may have run.
+        """
+        try:
+            request = self._admit(exchange)
+        except Exception:
+            log_failed(None)
+            request = NotAdmitted(_internal_refusal(), None)
         if not isinstance(request, Admitted):
             await self._refuse(exchange, request.refusal, request.request_id)
             return
@@ -129,6 +140,11 @@
             self.counts["caller-gone"] += 1
             log_caller_gone(request)
             raise
+        except CallerGone:
+            raise
+        except Exception:
+            log_failed(request)
+            await self._conclude_failed(request)
         finally:
             self._running.discard(scope)
             self.in_flight -= 1
@@ -424,10 +440,25 @@
         else:
             await send_refusal(request.exchange, self._dialect, verdict, request.facts.id)
 
+    async def _conclude_failed(self, request: Admitted) -> None:
+        """Answer a request whose handling failed unexpectedly, if no answer has begun."""
+        if request.exchange.started:
+            self._count_refused(MayHaveRun(STREAM_BROKEN))
+            await request.exchange.abort()
+            return
+        verdict = MayHaveRun(INTERNAL_ERROR) if request.runs else _internal_refusal()
+        self._count_refused(verdict)
+        log_refused(verdict, request.facts.id, request)
+        await answer_after_failure(request.exchange, self._dialect, verdict, request.facts.id)
+
     def _count_refused(self, refusal: Refusal) -> None:
         self.counts[f"{verdict_name(refusal)} {refusal.reason.code}"] += 1
 
 
+def _internal_refusal() -> NotRun:
+    return NotRun(INTERNAL_REFUSAL, "", MIN_RETRY_AFTER_SECONDS)
+
+
 def _version_to_expect(request: Admitted, replica_state: ReplicaState) -> int | None:
     """Return the weights version that a replica must hold to run a request, None if any may."""
     if request.resume_version is not None or request.facts.model is None:
--- a/libs/wire/src/headcross_wire/httpexchange.py
+++ b/libs/wire/src/headcross_wire/httpexchange.py
@@ -1,7 +1,7 @@
 """One request of a caller and the methods that answer it, over h11 and a trio stream."""
 
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import h11
 import msgspec
@@ -26,13 +26,17 @@
     _limits: ServerLimits
     # Returns whether the connection is closed after the answer, when the answer begins.
     _closes_connection: Callable[[], bool] = lambda: False
-    started: bool = field(default=False)  # whether the status line was sent
+    started: bool = field(default=False)  # whether anything of an answer was written
 
     async def respond(self, status: int, headers: Headers, body: bytes) -> None:
-        """Send a complete answer; if cancelled before it begins, nothing of it is sent."""
+        """Send a complete answer; if cancelled before it begins, nothing of it is sent.
+
+        The answer to a HEAD request has the length of the body, and no body.
+        """
         await trio.lowlevel.checkpoint_if_cancelled()
         head = self._encode_head(status, [*headers, ("content-length", str(len(body)))])
-        data = self._connection.send(h11.Data(data=body)) if body else b""
+        has_body = bool(body) and self.request.method != "HEAD"
+        data = self._connection.send(h11.Data(data=body)) if has_body else b""
         end = self._connection.send(h11.EndOfMessage())
         await self._write(b"".join(part for part in (head, data, end) if part))
 
@@ -66,8 +70,21 @@
         """Close the connection at once, so that the caller sees a truncated answer."""
         await trio.aclose_forcefully(self._stream)
 
-    def _encode_head(self, status: int, headers: Headers) -> bytes | None:
+    async def respond_after_failure(self, status: int, headers: Headers, body: bytes) -> None:
+        """Send a complete answer although the handler has failed; nothing may be written yet.
+
+        The handler may have left the connection's state in the middle of an answer, so the answer
+        is encoded apart from it, and the connection cannot be used again.
+        """
+        self._connection.send_failed()
+        connection = h11.Connection(h11.SERVER)
+        connection.receive_data(f"{self.request.method} / HTTP/1.0\r\n\r\n".encode("latin-1"))
+        connection.next_event()
+        final = replace(self, _connection=connection)
         self.started = True
+        await final.respond(status, [*headers, ("connection", "close")], body)
+
+    def _encode_head(self, status: int, headers: Headers) -> bytes | None:
         if self._closes_connection():
             headers = [*headers, ("connection", "close")]
         return self._connection.send(h11.Response(status_code=status, headers=_encode(headers)))
@@ -75,6 +92,7 @@
     async def _write(self, data: bytes | None) -> None:
         if not data:
             return
+        self.started = True
         try:
             with trio.fail_after(self._limits.write_seconds):
                 await self._stream.send_all(data)
--- a/libs/wire/src/headcross_wire/httpserver.py
+++ b/libs/wire/src/headcross_wire/httpserver.py
@@ -4,6 +4,9 @@
 handler may forward it more than once. A request that violates the standard or a limit gets a 4xx
 status and the connection is closed. An answer may be sent at once or as a stream.
 
+A handler that fails unexpectedly costs its own request only: the caller is told that it may have
+run, and the connection is closed.
+
 The first write that fails after a caller disconnected raises `CallerGone` in the handler. With
 `ServerLimits.cancel_on_eof` the handler is also cancelled as soon as the caller closes its sending
 half; without it such a caller still gets its answer.
@@ -18,10 +21,11 @@
 from typing import Final
 
 import h11
+import msgspec
 import trio
 from headcross_base.addresses import Address
-from headcross_base.errorcodes import DRAINING, TOO_MANY_CONNECTIONS
-from headcross_base.verdicts import NotRun
+from headcross_base.errorcodes import DRAINING, INTERNAL_ERROR, TOO_MANY_CONNECTIONS
+from headcross_base.verdicts import MAY_HAVE_RUN, VERDICT_HEADER, NotRun
 
 from headcross_wire.httpcodec import RECEIVE_BYTES
 from headcross_wire.httpexchange import CallerGone, Exchange, send_plain_refusal
@@ -48,6 +52,10 @@
 QUIET_CHECK_SECONDS: Final = 0.05
 # A refused caller may come back soon, since another process can serve it.
 RETRY_AFTER_SECONDS: Final = 0.02
+MAX_LOGGED_TARGET: Final = 200
+INTERNAL_ERROR_BODY: Final = msgspec.json.encode(
+    {"code": INTERNAL_ERROR.code, "text": INTERNAL_ERROR.text, "verdict": MAY_HAVE_RUN}
+)
 STOPPING: Final = NotRun(DRAINING, "this process stops", RETRY_AFTER_SECONDS)
 
 logger = logging.getLogger(__name__)
@@ -92,7 +100,7 @@
 
     # Number of requests refused because they violate the standard or a limit.
     malformed: int
-    # Number of requests whose handler raised an unexpected exception.
+    # Number of requests or connections whose handling raised an unexpected exception.
     faults: int
     # Number of connections refused because there were too many.
     refused_connections: int
@@ -228,9 +236,9 @@
         except* CallerGone:
             pass
         except* Exception:
-            # A fault in one request must not end the other connections.
+            # A fault in one connection must not end the others.
             self.faults += 1
-            logger.exception("handler failed")
+            logger.exception("connection failed")
         finally:
             connection.closing.set()
             await _close_gracefully(connection.stream)
@@ -283,9 +291,32 @@
         if self.limits.cancel_on_eof:
             await self._handle_until_eof(exchange, connection)
         else:
-            await self._handler(exchange)
+            await self._handle(exchange)
         return codec.our_state is h11.DONE and codec.their_state is h11.DONE
 
+    async def _handle(self, exchange: Exchange) -> None:
+        """Run the handler; if it fails unexpectedly, its caller still gets an answer.
+
+        What it had already written cannot be completed: the caller sees a truncated answer.
+        """
+        failed = False
+        try:
+            await self._handler(exchange)
+        except* CallerGone:
+            raise
+        except* Exception:
+            failed = True
+            self.faults += 1
+            target = exchange.request.target[:MAX_LOGGED_TARGET]
+            logger.exception("handler failed", extra={"target": target})
+        if not failed:
+            return
+        if exchange.started:
+            await exchange.abort()
+            return
+        headers = [("content-type", "application/json"), (VERDICT_HEADER, MAY_HAVE_RUN)]
+        await exchange.respond_after_failure(INTERNAL_ERROR.status, headers, INTERNAL_ERROR_BODY)
+
     async def _handle_until_eof(self, exchange: Exchange, connection: _Connection) -> None:
         """Run the handler; cancel it if the caller disconnects."""
         async with trio.open_nursery() as nursery:
@@ -295,7 +326,7 @@
                 nursery.cancel_scope.cancel()
 
             nursery.start_soon(watch)
-            await self._handler(exchange)
+            await self._handle(exchange)
             nursery.cancel_scope.cancel()
 
     async def _receive(self, connection: _Connection) -> "_Arrival | None":
--- a/testing/machines.py
+++ b/testing/machines.py
@@ -104,6 +104,7 @@
     # If set, all listeners bind to addresses of this private block, and the caller of
     # `running_machines` runs proxies between them and the public addresses that clients use.
     private_block: str = ""
+    program: Path = ROOT / "deploy" / "start.py"  # run by processes that are started
     listing_seconds: float = 0.01  # interval at which entries in the list are updated
     # From a restore of the store until replicas write again what it lost.
     rewrite_seconds: float = 0.3
@@ -316,7 +317,7 @@
         environment = {**os.environ, SETTINGS_VARIABLE: str(path)}
         with (self.directory / f"{name}.log").open("ab") as log:
             machine.process = subprocess.Popen(
-                [sys.executable, str(ROOT / "deploy" / "start.py")],
+                [sys.executable, str(self.program)],
                 stdout=log,
                 stderr=subprocess.STDOUT,
                 env=environment,
--- a/tests/test_unforeseen_errors.py
+++ b/tests/test_unforeseen_errors.py
@@ -1,11 +1,17 @@
 """Tests that a request gets an answer with a true verdict, whatever raises meanwhile."""
 
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 from pathlib import Path
 
 import pytest
 import trio
+from headcross_base.addresses import Address
 from headcross_base.verdicts import MAY_HAVE_RUN, NOT_RUN, VERDICT_HEADER
 from headcross_platform import names
+from headcross_wire.httpexchange import Exchange
+from headcross_wire.httprequest import ServerLimits
+from headcross_wire.httpserver import HttpHandler, HttpServer
 
 from testing.hostile import (
     MANY_DIGITS,
@@ -18,6 +24,7 @@
 from testing.machinelayout import KEY, MODEL_SERVICE, PLAIN_SERVICE
 from testing.machines import Machines, replicas_of, small_site
 
+FAILED = {"handler failed", "request failed"}
 PATHS = ("/once/x", "/again/x", "/stream/x", "/strict/x")
 ODD_ANSWERS: dict[str, AnswerSender] = {
     "version of 5,000 digits": answer_with_header(names.WEIGHT_VERSIONS, MANY_DIGITS),
@@ -55,7 +62,8 @@
         for path in PATHS:
             reply = await ask(site.callers("entry0"), path)
             assert reply.status == 200 and reply.whole and reply.sealed, (path, reply)
-        assert not [line for line in site.log("entry0") if line["message"] == "handler failed"]
+        await trio.sleep(0.2)  # until the log is written
+        assert not FAILED & {line["message"] for line in site.log("entry0")}
 
 
 @pytest.mark.parametrize("name", ODD_REFUSALS)
@@ -77,7 +85,8 @@
         for path in ("/stream/x", "/strict/x"):
             reply = await ask(site.callers("entry0"), path)
             assert reply.status == 200 and not reply.whole and reply.events == [0], (path, reply)
-        assert not [line for line in site.log("entry0") if line["message"] == "handler failed"]
+        await trio.sleep(0.2)  # until the log is written
+        assert not FAILED & {line["message"] for line in site.log("entry0")}
 
 
 @pytest.mark.parametrize("path", ["/none", "/again/x", "/stream/x"])
@@ -124,3 +133,155 @@
         use_only(site, close)
         reply = await ask(site.callers("entry0"), "/once/x")
         assert reply.status == 502 and reply.headers[VERDICT_HEADER.lower()] == MAY_HAVE_RUN
+
+
+# At the level of the server and of the request path: a step that raises an exception.
+
+
+class UnforeseenError(Exception):
+    """An exception that nothing expects."""
+
+
+@asynccontextmanager
+async def served(handler: HttpHandler, *, cancel_on_eof: bool) -> AsyncIterator[Address]:
+    """Serve HTTP on loopback."""
+    server = HttpServer(handler, ServerLimits(cancel_on_eof=cancel_on_eof))
+    listeners, address = await server.listen(Address("127.0.0.1", 0))
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(server.serve, listeners)
+        yield address
+        nursery.cancel_scope.cancel()
+
+
+async def raise_before(exchange: Exchange) -> None:
+    raise UnforeseenError
+
+
+async def raise_in_nursery(exchange: Exchange) -> None:
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(raise_before, exchange)
+        await trio.sleep_forever()
+
+
+async def send_malformed_head(exchange: Exchange) -> None:
+    await exchange.respond(200, [("bad name", "x")], b"")
+
+
+async def raise_while_encoding(exchange: Exchange) -> None:
+    await exchange.respond(200, [("x", "\u20ac")], b"body")
+
+
+async def state_two_lengths(exchange: Exchange) -> None:
+    await exchange.respond(200, [("content-length", "5")], b"body")
+
+
+RAISING = [
+    raise_before,
+    raise_in_nursery,
+    send_malformed_head,
+    raise_while_encoding,
+    state_two_lengths,
+]
+
+
+@pytest.mark.parametrize("handler", RAISING, ids=lambda handler: handler.__name__)
+@pytest.mark.parametrize("method", ["GET", "POST", "HEAD"])
+@pytest.mark.parametrize("cancel_on_eof", [False, True])
+async def test_a_caller_is_answered_whatever_its_handler_raises(
+    handler: HttpHandler, method: str, cancel_on_eof: bool
+) -> None:
+    async with served(handler, cancel_on_eof=cancel_on_eof) as address:
+        for _ in range(2):  # the server goes on
+            reply = await ask(address, "/x", b"" if method == "HEAD" else b"body", method=method)
+            assert reply.status == 500 and reply.whole, reply
+            assert reply.headers[VERDICT_HEADER.lower()] == MAY_HAVE_RUN
+
+
+@pytest.mark.parametrize("cancel_on_eof", [False, True])
+async def test_an_answer_that_had_begun_is_not_complete_if_its_handler_raises(
+    cancel_on_eof: bool,
+) -> None:
+    async def handler(exchange: Exchange) -> None:
+        await exchange.start(200, [("transfer-encoding", "chunked")])
+        await exchange.send(b"part")
+        raise UnforeseenError
+
+    async with served(handler, cancel_on_eof=cancel_on_eof) as address:
+        reply = await ask(address, "/x")
+        assert reply.status == 200 and not reply.whole
+
+
+# Steps of the request path, by the class and method that raise, and whether the request has run.
+STEPS: list[tuple[str, str, bool]] = [
+    ("headcross_platform.dialect.PlatformDialect", "read_request", False),
+    ("headcross_ports.configuration.Configuration", "find_route", False),
+    ("headcross_gateway.containment.Containment", "refusal_of", False),
+    ("headcross_gateway.admission.Admission", "acquire_slot", False),
+    ("headcross_gateway.overload.Overload", "wait_seconds", False),
+    ("headcross_gateway.connections.ReplicaConnections", "take", True),
+    ("headcross_platform.dialect.PlatformDialect", "upstream_headers", True),
+    ("headcross_platform.dialect.PlatformDialect", "read_answer", True),
+    ("headcross_gateway.connections.ReplicaConnections", "give", True),
+    ("headcross_gateway.replicastate.ReplicaState", "record_outcome", True),
+    ("headcross_gateway.requestpath", "log_attempt", True),
+    ("headcross_gateway.requestpath", "end_to_end_headers", True),
+]
+RAISE_AT_START = """
+import importlib, sys
+from pathlib import Path
+sys.path[:0] = [str(p) for p in Path({root!r}).glob("libs/*/src")] + [{root!r} + "/platform/src"]
+owner, name = {owner!r}, {name!r}
+module, _, kind = owner.rpartition(".")
+if kind[0].isupper():
+    target = getattr(importlib.import_module(module), kind)
+else:
+    target = importlib.import_module(owner)
+kept = getattr(target, name)
+def fail(*arguments, **options):
+    if Path({marker!r}).exists():
+        raise ZeroDivisionError("unforeseen")
+    return kept(*arguments, **options)
+setattr(target, name, fail)
+sys.argv = ["start.py"]
+exec(compile(Path({root!r}, "deploy/start.py").read_text(), {root!r} + "/deploy/start.py", "exec"))
+"""
+
+
+def write_program(directory: Path, owner: str, name: str, marker: Path) -> Path:
+    """Write a program that starts a process in which a step raises while a file exists."""
+    program = directory / "start.py"
+    root = str(Path(__file__).resolve().parent.parent)
+    program.write_text(
+        RAISE_AT_START.format(root=root, owner=owner, name=name, marker=str(marker))
+    )
+    return program
+
+
+@pytest.mark.parametrize(("owner", "name", "may_have_run"), STEPS, ids=lambda part: str(part))
+async def test_a_request_whose_step_raises_gets_a_true_verdict(
+    tmp_path: Path, owner: str, name: str, may_have_run: bool
+) -> None:
+    marker = tmp_path / "raise"
+    start = write_program(tmp_path, owner, name, marker)
+    async with small_site(tmp_path) as site:
+        site.stop_all()
+        site.program = start
+        site.start("entry0")
+        await site.wait_ready("entry0")
+        marker.touch()
+        replicas = replicas_of(site, PLAIN_SERVICE) + replicas_of(site, MODEL_SERVICE)
+        for path in PATHS:
+            reply = await ask(site.callers("entry0"), path)
+            ran = any(run.id == reply.id for replica in replicas for run in replica.runs)
+            if reply.status == 200:  # a stream that had begun, or a step that this route skips
+                continue
+            assert reply.status in (500, 502, 503) and reply.whole, (path, reply)
+            verdict = reply.headers[VERDICT_HEADER.lower()]
+            assert verdict == (MAY_HAVE_RUN if may_have_run else NOT_RUN), (path, reply)
+            assert not (ran and verdict == NOT_RUN)
+        marker.unlink()
+        for path in PATHS:
+            reply = await ask(site.callers("entry0"), path)
+            assert reply.status == 200 and reply.whole, (path, reply)
+        await trio.sleep(0.2)
+        assert [line for line in site.log("entry0") if line["message"] == "request failed"]
