A replica that sends small pieces without end delays no other caller

Callers saw, at replicas that were sound: answers after up to 5.7 s where 0.007 s is the median, readiness of the entry after 1 s or not at all, streams cut at their deadline, while one replica sent chunks of one byte, interim answers or comments without end.

Cause: whatever has arrived is decoded without a checkpoint, some 10,000 chunks for each read; interim answers were skipped without a limit; a comment counted as an event, so it began an answer and showed that it goes on, and a quadratic search looked for the end of an event.

Chunks that have arrived together are one piece; more than 16 interim answers are no answer; comments are forwarded with the event that follows them, byte for byte; long pieces are forwarded in steps.

The scripted connection of test_gateway_streams has the new method.

--- a/libs/gateway/src/headcross_gateway/attempts.py
+++ b/libs/gateway/src/headcross_gateway/attempts.py
@@ -268,8 +268,10 @@
     ) -> Outcome:
         piece, until = begun.piece, begun.until
         while piece is not None:
-            if await relay.forward(piece):
+            events = await relay.forward(piece)
+            if events:
                 until = trio.current_time() + timeouts.pause_seconds
+            connection.note_events(events)
             piece = await _wait_until(until, connection.receive_piece, timeouts.should_abandon)
         if not await relay.finish():
             raise LinkLostError("the stream ended within an event")
--- a/libs/gateway/src/headcross_gateway/eventstream.py
+++ b/libs/gateway/src/headcross_gateway/eventstream.py
@@ -1,11 +1,18 @@
-"""Splits server-sent event streams into whole events, for forwarding and resuming them."""
+"""Splits server-sent event streams into whole events, for forwarding and resuming them.
 
+Comments, which say nothing of the answer, are forwarded with the event that follows them: they
+neither begin an answer nor show that it goes on.
+"""
+
+import re
 from dataclasses import dataclass
 from typing import Final
 
 EVENT_END: Final = b"\n\n"
 # An event that exceeds this size without an end is a protocol error.
 MAX_EVENT_BYTES: Final = 1024 * 1024
+# Empty lines and comments at the start of a stream or after an event.
+_COMMENTS: Final = re.compile(rb"(?:[:][^\n]*+\n|\n)*+")
 
 
 class EventTooLongError(Exception):
@@ -14,7 +21,7 @@
 
 @dataclass(frozen=True, slots=True)
 class StreamEvent:
-    """One whole event."""
+    """One whole event, with the comments before it."""
 
     id: str | None
     data: bytes  # as it was sent, including the end marker
@@ -24,31 +31,62 @@
     """Splits a stream of bytes into whole events."""
 
     def __init__(self) -> None:
-        self._incomplete_event = b""
+        # Comments before the next event, and what follows them.
+        self._comments = bytearray()
+        self._rest = bytearray()
+        # How much of the rest is known to have no end of an event.
+        self._searched = 0
 
     @property
     def within_event(self) -> bool:
         """Whether the last event was received only in part."""
-        return bool(self._incomplete_event)
+        return bool(self._rest)
+
+    def take_comments(self) -> bytes:
+        """Return the comments after the last event, which are not returned again."""
+        comments = bytes(self._comments)
+        self._comments.clear()
+        return comments
 
     def feed(self, data: bytes) -> list[StreamEvent]:
         """Return the events completed by `data`; keep the incomplete one that follows them.
 
-        Raises EventTooLongError if the incomplete event exceeds MAX_EVENT_BYTES.
+        Raises EventTooLongError if the incomplete event, or the comments before it, exceed
+        MAX_EVENT_BYTES.
 
         >>> splitter = EventSplitter()
-        >>> [event.id for event in splitter.feed(b"id: 0\\ndata: a\\n\\nid: 1\\n")]
+        >>> [event.id for event in splitter.feed(b"id: 0\\ndata: a\\n\\n:\\n\\nid: 1\\n")]
         ['0']
         >>> splitter.within_event
         True
         """
-        *whole_events, self._incomplete_event = (self._incomplete_event + data).split(EVENT_END)
-        if len(self._incomplete_event) > MAX_EVENT_BYTES:
+        self._rest += data
+        events: list[StreamEvent] = []
+        while self._move_comments():
+            end = self._rest.find(EVENT_END, self._searched)
+            if end < 0:
+                # The end of an event may have arrived in part.
+                self._searched = len(self._rest) - 1
+                break
+            event = bytes(self._rest[: end + len(EVENT_END)])
+            events.append(StreamEvent(_id_of(event), self.take_comments() + event))
+            del self._rest[: len(event)]
+            self._searched = 0
+        if max(len(self._rest), len(self._comments)) > MAX_EVENT_BYTES:
             raise EventTooLongError
-        return [StreamEvent(_id_of(event), event + EVENT_END) for event in whole_events]
+        return events
+
+    def _move_comments(self) -> bool:
+        """Move comments from the start of the rest to the others; return whether more follows."""
+        match = _COMMENTS.match(self._rest)
+        if match is not None and match.end():
+            self._comments += match.group()
+            del self._rest[: match.end()]
+            self._searched = 0
+        return bool(self._rest)
 
 
-def _id_of(event: bytes) -> str | None:
+def _id_of(event: bytes | bytearray) -> str | None:
     for line in event.split(b"\n"):
         if line.startswith(b"id:"):
             return line[3:].strip().decode("latin-1")
--- a/libs/gateway/src/headcross_gateway/relay.py
+++ b/libs/gateway/src/headcross_gateway/relay.py
@@ -17,6 +17,8 @@
 
 # Ids of other forms are forwarded without a check of their order.
 DIGITS: Final = re.compile(r"[0-9]+")
+# Bytes of events that are handled without letting other tasks run.
+STEP_BYTES: Final = 4096
 # Hop-by-hop headers, which are not forwarded (RFC 9110, section 7.6.1), and the length, which is
 # set anew for the answer to the caller.
 HOP_BY_HOP_HEADERS = frozenset(
@@ -76,6 +78,13 @@
         that was cancelled. Raises EventOutOfOrderError if events are missing, after sending those
         before the gap.
         """
+        count = await self._forward_step(data[:STEP_BYTES])
+        for begin in range(STEP_BYTES, len(data), STEP_BYTES):
+            await trio.lowlevel.checkpoint()
+            count += await self._forward_step(data[begin : begin + STEP_BYTES])
+        return count
+
+    async def _forward_step(self, data: bytes) -> int:
         new_events: list[bytes] = []
         problem: EventOutOfOrderError | None = None
         for event in self._splitter.feed(data):
@@ -100,6 +109,9 @@
             return False
         if not self.started:
             await self._start()
+        comments = self._splitter.take_comments()
+        if comments:
+            await self._exchange.send(comments)
         await self._exchange.finish()
         return True
 
--- a/libs/wire/src/headcross_wire/httpclient.py
+++ b/libs/wire/src/headcross_wire/httpclient.py
@@ -10,13 +10,14 @@
 from contextlib import suppress
 from contextvars import ContextVar
 from types import TracebackType
-from typing import Final
+from typing import Final, TypeVar
 
 import trio
 from headcross_base.addresses import Address
 from headcross_base.errorcodes import CONNECT_FAILED, LINK_LOST
 from headcross_base.errors import Failure, Ok
 
+from headcross_wire.decodepace import DecodePace
 from headcross_wire.httpcodec import (
     MAX_IDLE_PER_ADDRESS,
     RECEIVE_BYTES,
@@ -28,6 +29,8 @@
     WholeAnswer,
 )
 
+T = TypeVar("T")
+
 # SO_LINGER value: closing discards unsent data and resets the connection (socket(7)).
 RESET_ON_CLOSE: Final = struct.pack("ii", 1, 0)
 CONNECT_TIMEOUT_SECONDS: Final = 2.0
@@ -46,6 +49,7 @@
         self.idle_since = trio.current_time()
         self._stream = stream
         self._codec = ClientCodec(str(address))
+        self._pace = DecodePace()
 
     async def send(self, method: str, target: str, headers: Headers, body: bytes) -> None:
         """Write a complete request; raise LinkLostError if the connection breaks."""
@@ -57,7 +61,8 @@
 
     async def receive_answer(self) -> Answer:
         """Return status and headers; raise LinkLostError if the connection ends before them."""
-        while (answer := self._codec.next_answer()) is None:
+        await self._pace.wait()
+        while (answer := self._decode(self._codec.next_answer)) is None:
             await self._receive()
         return answer
 
@@ -67,10 +72,15 @@
         Raises LinkLostError if the body is truncated. A cancelled call has consumed nothing and
         may be repeated.
         """
-        while (piece := self._codec.next_piece()) == b"":
+        await self._pace.wait()
+        while (piece := self._decode(self._codec.next_piece)) == b"":
             await self._receive()
         return piece
 
+    def note_events(self, count: int) -> None:
+        """Record that a piece held so many events; they count towards the pace of decoding."""
+        self._pace.note(count)
+
     def reusable(self) -> bool:
         """Return whether another exchange may follow, and prepare the connection for it if so."""
         if not self._codec.reusable():
@@ -92,7 +102,15 @@
             self._stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
         await trio.aclose_forcefully(self._stream)
 
+    def _decode(self, decode: Callable[[], T]) -> T:
+        before = self._codec.decoded
+        try:
+            return decode()
+        finally:
+            self._pace.note(self._codec.decoded - before)
+
     async def _receive(self) -> None:
+        await self._pace.wait()
         try:
             self._codec.receive(await self._stream.receive_some(RECEIVE_BYTES))
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
--- a/libs/wire/src/headcross_wire/httpcodec.py
+++ b/libs/wire/src/headcross_wire/httpcodec.py
@@ -15,6 +15,10 @@
 
 RECEIVE_BYTES: Final = 64 * 1024
 MAX_IDLE_PER_ADDRESS: Final = 16  # idle connections kept per address
+# Interim answers (RFC 9110, section 15.2) before the final one; no sound server sends many.
+MAX_INTERIM_ANSWERS: Final = 16
+# Parts of a body, such as chunks, that are returned as one piece if they have arrived together.
+MAX_JOINED_PARTS: Final = 64
 BODILESS_STATUSES: Final = (204, 304)
 
 
@@ -106,13 +110,21 @@
 class ClientCodec:
     """The messages of one connection, which is used for one request at a time."""
 
+    # Number of events decoded so far.
+    decoded: int
+
     def __init__(self, host: str) -> None:
         """Start a connection; `host` is sent as the host header of requests without one."""
+        self.decoded = 0
         self._host = host
         self._connection = h11.Connection(h11.CLIENT)
+        self._interim_answers = 0
+        # An event that ended the last piece and belongs to the next one.
+        self._kept_event: object = None
 
     def encode_request(self, method: str, target: str, headers: Headers, body: bytes) -> bytes:
         """Return the bytes of a complete request."""
+        self._interim_answers = 0
         names = {name.lower() for name, _ in headers}
         extra = [] if "host" in names else [("host", self._host)]
         if body or method in ("POST", "PUT"):
@@ -132,7 +144,8 @@
     def next_answer(self) -> Answer | None:
         """Return status and headers of the answer, or None if more bytes are needed.
 
-        Raises LinkLostError if the connection ended before them, or the bytes are not HTTP.
+        Raises LinkLostError if the connection ended before them, the bytes are not HTTP, or there
+        are too many interim answers.
         """
         while True:
             event = self._next_event()
@@ -143,30 +156,57 @@
                 return Answer(event.status_code, headers)
             if not isinstance(event, h11.InformationalResponse):
                 raise LinkLostError("the link closed before an answer")
+            self._interim_answers += 1
+            if self._interim_answers > MAX_INTERIM_ANSWERS:
+                raise LinkLostError(f"over {MAX_INTERIM_ANSWERS} interim answers")
 
     def next_piece(self) -> bytes | None:
         """Return the next piece of the body, None at its end, empty bytes if more are needed.
 
-        Raises LinkLostError if the body is truncated, or the bytes are not HTTP.
+        Parts that have arrived together are one piece, up to `MAX_JOINED_PARTS`. Raises
+        LinkLostError if the body is truncated, or the bytes are not HTTP; what arrived before is
+        returned first.
         """
-        event = self._next_event()
+        event, self._kept_event = self._kept_event, None
+        if event is None:
+            event = self._next_event()
+        if isinstance(event, LinkLostError):
+            raise event
         if event is h11.NEED_DATA:
             return b""
         if isinstance(event, h11.EndOfMessage):
             return None
         if not isinstance(event, h11.Data):
             raise LinkLostError("the link closed within the answer")
-        return bytes(event.data)
+        return self._join_parts(bytes(event.data))
+
+    def _join_parts(self, first: bytes) -> bytes:
+        """Return a part of a body with those that follow it and have arrived."""
+        parts = [first]
+        while len(parts) < MAX_JOINED_PARTS:
+            try:
+                event = self._next_event()
+            except LinkLostError as error:
+                event = error
+            if event is h11.NEED_DATA:
+                break
+            if not isinstance(event, h11.Data):
+                self._kept_event = event
+                break
+            parts.append(bytes(event.data))
+        return first if len(parts) == 1 else b"".join(parts)
 
     def reusable(self) -> bool:
         """Return whether another exchange may follow, and prepare the connection for it if so."""
         states = (self._connection.our_state, self._connection.their_state)
         if states != (h11.DONE, h11.DONE) or self._connection.trailing_data[0]:
             return False
+        self._kept_event = None
         self._connection.start_next_cycle()
         return True
 
     def _next_event(self) -> object:
+        self.decoded += 1
         try:
             return self._connection.next_event()
         except h11.RemoteProtocolError as error:
--- a/tests/test_gateway_streams.py
+++ b/tests/test_gateway_streams.py
@@ -6,7 +6,7 @@
 from headcross_base.addresses import Address
 from headcross_gateway import attempts as attempts_module
 from headcross_gateway.attempts import Attempts, AttemptTimeouts
-from headcross_gateway.eventstream import EventSplitter
+from headcross_gateway.eventstream import MAX_EVENT_BYTES, EventSplitter, EventTooLongError
 from headcross_gateway.linkproofs import LinkProofs
 from headcross_gateway.outcomes import MayRun, Streamed
 from headcross_gateway.relay import EventOutOfOrderError, StreamRelay
@@ -74,6 +74,9 @@
         self._clock.jump(self._jump)
         return self._pieces.pop(0)
 
+    def note_events(self, count: int) -> None:
+        """Do nothing."""
+
     def reusable(self) -> bool:
         """Return True: the connection may be reused."""
         return True
@@ -178,3 +181,42 @@
     assert [event.id for event in events] == [str(number) for number in range(count)]
     assert b"".join(event.data for event in events) == data
     assert not splitter.within_event
+
+
+def test_comments_are_forwarded_with_the_event_that_follows_them() -> None:
+    splitter = EventSplitter()
+    assert splitter.feed(b":\n\n: a\n") == []
+    assert not splitter.within_event
+    assert [e.data for e in splitter.feed(b"\nid: 0\ndata: x\n\n:z")] == [
+        b":\n\n: a\n\nid: 0\ndata: x\n\n"
+    ]
+    assert splitter.within_event
+    assert splitter.feed(b"\n") == [] and not splitter.within_event
+    assert splitter.take_comments() == b":z\n"
+
+
+@given(
+    st.lists(st.sampled_from([b"id: 1\ndata: a\n\n", b":\n\n", b": c\n", b"\n", b"data: b\n\n"])),
+    st.data(),
+)
+def test_no_byte_of_a_stream_is_lost_however_it_is_cut(
+    parts: list[bytes], data: st.DataObject
+) -> None:
+    stream = b"".join(parts)
+    splitter = EventSplitter()
+    received = b""
+    begin = 0
+    while begin < len(stream):
+        end = data.draw(st.integers(begin + 1, len(stream)))
+        received += b"".join(event.data for event in splitter.feed(stream[begin:end]))
+        begin = end
+    assert received + splitter.take_comments() == stream
+    assert not splitter.within_event
+
+
+@pytest.mark.parametrize("piece", [b":\n\n" * 1000, b": " + b"x" * 5000 + b"\n", b"data: x\n"])
+def test_comments_and_events_without_end_are_too_long(piece: bytes) -> None:
+    splitter = EventSplitter()
+    with pytest.raises(EventTooLongError):
+        for _ in range(2 * MAX_EVENT_BYTES // len(piece)):
+            splitter.feed(piece)
