Bodies of requests and of answers fit into the memory of the process

Cause: nothing bounded what the bodies take together; a body was copied behind the head of each attempt as well.

A request reserves room before its body is read, waits 0.5 s for it, and is then refused as not run (503, no-memory); small ones find room longer. An answer is received while there is room; beyond that the largest one in reception is given up (502, answer-given-up, or another attempt), so that an endless one gives way to all others; a stream only between two events. Bodies over 64 KiB are sent without a copy.

--- a/libs/base/src/headcross_base/errorcodes.py
+++ b/libs/base/src/headcross_base/errorcodes.py
@@ -105,6 +105,12 @@
     "This process has too many connections.",
     "Callers keep more connections than limits.max_connections; add entries or raise it.",
 )
+NO_MEMORY: Final = _define(
+    "no-memory",
+    503,
+    "This process holds too many large requests.",
+    "Many callers send large bodies at once; add entries or memory, or lower the limit on bodies.",
+)
 NOT_READY: Final = _define(
     "not-ready", 503, "This process has no settled configuration yet.", "Starting; see its dump."
 )
@@ -147,6 +153,12 @@
 LINK_LOST: Final = _define(
     "link-lost", 502, "The link was lost after the hand-over.", "A host, a link or an engine died."
 )
+ANSWER_GIVEN_UP: Final = _define(
+    "answer-given-up",
+    502,
+    "The answer was too large to be received beside others.",
+    "Replicas send large answers at once, or one that does not end; see the attempts.",
+)
 UPSTREAM_ERROR: Final = _define(
     "upstream-error", 502, "The upstream broke the protocol.", "Look at the engine's own log."
 )
--- a/libs/daemon/src/headcross_daemon/gatewayrole.py
+++ b/libs/daemon/src/headcross_daemon/gatewayrole.py
@@ -30,6 +30,7 @@
 from headcross_ports.published import LoadedModel
 from headcross_renewal.mirrors import replicas_in_region_of, replicas_with_digests
 from headcross_renewal.plan import plan_of
+from headcross_wire.bodymemory import AnswerMemory, RequestMemory
 from headcross_wire.httpexchange import Exchange
 from headcross_wire.httprequest import ServerLimits
 from headcross_wire.httpserver import HttpServer
@@ -85,6 +86,10 @@
 REQUEST_LOSSES_SECONDS: Final = 6.0
 # File descriptors for everything except connections from callers and to replicas.
 RESERVED_DESCRIPTORS: Final = 300
+# Shares of the memory limit for the bodies of requests and of answers. Python and the modules need
+# up to 60 MB, and a body is copied once as it is finished.
+REQUESTS_MEMORY_SHARE: Final = 0.2
+ANSWERS_MEMORY_SHARE: Final = 0.15
 # How long connections are accepted after a stop signal. The platform checks readiness once a
 # second and needs two answers before it stops sending callers.
 ACCEPT_AFTER_STOP_SECONDS: Final = 4.0
@@ -161,7 +166,9 @@
             self._overload,
             self._containment,
             self._observe,
+            AnswerMemory(settings.limits.memory_bytes * ANSWERS_MEMORY_SHARE),
         )
+        self._request_memory = RequestMemory(settings.limits.memory_bytes * REQUESTS_MEMORY_SHARE)
         self._mirror = self._make_mirror(adapter)
         self._pages = AdminPages(self.dump, self._samples)
         self._latency = Histogram(
@@ -171,7 +178,9 @@
             buckets=LATENCY_BUCKETS_SECONDS,
             registry=self._pages.metrics.registry,
         )
-        self._server = HttpServer(self._path.handle, self._limits(), self._path.refuse)
+        self._server = HttpServer(
+            self._path.handle, self._limits(), self._path.refuse, self._request_memory
+        )
         self._readiness = Readiness(
             lambda: self._has_applied_facts,
             self._directory.has_most_reports,
@@ -496,6 +505,10 @@
             verdict, _, reason = outcome.partition(" ")
             samples[sample("requests_total", verdict=verdict, reason=reason)] = count
         samples[sample("ready")] = float(self._is_ready())
+        samples[sample("request_body_bytes")] = self._request_memory.held_bytes
+        samples[sample("requests_without_memory_total")] = self._request_memory.refused
+        samples[sample("answer_body_bytes")] = self._path.attempts.memory.held_bytes
+        samples[sample("answers_given_up_total")] = self._path.attempts.memory.given_up
         samples[sample("handler_faults_total")] = self._server.faults
         samples[sample("requests_in_flight")] = self._path.in_flight
         samples[sample("attempts_total")] = self._path.attempts.made
--- a/libs/gateway/src/headcross_gateway/admitted.py
+++ b/libs/gateway/src/headcross_gateway/admitted.py
@@ -6,6 +6,7 @@
 from headcross_base.verdicts import NotRun
 from headcross_ports.configuration import Configuration, Route, Team
 from headcross_ports.requests import RequestFacts
+from headcross_wire.bodymemory import HeldAnswer
 from headcross_wire.httpexchange import Exchange
 
 from headcross_gateway.attribution import Cause
@@ -54,6 +55,8 @@
     _shared_traits: frozenset[SharedTrait] | None = None
     # Why it is refused or withdrawn, if replicas were lost under it or under others like it.
     barring_cause: Cause | None = None
+    # The body of its last answer.
+    held_answer: HeldAnswer = field(default_factory=HeldAnswer)
 
     @property
     def group(self) -> bytes:
--- a/libs/gateway/src/headcross_gateway/eventstream.py
+++ b/libs/gateway/src/headcross_gateway/eventstream.py
@@ -42,6 +42,11 @@
         """Whether the last event was received only in part."""
         return bool(self._rest)
 
+    @property
+    def buffered_bytes(self) -> int:
+        """Bytes of the incomplete event and of the comments before it."""
+        return len(self._comments) + len(self._rest)
+
     def take_comments(self) -> bytes:
         """Return the comments after the last event, which are not returned again."""
         comments = bytes(self._comments)
--- a/libs/gateway/src/headcross_gateway/relay.py
+++ b/libs/gateway/src/headcross_gateway/relay.py
@@ -64,6 +64,11 @@
         self._answer: Answer | None = None
         self._splitter = EventSplitter()
 
+    @property
+    def buffered_bytes(self) -> int:
+        """Bytes that were received and not forwarded yet."""
+        return self._splitter.buffered_bytes
+
     def begin(self, answer: Answer, weights_version: int | None) -> None:
         """Begin forwarding the answer of an attempt; `answer` is its head."""
         self._answer = answer
--- a/libs/gateway/src/headcross_gateway/requestpath.py
+++ b/libs/gateway/src/headcross_gateway/requestpath.py
@@ -35,6 +35,7 @@
 )
 from headcross_facts.facts import Facts
 from headcross_ports.requests import HandOver, RequestDialect, RequestFacts, RequestProblem
+from headcross_wire.bodymemory import AnswerMemory
 from headcross_wire.httpexchange import CallerGone, Exchange
 from headcross_wire.httprequest import Request
 from headcross_wire.httpserver import STOPPING
@@ -96,12 +97,13 @@
         overload: Overload,
         containment: Containment,
         observe_verdict: VerdictObserver,
+        memory: AnswerMemory,
     ) -> None:
         self.counts = Counter()
         self.in_flight = 0
         self.budget = budget
         self.unbegun = UnbegunAttempts(rules)
-        self.attempts = Attempts(dialect, self.unbegun, LinkProofs(rules, dialect))
+        self.attempts = Attempts(dialect, self.unbegun, LinkProofs(rules, dialect), memory)
         self._drain_deadline: float | None = None
         self._running: set[trio.CancelScope] = set()  # one for each request being served
         self._facts = facts
@@ -148,6 +150,7 @@
         finally:
             self._running.discard(scope)
             self.in_flight -= 1
+            self.attempts.memory.release(request.held_answer)
 
     async def refuse(self, exchange: Exchange, refusal: NotRun) -> None:
         """Refuse a request that the server does not hand to `handle`."""
@@ -396,6 +399,7 @@
                 relay,
                 fresh=not request.route.repetition.may_run_again,
                 times=times,
+                held=request.held_answer,
             )
         finally:
             health.on_trial = False
--- a/libs/wire/src/headcross_wire/blockinghttp.py
+++ b/libs/wire/src/headcross_wire/blockinghttp.py
@@ -55,7 +55,8 @@
         data = bytearray()
         try:
             self._socket.settimeout(_remaining(until))
-            self._socket.sendall(self._codec.encode_request(method, target, [], body))
+            for sent in self._codec.encode_request(method, target, [], body):
+                self._socket.sendall(sent)
             while (answer := self._codec.next_answer()) is None:
                 self._receive(until)
             while (piece := self._codec.next_piece()) is not None:
--- a/libs/wire/src/headcross_wire/httpclient.py
+++ b/libs/wire/src/headcross_wire/httpclient.py
@@ -53,9 +53,11 @@
 
     async def send(self, method: str, target: str, headers: Headers, body: bytes) -> None:
         """Write a complete request; raise LinkLostError if the connection breaks."""
-        data = self._codec.encode_request(method, target, headers, body)
+        data, large_body = self._codec.encode_request(method, target, headers, body)
         try:
             await self._stream.send_all(data)
+            if large_body:
+                await self._stream.send_all(large_body)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
             raise LinkLostError(str(error)) from None
 
--- a/libs/wire/src/headcross_wire/httpcodec.py
+++ b/libs/wire/src/headcross_wire/httpcodec.py
@@ -19,6 +19,8 @@
 MAX_INTERIM_ANSWERS: Final = 16
 # Parts of a body, such as chunks, that are returned as one piece if they have arrived together.
 MAX_JOINED_PARTS: Final = 64
+# A larger body is not copied behind the head of its request.
+MAX_COPIED_BODY_BYTES: Final = 64 * 1024
 BODILESS_STATUSES: Final = (204, 304)
 
 
@@ -122,20 +124,23 @@
         # An event that ended the last piece and belongs to the next one.
         self._kept_event: object = None
 
-    def encode_request(self, method: str, target: str, headers: Headers, body: bytes) -> bytes:
-        """Return the bytes of a complete request."""
+    def encode_request(
+        self, method: str, target: str, headers: Headers, body: bytes
+    ) -> tuple[bytes, bytes]:
+        """Return the bytes of a complete request, and a large body apart from them."""
         self._interim_answers = 0
         names = {name.lower() for name, _ in headers}
         extra = [] if "host" in names else [("host", self._host)]
         if body or method in ("POST", "PUT"):
             extra.append(("content-length", str(len(body))))
         encoded = [(n.encode("latin-1"), v.encode("latin-1")) for n, v in [*extra, *headers]]
-        parts = [
-            self._connection.send(h11.Request(method=method, target=target, headers=encoded)),
-            self._connection.send(h11.Data(data=body)) if body else b"",
-            self._connection.send(h11.EndOfMessage()),
-        ]
-        return b"".join(part for part in parts if part)
+        head = self._connection.send(h11.Request(method=method, target=target, headers=encoded))
+        if body:
+            self._connection.send(h11.Data(data=body))
+        self._connection.send(h11.EndOfMessage())
+        # The body has a length, so it is sent as it is.
+        small = body if len(body) <= MAX_COPIED_BODY_BYTES else b""
+        return (head or b"") + small, body[len(small) :]
 
     def receive(self, data: bytes) -> None:
         """Add received bytes; empty bytes are the end of the connection."""
--- a/libs/wire/src/headcross_wire/httprequest.py
+++ b/libs/wire/src/headcross_wire/httprequest.py
@@ -9,16 +9,21 @@
 
 import h11
 import trio
+from headcross_base.decoding import parse_whole_number
 from headcross_base.errorcodes import (
     BAD_REQUEST,
     BODY_TOO_LARGE,
     HEADERS_TOO_LARGE,
+    NO_MEMORY,
     REQUEST_TIMEOUT,
     ErrorCode,
 )
 
+from headcross_wire.bodymemory import RequestMemory
 from headcross_wire.httpcodec import RECEIVE_BYTES, Headers
 
+# A refused caller may come back soon, since another process can serve it.
+MEMORY_RETRY_SECONDS: Final = 0.2
 MAX_HEADER_BYTES: Final = 32 * 1024
 # The status that h11 suggests if the headers exceed its limit.
 STATUS_HEADERS_TOO_LARGE: Final = 431
@@ -58,21 +63,51 @@
 
 
 class RequestRefused(Exception):
-    """A request violates the standard or a limit."""
+    """A request violates the standard or a limit, or there is no memory for it."""
 
     kind: ErrorCode
     detail: str
+    retry_after_seconds: float | None
 
-    def __init__(self, kind: ErrorCode, detail: str = "") -> None:
+    def __init__(
+        self, kind: ErrorCode, detail: str = "", retry_after_seconds: float | None = None
+    ) -> None:
         super().__init__(kind.code)
         self.kind = kind
         self.detail = detail
+        self.retry_after_seconds = retry_after_seconds
+
+
+class HeldRequest:
+    """The memory that the body of one request takes."""
+
+    def __init__(self, memory: RequestMemory | None) -> None:
+        self._memory = memory
+        self._reserved = 0
+
+    async def grow(self, size: int) -> None:
+        """Reserve memory for a body of this size; raise RequestRefused if there is none."""
+        more = size - self._reserved
+        if self._memory is None or more <= 0:
+            return
+        if not await self._memory.reserve(more):
+            raise RequestRefused(NO_MEMORY, f"{size} bytes", MEMORY_RETRY_SECONDS)
+        self._reserved += more
+
+    def release(self) -> None:
+        """Give the memory back."""
+        if self._memory is not None:
+            self._memory.release(self._reserved)
+        self._reserved = 0
 
 
 async def read_request(
-    connection: h11.Connection, stream: trio.SocketStream, limits: ServerLimits
+    connection: h11.Connection,
+    stream: trio.SocketStream,
+    limits: ServerLimits,
+    held: HeldRequest,
 ) -> Request | None:
-    """Read a request of which at least one byte has arrived.
+    """Read a request of which at least one byte has arrived; its body is accounted in `held`.
 
     Returns None if the caller ended the connection. Raises RequestRefused, or trio's errors if the
     connection breaks.
@@ -84,7 +119,8 @@
             return None
         _check_head(head, limits)
         with trio.fail_after(limits.receive_seconds):
-            body = await _read_body(connection, stream, limits.max_body_bytes)
+            await held.grow(_stated_length(head, limits))
+            body = await _read_body(connection, stream, limits.max_body_bytes, held)
     except h11.RemoteProtocolError as error:
         too_large = error.error_status_hint == STATUS_HEADERS_TOO_LARGE
         raise RequestRefused(HEADERS_TOO_LARGE if too_large else BAD_REQUEST, str(error)) from None
@@ -106,8 +142,15 @@
     await trio.sleep_forever()
 
 
+def _stated_length(head: h11.Request, limits: ServerLimits) -> int:
+    """Return the length that a request states for its body, 0 if none or too large a one."""
+    text = next((value for name, value in head.headers if name == b"content-length"), b"")
+    length = parse_whole_number(text.decode("latin-1")) or 0
+    return length if length <= limits.max_body_bytes else 0
+
+
 async def _read_body(
-    connection: h11.Connection, stream: trio.SocketStream, max_bytes: int
+    connection: h11.Connection, stream: trio.SocketStream, max_bytes: int, held: HeldRequest
 ) -> bytes | None:
     """Read a request's body; return None if the caller ended the connection within it."""
     body = bytearray()
@@ -120,6 +163,7 @@
         body += event.data
         if len(body) > max_bytes:
             raise RequestRefused(BODY_TOO_LARGE)
+        await held.grow(len(body))
 
 
 async def _read_event(connection: h11.Connection, stream: trio.SocketStream) -> object:
--- a/libs/wire/src/headcross_wire/httpserver.py
+++ b/libs/wire/src/headcross_wire/httpserver.py
@@ -24,12 +24,14 @@
 import msgspec
 import trio
 from headcross_base.addresses import Address
-from headcross_base.errorcodes import DRAINING, INTERNAL_ERROR, TOO_MANY_CONNECTIONS
+from headcross_base.errorcodes import DRAINING, INTERNAL_ERROR, NO_MEMORY, TOO_MANY_CONNECTIONS
 from headcross_base.verdicts import MAY_HAVE_RUN, VERDICT_HEADER, NotRun
 
+from headcross_wire.bodymemory import RequestMemory
 from headcross_wire.httpcodec import RECEIVE_BYTES
 from headcross_wire.httpexchange import CallerGone, Exchange, send_plain_refusal
 from headcross_wire.httprequest import (
+    HeldRequest,
     Request,
     RequestRefused,
     ServerLimits,
@@ -114,7 +116,9 @@
         handler: HttpHandler,
         limits: ServerLimits,
         send_refusal: RefusalSender = send_plain_refusal,
+        memory: RequestMemory | None = None,
     ) -> None:
+        """Serve with `handler`; the bodies of all requests together fit into `memory`."""
         self.malformed = 0
         self.faults = 0
         self.refused_connections = 0
@@ -122,6 +126,7 @@
         self.limits = limits
         self._handler = handler
         self._send_refusal = send_refusal
+        self._memory = memory
         self._connections: set[_Connection] = set()
         # Connections beyond the limit, which are being refused.
         self._excess_connections: set[_Connection] = set()
@@ -241,7 +246,10 @@
             logger.exception("connection failed")
         finally:
             connection.closing.set()
-            await _close_gracefully(connection.stream)
+            # The rest of a refused body is read, so that its caller can read the refusal.
+            in_body = connection.codec.their_state is h11.SEND_BODY
+            seconds = self.limits.receive_seconds if in_body else CLOSE_SECONDS
+            await _close_gracefully(connection.stream, seconds)
             self._connections.discard(connection)
             self._excess_connections.discard(connection)
             self._connection_closed.set()
@@ -257,14 +265,22 @@
 
     async def _serve_request(self, connection: _Connection) -> bool:
         """Serve one request; return whether the connection can be reused."""
+        held = HeldRequest(self._memory)
+        try:
+            return await self._serve_held_request(connection, held)
+        finally:
+            held.release()
+
+    async def _serve_held_request(self, connection: _Connection, held: HeldRequest) -> bool:
         arrival: _Arrival | None = None
         try:
             with trio.CancelScope() as reading:
                 connection.reading = reading
-                arrival = await self._receive(connection)
+                arrival = await self._receive(connection, held)
         except RequestRefused as error:
-            self.malformed += 1
-            await self._refuse(connection, NotRun(error.kind, error.detail))
+            self.malformed += error.kind is not NO_MEMORY
+            refusal = NotRun(error.kind, error.detail, error.retry_after_seconds)
+            await self._refuse(connection, refusal)
             return False
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             return False
@@ -329,7 +345,7 @@
             await self._handle(exchange)
             nursery.cancel_scope.cancel()
 
-    async def _receive(self, connection: _Connection) -> "_Arrival | None":
+    async def _receive(self, connection: _Connection, held: HeldRequest) -> "_Arrival | None":
         """Read the next request; return None if the caller sends none."""
         connection.is_waiting = True
         if not await self._wait_first_byte(connection):
@@ -338,7 +354,7 @@
         runs = may_run(
             trio.current_time(), self._accept_ended_at, had_request=connection.had_request
         )
-        request = await read_request(connection.codec, connection.stream, self.limits)
+        request = await read_request(connection.codec, connection.stream, self.limits, held)
         return None if request is None else _Arrival(request, runs)
 
     async def _wait_first_byte(self, connection: _Connection) -> bool:
@@ -389,10 +405,13 @@
     waiting: int = 0  # connections that were accepted as the listener was closed
 
 
-async def _close_gracefully(stream: trio.SocketStream) -> None:
-    """Close without a reset, which could discard an error answer before the caller reads it."""
+async def _close_gracefully(stream: trio.SocketStream, seconds: float) -> None:
+    """Close without a reset, which could discard an error answer before the caller reads it.
+
+    What the caller still sends is read for some seconds.
+    """
     try:
-        with trio.move_on_after(CLOSE_SECONDS):
+        with trio.move_on_after(seconds):
             await stream.send_eof()
             while await stream.receive_some(RECEIVE_BYTES):
                 pass
