No exception of a background task or a message handler ends a process

Callers saw, for each exception that nobody foresaw in any background task of a process: all requests under way lost, and again after the restart if the same input was read again.

Cause: all tasks of a process run in one nursery, and an exception in one cancels all of them. A message with an address that is none ended the process as well, as ZeroMQ refused it.

Each topic of the store, each task of the renewal, each mirrored version and each upload fails for itself; an item or a message costs itself only. A process still ends if it cannot listen. Which failures may end one is weighed in headcross_base.supervision. Counters: task_failures_total, peer_messages_failed_total.

--- a/libs/base/src/headcross_base/linelog.py
+++ b/libs/base/src/headcross_base/linelog.py
@@ -96,7 +96,7 @@
         try:
             self._buffer += self.format(record).encode() + b"\n"
             self._line_added.set()
-        except (TypeError, ValueError):
+        except Exception:  # a line that cannot be encoded must not fail the task that logs it
             self.dropped += 1
 
 
--- a/libs/daemon/src/headcross_daemon/entry.py
+++ b/libs/daemon/src/headcross_daemon/entry.py
@@ -5,10 +5,12 @@
 """
 
 import logging
+from functools import partial
 from typing import Final
 
 import trio
 from headcross_base.addresses import Address
+from headcross_base.supervision import keep_running
 from headcross_base.verdicts import Verdict, verdict_name
 from headcross_fleet.membership import StatusTable
 from headcross_rollout.turnresponder import TurnResponder
@@ -80,7 +82,9 @@
             server = HttpServer(self.handler.handle, limits, self.handler.refuse)
             http_address = await serve_http(nursery, server, settings.listen.http)
             nursery.start_soon(self.process.run)
-            nursery.start_soon(self.process.on_change, self._remove_absent)
+            nursery.start_soon(
+                keep_running, "remove absent", partial(self.process.on_change, self._remove_absent)
+            )
             _log_listening(http_address)
             await stop.wait()
             await self._drain(server)
--- a/libs/daemon/src/headcross_daemon/entrynews.py
+++ b/libs/daemon/src/headcross_daemon/entrynews.py
@@ -8,6 +8,7 @@
 
 import random
 from collections.abc import Callable
+from functools import partial
 from typing import Final
 
 import msgspec
@@ -15,6 +16,7 @@
 from headcross_base.addresses import Address
 from headcross_base.hashing import rendezvous_order
 from headcross_base.monotonic import monotonic
+from headcross_base.supervision import run_guarded
 from headcross_gateway.containment import Containment
 from headcross_gateway.directory import Directory
 from headcross_gateway.overload import Overload
@@ -92,10 +94,12 @@
         async with trio.open_nursery() as nursery:
             while True:
                 news = await self._containment.wait_pending_news()
-                nursery.start_soon(self._send, news, self._entries())
+                send = partial(self._send, news, self._entries())
+                nursery.start_soon(run_guarded, "send losses", send)
                 suspect_news = self._containment.shared.suspect_news(monotonic())
                 if suspect_news is not None:
-                    nursery.start_soon(self._send, suspect_news, self._daemons_for_losses())
+                    send = partial(self._send, suspect_news, self._daemons_for_losses())
+                    nursery.start_soon(run_guarded, "send losses", send)
                 await trio.sleep(NEWS_BATCH_SECONDS)
 
     def ask_losses(self, number: int) -> bool:
--- a/libs/daemon/src/headcross_daemon/gatewayrole.py
+++ b/libs/daemon/src/headcross_daemon/gatewayrole.py
@@ -5,6 +5,7 @@
 
 import logging
 import random
+from functools import partial
 from pathlib import Path
 from typing import TYPE_CHECKING, Final
 
@@ -13,6 +14,7 @@
 from headcross_base.addresses import Address, parse_address
 from headcross_base.clocks import now_ms
 from headcross_base.monotonic import monotonic
+from headcross_base.supervision import keep_running, run_guarded
 from headcross_facts.polling import entry_polling
 from headcross_gateway.admission import Admission
 from headcross_gateway.attribution import Standing
@@ -207,16 +209,18 @@
             nursery.start_soon(readiness.serve, readiness_listeners)
             await self._pages.serve(nursery, settings.listen.metrics)
             nursery.start_soon(self.process.run)
-            nursery.start_soon(self.process.on_change, self._apply_facts)
-            nursery.start_soon(self._subscribe)
-            nursery.start_soon(self._run_housekeeping)
-            nursery.start_soon(self._watch_overload, nursery)
-            nursery.start_soon(self._news.send_losses)
-            nursery.start_soon(self._catch_up.run)
-            nursery.start_soon(self._load_inquiry.run)
-            nursery.start_soon(self._path.unbegun.run)
+            nursery.start_soon(
+                keep_running, "apply facts", partial(self.process.on_change, self._apply_facts)
+            )
+            nursery.start_soon(keep_running, "subscribe", self._subscribe)
+            nursery.start_soon(keep_running, "housekeeping", self._run_housekeeping)
+            nursery.start_soon(keep_running, "overload", partial(self._watch_overload, nursery))
+            nursery.start_soon(keep_running, "send losses", self._news.send_losses)
+            nursery.start_soon(keep_running, "loss catch-up", self._catch_up.run)
+            nursery.start_soon(keep_running, "load inquiry", self._load_inquiry.run)
+            nursery.start_soon(keep_running, "unbegun attempts", self._path.unbegun.run)
             if self._mirror is not None:
-                nursery.start_soon(self._mirror.run)
+                nursery.start_soon(keep_running, "mirror", self._mirror.run)
             nursery.start_soon(self._server.serve, caller_listeners)
             logger.info("listening", extra={"callers": settings.listen.callers})
             await stop.wait()
@@ -309,7 +313,11 @@
         logger.info("stopping", extra={"in_flight": self._path.in_flight})
         limit = self.process.settings.bounds.stop_seconds - STOP_MARGIN_SECONDS
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._refuse_long_requests, now, limit)
+            nursery.start_soon(
+                keep_running,
+                "refuse long requests",
+                partial(self._refuse_long_requests, now, limit),
+            )
             await stop_server(
                 self._server,
                 accept_until=now + min(ACCEPT_AFTER_STOP_SECONDS, limit / 2),
@@ -484,7 +492,7 @@
             self._overload.measure(trio.current_time())
             self._containment.update()
             self._news.send_refused()
-            nursery.start_soon(self._news.send_replica_news)
+            nursery.start_soon(run_guarded, "send replica news", self._news.send_replica_news)
 
     async def _run_housekeeping(self) -> None:
         """Once a second, apply the list of replicas, repeat news and close expired connections."""
--- a/libs/daemon/src/headcross_daemon/loadinquiry.py
+++ b/libs/daemon/src/headcross_daemon/loadinquiry.py
@@ -11,12 +11,14 @@
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
 from typing import Final
 
 import trio
 from headcross_base.addresses import Address
 from headcross_base.errors import Failure
 from headcross_base.monotonic import monotonic
+from headcross_base.supervision import run_guarded
 from headcross_facts.loadevidence import LoadStatus
 from headcross_gateway.directory import Directory
 from headcross_gateway.loadnews import MAX_REPLICAS, unknown_loads
@@ -121,7 +123,8 @@
             open_load.interval = min(2 * open_load.interval, MAX_INTERVAL_SECONDS)
             asked.append(state.replica.id)
             if state.in_subset and state.reported_load() is None and not open_load.had_orders:
-                nursery.start_soon(self._ask_replica, state, open_load)
+                ask = partial(self._ask_replica, state, open_load)
+                nursery.start_soon(run_guarded, "ask replica for its load", ask)
         if asked and self._node.is_running:
             entries = self._entries()
             for address in random.sample(entries, min(ENTRIES_ASKED, len(entries))):
--- a/libs/daemon/src/headcross_daemon/machineprocess.py
+++ b/libs/daemon/src/headcross_daemon/machineprocess.py
@@ -10,6 +10,7 @@
 from headcross_base.addresses import Address, parse_address
 from headcross_base.clocks import PauseWatch
 from headcross_base.errors import Failure
+from headcross_base.supervision import keep_running, task_failures
 from headcross_facts.facts import Facts
 from headcross_facts.following import Follower
 from headcross_facts.peerfacts import PeerFacts
@@ -82,8 +83,8 @@
             # The node must run before the other tasks send messages to peers.
             await trio.lowlevel.checkpoint()
             nursery.start_soon(self.follower.run)
-            nursery.start_soon(self.peer_facts.run)
-            nursery.start_soon(self._watch_settings)
+            nursery.start_soon(keep_running, "facts of peers", self.peer_facts.run)
+            nursery.start_soon(keep_running, "settings", self._watch_settings)
 
     async def on_change(self, callback: Callable[[], None]) -> None:
         """Call `callback` now and whenever a fact changes."""
@@ -128,6 +129,7 @@
             "peer_questions": self.peer_facts.asked,
             "peer_listings": self.peer_facts.taken,
             "pauses": self.pauses.pauses,
+            "task_failures": dict(task_failures),
         }
 
     def samples(self) -> dict[tuple[str, tuple[tuple[str, str], ...]], float]:
@@ -137,8 +139,12 @@
             sample("pauses_total"): self.pauses.pauses,
             sample("peer_questions_total"): self.peer_facts.asked,
             sample("peer_sent_bytes_total"): self.node.sent_bytes,
+            sample("peer_messages_malformed_total"): self.node.malformed,
+            sample("peer_messages_failed_total"): self.node.failed,
             sample("peer_received_bytes_total"): self.node.received_bytes,
         }
+        for task, count in task_failures.items():
+            samples[sample("task_failures_total", task=task)] = count
         for topic in Topic:
             state = self.facts.topics[topic]
             samples[sample("topic_revision", topic=topic.value)] = state.revision
--- a/libs/daemon/src/headcross_daemon/machinerole.py
+++ b/libs/daemon/src/headcross_daemon/machinerole.py
@@ -7,6 +7,7 @@
 import logging
 import signal
 from collections.abc import Callable, Sequence
+from functools import partial
 from typing import Final, Protocol
 
 import trio
@@ -14,6 +15,7 @@
 from headcross_base.earlylog import EarlyLog
 from headcross_base.earlysignals import EarlySignals
 from headcross_base.linelog import LineLog, configure_line_log
+from headcross_base.supervision import keep_running
 from headcross_base.version import VERSION
 from headcross_wire.httpclient import SOURCE_IP
 from headcross_wire.listening import BindError
@@ -86,8 +88,10 @@
         "started", extra={"version": VERSION, "role": settings.role, "zone": settings.zone}
     )
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(log.run)
-        nursery.start_soon(_watch_signals, stop, role.process, early_signals)
+        nursery.start_soon(keep_running, "log", log.run)
+        nursery.start_soon(
+            keep_running, "signals", partial(_watch_signals, stop, role.process, early_signals)
+        )
         await role.run(stop)
         nursery.cancel_scope.cancel()
 
--- a/libs/daemon/src/headcross_daemon/process.py
+++ b/libs/daemon/src/headcross_daemon/process.py
@@ -8,6 +8,7 @@
 from headcross_base.addresses import Address, parse_address
 from headcross_base.clocks import PauseWatch
 from headcross_base.decisions import Journal
+from headcross_base.supervision import keep_running
 from headcross_fleet.documents import Documents
 from headcross_fleet.following import ConfigFollower
 from headcross_native.configservice import FLEET_KEY, HOSTS_KEY, ConfigService
@@ -55,11 +56,11 @@
     async def run(self) -> None:
         """Run the control channel and follow the configuration until cancelled."""
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self.pauses.run)
+            nursery.start_soon(keep_running, "pauses", self.pauses.run)
             nursery.start_soon(self.node.run)
             # The node must run before the follower sends messages to peers.
             await trio.lowlevel.checkpoint()
-            nursery.start_soon(self.follower.run)
+            nursery.start_soon(keep_running, "follower", self.follower.run)
             await self.follower.settled.wait()
             self.unhealthy_reason = ""
 
--- a/libs/daemon/src/headcross_daemon/renewalrole.py
+++ b/libs/daemon/src/headcross_daemon/renewalrole.py
@@ -8,6 +8,7 @@
 import trio
 from headcross_base.addresses import Address, parse_address
 from headcross_base.monotonic import monotonic
+from headcross_base.supervision import keep_running
 from headcross_facts.loadevidence import LoadStatus
 from headcross_facts.polling import daemon_polling
 from headcross_ports.adapter import Adapter
@@ -194,10 +195,10 @@
             await self._pages.serve(nursery, self.process.settings.listen.metrics)
             nursery.start_soon(self.process.run)
             nursery.start_soon(self._swarm.run)
-            nursery.start_soon(self._reporter.run)
-            nursery.start_soon(self._renewer.run)
-            nursery.start_soon(self._request_plan_if_empty)
-            nursery.start_soon(self._obtain_plans)
+            nursery.start_soon(keep_running, "reporter", self._reporter.run)
+            nursery.start_soon(keep_running, "renewer", self._renewer.run)
+            nursery.start_soon(keep_running, "request plan", self._request_plan_if_empty)
+            nursery.start_soon(keep_running, "obtain plans", self._obtain_plans)
             logger.info("listening", extra={"peers": self.process.settings.listen.peers})
             await stop.wait()
             logger.info("stopped", extra={"step": self._renewer.step})
--- a/libs/daemon/src/headcross_daemon/upstream.py
+++ b/libs/daemon/src/headcross_daemon/upstream.py
@@ -4,11 +4,13 @@
 """
 
 import logging
+from functools import partial
 from typing import Final
 
 import trio
 from headcross_base.addresses import parse_address
 from headcross_base.monotonic import monotonic
+from headcross_base.supervision import keep_running
 from headcross_fleet.upstreamgate import LEAVING, UpstreamGate
 from headcross_native.engine import Engine
 from headcross_native.weightsource import WeightSource
@@ -103,9 +105,15 @@
             await serve_http(nursery, admin, settings.listen.admin)
             nursery.start_soon(self.process.run)
             nursery.start_soon(self.swarm.run)
-            nursery.start_soon(self.process.on_change, self._apply_hosts)
-            nursery.start_soon(self.process.on_change, self.heartbeats.notify_change)
-            nursery.start_soon(self.heartbeats.run)
+            nursery.start_soon(
+                keep_running, "apply hosts", partial(self.process.on_change, self._apply_hosts)
+            )
+            nursery.start_soon(
+                keep_running,
+                "notify change",
+                partial(self.process.on_change, self.heartbeats.notify_change),
+            )
+            nursery.start_soon(keep_running, "heartbeats", self.heartbeats.run)
             for upstream in settings.upstreams:
                 self._start_runner(nursery, upstream, str(weights_address))
             logger.info("listening", extra={"http": str(http_address)})
@@ -148,7 +156,7 @@
         )
         runner = UpstreamRunner(gate, engine, orders, context)
         self.runners[upstream.name] = runner
-        nursery.start_soon(runner.run)
+        nursery.start_soon(keep_running, "rollout", runner.run)
 
     async def _drain(self, server: HttpServer) -> None:
         """Refuse new requests, notify the entries, then wait for running requests.
--- a/libs/facts/src/headcross_facts/facts.py
+++ b/libs/facts/src/headcross_facts/facts.py
@@ -37,6 +37,7 @@
 from headcross_facts.topicstate import TopicState
 
 FROM_STORE: Final = "store"
+MAX_LOGGED_KEY: Final = 200
 # A peer's time for a known version replaces the local one only if it is earlier by more than this;
 # smaller differences are message latency.
 NAMING_TIME_TOLERANCE_SECONDS: Final = 0.05
@@ -70,7 +71,7 @@
     versions: dict[str, list[VersionNotice]]
     topics: dict[Topic, TopicState]
     epochs: EpochTracker
-    # Number of items and listings by outcome: taken, rejected, ignored.
+    # Number of items and listings by outcome: taken, rejected, ignored, failed.
     counts: Counter[str]
 
     def __init__(self, store: PublishedStore) -> None:
@@ -186,7 +187,12 @@
 
     def _take(self, topic: Topic, new: NewItems, source: str, at_start: bool) -> None:
         for item in new.items:
-            self._take_item(topic, item, source, at_start, new.restored)
+            try:
+                self._take_item(topic, item, source, at_start, new.restored)
+            except Exception:
+                # One item must not keep the others, or later ones, from being taken.
+                self.counts["failed"] += 1
+                logger.exception("fact not taken", extra={"key": item.key[:MAX_LOGGED_KEY]})
         if new.items or at_start:
             self._changed.set()
             self._changed = trio.Event()
--- a/libs/facts/src/headcross_facts/following.py
+++ b/libs/facts/src/headcross_facts/following.py
@@ -18,6 +18,7 @@
 
 import logging
 from collections import Counter
+from functools import partial
 from typing import Final
 
 import trio
@@ -25,6 +26,7 @@
 from headcross_base.errorcodes import SOURCE_FAILED
 from headcross_base.errors import Failure, Ok
 from headcross_base.monotonic import monotonic
+from headcross_base.supervision import keep_running
 from headcross_ports.published import Changes, Listing, PublishedStore, Topic
 
 from headcross_facts.facts import FROM_STORE, Facts
@@ -75,10 +77,12 @@
         """Follow all topics of the polling settings until cancelled."""
         async with trio.open_nursery() as nursery:
             for topic in self._polling.watched:
-                nursery.start_soon(self._follow, topic)
+                follow = partial(self._follow, topic)
+                nursery.start_soon(keep_running, f"follow {topic.value}", follow)
             for topic in self._polling.listed:
-                nursery.start_soon(self._follow_by_listing, topic)
-            nursery.start_soon(self._reset_after_pauses)
+                follow = partial(self._follow_by_listing, topic)
+                nursery.start_soon(keep_running, f"follow {topic.value}", follow)
+            nursery.start_soon(keep_running, "reset after pauses", self._reset_after_pauses)
 
     def take_listing(self, topic: Topic, listing: Listing, age: float) -> None:
         """Use a listing from before `run`, `age` seconds old; the topic is then only watched."""
--- a/libs/gateway/src/headcross_gateway/unbegun.py
+++ b/libs/gateway/src/headcross_gateway/unbegun.py
@@ -17,6 +17,7 @@
 from typing import Final
 
 import trio
+from headcross_base.supervision import keep_running
 
 from headcross_gateway.replicastate import ReplicaState
 from headcross_gateway.weightsrules import WeightsRules
@@ -79,7 +80,7 @@
     async def run(self) -> None:
         """Withdraw attempts when requests may no longer begin on their version; never returns."""
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._recheck_on_news)
+            nursery.start_soon(keep_running, "recheck attempts", self._recheck_on_news)
             while True:
                 self._recheck_requested = trio.Event()
                 seconds = self._withdraw()
--- a/libs/renewal/src/headcross_renewal/mirroring.py
+++ b/libs/renewal/src/headcross_renewal/mirroring.py
@@ -13,11 +13,13 @@
 """
 
 import logging
+from functools import partial
 from typing import Final
 
 import trio
 from headcross_base.errors import Failure
 from headcross_base.monotonic import monotonic
+from headcross_base.supervision import keep_running
 from headcross_facts.facts import Facts, VersionNotice
 from headcross_fleet.fleetfile import Artifact
 from headcross_native.hostlist import HostList
@@ -102,14 +104,18 @@
         """Fetch and upload versions until cancelled."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._swarm.run)
-            while True:
-                self._swarm.update_hosts(self._hosts())
-                for goal in self._goals():
-                    if goal not in self._scopes:
-                        self._scopes[goal] = trio.CancelScope()
-                        nursery.start_soon(self._mirror, goal, self._scopes[goal])
-                self._cancel_superseded()
-                await self._facts.wait_change()
+            await keep_running("mirror versions", partial(self._mirror_versions, nursery))
+
+    async def _mirror_versions(self, nursery: trio.Nursery) -> None:
+        while True:
+            self._swarm.update_hosts(self._hosts())
+            for goal in self._goals():
+                if goal not in self._scopes:
+                    self._scopes[goal] = trio.CancelScope()
+                    mirror = partial(self._mirror, goal, self._scopes[goal])
+                    nursery.start_soon(keep_running, "mirror a version", mirror)
+            self._cancel_superseded()
+            await self._facts.wait_change()
 
     def decide_to_mirror(self) -> bool:
         """Decide whether this process mirrors; return whether it can upload its share in time.
--- a/libs/renewal/src/headcross_renewal/orders.py
+++ b/libs/renewal/src/headcross_renewal/orders.py
@@ -113,7 +113,6 @@
         """Repeat each unanswered order until no repeat can be accepted; run until cancelled."""
         while True:
             await self._order_unanswered.wait()
-            self._order_unanswered = trio.Event()
             load = self._unanswered_load
             assert load is not None
             began = monotonic()
@@ -121,6 +120,8 @@
                 await self.issue(load)
             fields = {"goal": weights_name(load.goal), "seconds": round(monotonic() - began, 3)}
             logger.info("order settled", extra=fields)
+            if self._unanswered_load is load:
+                self._order_unanswered = trio.Event()
             self._reporter.accept_requests()
 
     def accept_requests(self) -> None:
--- a/libs/renewal/src/headcross_renewal/plan.py
+++ b/libs/renewal/src/headcross_renewal/plan.py
@@ -80,7 +80,12 @@
     def origin(self) -> Address | None:
         """Return the address of the origin of weights, or None if no plan names one."""
         plan = self.newest()
-        return parse_address(plan.origin) if plan is not None and plan.origin else None
+        if plan is None or not plan.origin:
+            return None
+        try:
+            return parse_address(plan.origin)
+        except ValueError:
+            return None  # another process told it
 
     def _from_listing(self) -> WeightsPlan | None:
         configuration = self._facts.configuration
--- a/libs/renewal/src/headcross_renewal/renewer.py
+++ b/libs/renewal/src/headcross_renewal/renewer.py
@@ -15,6 +15,7 @@
 
 import trio
 from headcross_base.errors import Failure
+from headcross_base.supervision import keep_running
 from headcross_facts.facts import Facts
 from headcross_ports.published import LoadedModel
 from headcross_ports.replicas import ReplicaControl, ReplicaReport
@@ -100,10 +101,10 @@
     async def run(self) -> None:
         """Keep the replica updated until cancelled."""
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._orders.settle)
-            nursery.start_soon(self._recovery.run)
-            nursery.start_soon(self._load_verifier.run)
-            await self._renew()
+            nursery.start_soon(keep_running, "orders", self._orders.settle)
+            nursery.start_soon(keep_running, "recovery", self._recovery.run)
+            nursery.start_soon(keep_running, "load verifier", self._load_verifier.run)
+            await keep_running("renewal", self._renew)
 
     async def _renew(self) -> None:
         while True:
--- a/libs/weights/src/headcross_weights/swarm.py
+++ b/libs/weights/src/headcross_weights/swarm.py
@@ -12,6 +12,7 @@
 from headcross_base.addresses import Address
 from headcross_base.errors import Failure, Ok
 from headcross_base.hashing import rendezvous_order
+from headcross_base.supervision import keep_running
 from headcross_fleet.fleetfile import Artifact
 from headcross_native.hostlist import EMPTY_HOST_LIST, HostList
 from headcross_wire.linkrate import LinkRate
@@ -112,7 +113,7 @@
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
             nursery.start_soon(self.node.run)
-            await self._announce_chunks()
+            await keep_running("announce chunks", self._announce_chunks)
 
     def update_hosts(self, hosts: HostList) -> None:
         """Replace the known hosts and their addresses."""
--- a/libs/weights/src/headcross_weights/uploads.py
+++ b/libs/weights/src/headcross_weights/uploads.py
@@ -10,8 +10,10 @@
 """
 
 from collections import Counter
+from functools import partial
 
 import trio
+from headcross_base.supervision import run_guarded
 from headcross_wire.linkrate import LinkRate
 from headcross_wire.peermessages import AskChunk, Chunk, NoChunk
 from headcross_wire.peernode import Reply
@@ -58,7 +60,8 @@
             reply(NoChunk(self._host, request.artifact, request.index, busy=busy), None)
             return
         self._pending[lane] += 1
-        nursery.start_soon(self._send, lane, request, data, reply)
+        send = partial(self._send, lane, request, data, reply)
+        nursery.start_soon(run_guarded, "upload", send)
 
     async def _send(self, lane: str, request: AskChunk, data: bytes, reply: Reply) -> None:
         try:
--- a/libs/wire/src/headcross_wire/peernode.py
+++ b/libs/wire/src/headcross_wire/peernode.py
@@ -4,6 +4,8 @@
 handler, each with a function to reply. Messages that cannot be decoded are dropped and counted.
 """
 
+import ipaddress
+import logging
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Final
@@ -11,6 +13,7 @@
 import trio
 import zmq
 from headcross_base.addresses import Address, parse_address
+from headcross_base.supervision import keep_running
 
 from headcross_wire.httpclient import SOURCE_IP
 from headcross_wire.listening import BindError
@@ -21,6 +24,8 @@
 # A link without sends for this long is closed; the next send opens a new one.
 LINK_IDLE_SECONDS: Final = 60.0
 
+logger = logging.getLogger(__name__)
+
 # Replies with a message and an optional payload; returns False if it cannot be sent.
 Reply = Callable[[PeerMessage, bytes | None], bool]
 
@@ -51,6 +56,8 @@
 
     # Number of messages that could not be decoded.
     malformed: int
+    # Number of messages whose handling raised an unexpected exception.
+    failed: int
     # Number of messages not sent because the link was down or its queue full.
     unsent: int
 
@@ -62,6 +69,7 @@
         max_payload_bytes: int = MAX_MESSAGE_BYTES,
     ) -> None:
         self.malformed = 0
+        self.failed = 0
         self.unsent = 0
         self._handler = handler
         self._queue = queue
@@ -102,6 +110,9 @@
     def send(self, address: Address, message: PeerMessage, payload: bytes | None = None) -> bool:
         """Send to a peer; return False if the link is not connected or its queue is full."""
         link = self._links.get(address) or self._open(address)
+        if link is None:
+            self.unsent += 1
+            return False
         link.used_at = trio.current_time()
         sent = link.socket.send(_frames(message, payload))
         if not sent:
@@ -127,7 +138,7 @@
         try:
             async with trio.open_nursery() as nursery:
                 self._nursery = nursery
-                nursery.start_soon(self._close_idle_links)
+                nursery.start_soon(keep_running, "close idle links", self._close_idle_links)
                 await self._read_listener()
         finally:
             self._nursery = None
@@ -153,14 +164,26 @@
             return self.send(address, message, payload)
 
         with link.scope:
-            while True:
-                self._dispatch(await link.socket.receive(), reply)
+            try:
+                while True:
+                    self._dispatch(await link.socket.receive(), reply)
+            except zmq.ZMQError as error:
+                logger.warning("link lost", extra={"peer": str(address), "reason": str(error)})
+                self._links.pop(address, None)
         # Only reached when a single link is closed; a stopping node closes its sockets in `run`.
         self._closed_links_sent_bytes += link.socket.sent_bytes
         self._closed_links_received_bytes += link.socket.received_bytes
         link.socket.close()
 
     def _dispatch(self, frames: list[bytes], reply: Reply) -> None:
+        try:
+            self._handle(frames, reply)
+        except Exception:
+            # A message must not end the links to all peers.
+            self.failed += 1
+            logger.exception("message not handled")
+
+    def _handle(self, frames: list[bytes], reply: Reply) -> None:
         message = decode(frames[0]) if frames and len(frames[0]) <= MAX_MESSAGE_BYTES else None
         if message is None or len(frames) > 2:
             self.malformed += 1
@@ -168,17 +191,33 @@
         payload = frames[1] if len(frames) == 2 else None
         self._handler(IncomingMessage(message, payload, reply))
 
-    def _open(self, address: Address) -> _Link:
+    def _open(self, address: Address) -> _Link | None:
+        """Open a link; return None if the address, which a peer may have told, is not usable."""
         if self._nursery is None:
             raise RuntimeError("peer node is not running")
-        socket = ZmqSocket(self._context, zmq.DEALER, self._queue, self._max_bytes)
-        source = SOURCE_IP.get()
-        socket.connect(f"tcp://{source}:0;{address}" if source else address.zmq)
+        socket = self._connect(address)
+        if socket is None:
+            return None
         link = _Link(socket, trio.CancelScope(), trio.current_time())
         self._links[address] = link
         self._nursery.start_soon(self._read_link, address, link)
         return link
 
+    def _connect(self, address: Address) -> ZmqSocket | None:
+        source = SOURCE_IP.get()
+        socket: ZmqSocket | None = None
+        try:
+            # ZeroMQ would look up a name.
+            ipaddress.ip_address(address.ip)
+            socket = ZmqSocket(self._context, zmq.DEALER, self._queue, self._max_bytes)
+            socket.connect(f"tcp://{source}:0;{address}" if source else address.zmq)
+        except (ValueError, zmq.ZMQError) as error:
+            logger.warning("no link", extra={"peer": str(address)[:100], "reason": str(error)})
+            if socket is not None:
+                socket.close()
+            return None
+        return socket
+
     async def _close_idle_links(self) -> None:
         while True:
             await trio.sleep(LINK_IDLE_SECONDS / 4)
--- a/testing/machines.py
+++ b/testing/machines.py
@@ -49,6 +49,7 @@
 from testing.platformstore import FakePlatformStore
 
 ROOT: Final = Path(__file__).resolve().parent.parent
+START_PROGRAM: Final = ROOT / "deploy" / "start.py"
 VERSION_KEY: Final = f"{names.VERSION_PREFIX}{MODEL}"
 
 
@@ -104,7 +105,7 @@
     # If set, all listeners bind to addresses of this private block, and the caller of
     # `running_machines` runs proxies between them and the public addresses that clients use.
     private_block: str = ""
-    program: Path = ROOT / "deploy" / "start.py"  # run by processes that are started
+    program: Path = START_PROGRAM  # run by processes that are started
     listing_seconds: float = 0.01  # interval at which entries in the list are updated
     # From a restore of the store until replicas write again what it lost.
     rewrite_seconds: float = 0.3
@@ -463,6 +464,7 @@
     entry_memory_mb: float = 200.0,
     mirrors: bool = True,
     weights_ms: float = 8000.0,
+    program: Path = START_PROGRAM,
 ) -> AsyncIterator[Machines]:
     """Run entries and replicas that serve version 1; wait until the entries are ready.
 
@@ -474,6 +476,7 @@
         site.entry_memory_mb = entry_memory_mb
         site.mirrors = mirrors
         site.weights_ms = weights_ms
+        site.program = program
         site.origin.versions[1] = [random.randbytes(CHUNK_BYTES) for _ in range(CHUNKS)]
         if named:
             site.name_version(named)
--- a/tests/test_unforeseen_errors.py
+++ b/tests/test_unforeseen_errors.py
@@ -23,6 +23,7 @@
 from testing.machinecaller import Reply, ask
 from testing.machinelayout import KEY, MODEL_SERVICE, PLAIN_SERVICE
 from testing.machines import Machines, replicas_of, small_site
+from testing.raising import write_program
 
 FAILED = {"handler failed", "request failed"}
 PATHS = ("/once/x", "/again/x", "/stream/x", "/strict/x")
@@ -226,35 +227,6 @@
     ("headcross_gateway.requestpath", "log_attempt", True),
     ("headcross_gateway.requestpath", "end_to_end_headers", True),
 ]
-RAISE_AT_START = """
-import importlib, sys
-from pathlib import Path
-sys.path[:0] = [str(p) for p in Path({root!r}).glob("libs/*/src")] + [{root!r} + "/platform/src"]
-owner, name = {owner!r}, {name!r}
-module, _, kind = owner.rpartition(".")
-if kind[0].isupper():
-    target = getattr(importlib.import_module(module), kind)
-else:
-    target = importlib.import_module(owner)
-kept = getattr(target, name)
-def fail(*arguments, **options):
-    if Path({marker!r}).exists():
-        raise ZeroDivisionError("unforeseen")
-    return kept(*arguments, **options)
-setattr(target, name, fail)
-sys.argv = ["start.py"]
-exec(compile(Path({root!r}, "deploy/start.py").read_text(), {root!r} + "/deploy/start.py", "exec"))
-"""
-
-
-def write_program(directory: Path, owner: str, name: str, marker: Path) -> Path:
-    """Write a program that starts a process in which a step raises while a file exists."""
-    program = directory / "start.py"
-    root = str(Path(__file__).resolve().parent.parent)
-    program.write_text(
-        RAISE_AT_START.format(root=root, owner=owner, name=name, marker=str(marker))
-    )
-    return program
 
 
 @pytest.mark.parametrize(("owner", "name", "may_have_run"), STEPS, ids=lambda part: str(part))
