A caller that sends small pieces without end delays no other caller

Callers saw: answers and readiness late while others sent chunked bodies of one-byte chunks, within every limit of size: a body of 4 MiB has 4 million of them, and what has arrived was decoded without a checkpoint.

Bodies of requests are decoded at the pace that answers are (decodepace); what connections decode beyond their own rate is now 2,000 pieces a second together.

--- a/libs/wire/src/headcross_wire/decodepace.py
+++ b/libs/wire/src/headcross_wire/decodepace.py
@@ -16,7 +16,7 @@
 BURST_PIECES: Final = 256
 PIECES_PER_SECOND: Final = 200.0
 # The rate at which all connections together decode pieces beyond their own rate.
-SHARED_PIECES_PER_SECOND: Final = 4000.0
+SHARED_PIECES_PER_SECOND: Final = 2000.0
 SHARED_BURST_PIECES: Final = 100.0
 
 # One for the process, whose processor time it protects.
--- a/libs/wire/src/headcross_wire/httprequest.py
+++ b/libs/wire/src/headcross_wire/httprequest.py
@@ -20,6 +20,7 @@
 )
 
 from headcross_wire.bodymemory import RequestMemory
+from headcross_wire.decodepace import DecodePace
 from headcross_wire.httpcodec import RECEIVE_BYTES, Headers
 
 # A refused caller may come back soon, since another process can serve it.
@@ -79,9 +80,12 @@
 
 
 class HeldRequest:
-    """The memory that the body of one request takes."""
+    """What bounds one request: the memory for its body, and the pace at which it is decoded."""
 
-    def __init__(self, memory: RequestMemory | None) -> None:
+    pace: DecodePace
+
+    def __init__(self, memory: RequestMemory | None, pace: DecodePace) -> None:
+        self.pace = pace
         self._memory = memory
         self._reserved = 0
 
@@ -107,7 +111,7 @@
     limits: ServerLimits,
     held: HeldRequest,
 ) -> Request | None:
-    """Read a request of which at least one byte has arrived; its body is accounted in `held`.
+    """Read a request of which at least one byte has arrived; `held` bounds what it takes.
 
     Returns None if the caller ended the connection. Raises RequestRefused, or trio's errors if the
     connection breaks.
@@ -156,6 +160,8 @@
     body = bytearray()
     while True:
         event = await _read_event(connection, stream)
+        held.pace.note(1)
+        await held.pace.wait()
         if isinstance(event, h11.EndOfMessage):
             return bytes(body)
         if not isinstance(event, h11.Data):
--- a/libs/wire/src/headcross_wire/httpserver.py
+++ b/libs/wire/src/headcross_wire/httpserver.py
@@ -28,6 +28,7 @@
 from headcross_base.verdicts import MAY_HAVE_RUN, VERDICT_HEADER, NotRun
 
 from headcross_wire.bodymemory import RequestMemory
+from headcross_wire.decodepace import DecodePace
 from headcross_wire.httpcodec import RECEIVE_BYTES
 from headcross_wire.httpexchange import CallerGone, Exchange, send_plain_refusal
 from headcross_wire.httprequest import (
@@ -74,6 +75,7 @@
 
     stream: trio.SocketStream
     codec: h11.Connection
+    pace: DecodePace = field(default_factory=DecodePace)
     had_request: bool = False  # a request was read from it completely
     is_waiting: bool = True  # for the first byte of a request
     # Cancelled if the server stops before a request is read; None while none is read or awaited.
@@ -265,7 +267,7 @@
 
     async def _serve_request(self, connection: _Connection) -> bool:
         """Serve one request; return whether the connection can be reused."""
-        held = HeldRequest(self._memory)
+        held = HeldRequest(self._memory, connection.pace)
         try:
             return await self._serve_held_request(connection, held)
         finally:
