An entry imports the libraries of its mirror before native threads run

Daemons, which import the same libraries before, never ended so.

The program of the process hands the mirror to the role, which imports nothing.

--- a/libs/daemon/src/headcross_daemon/gatewayrole.py
+++ b/libs/daemon/src/headcross_daemon/gatewayrole.py
@@ -5,6 +5,7 @@
 
 import logging
 import random
+from collections.abc import Callable
 from functools import partial
 from pathlib import Path
 from typing import TYPE_CHECKING, Final
@@ -107,13 +108,27 @@
 
 logger = logging.getLogger(__name__)
 
+# Makes the mirror of an entry from its process, the adapter, the daemons of its subset, and the
+# daemons that may have the digests of a version.
+MakeMirror = Callable[
+    [MachineProcess, Adapter, Callable[[], list[Address]], Callable[[LoadedModel], list[Address]]],
+    "MirrorParts",
+]
+
 
 class GatewayRole:
     """Runs the process of one entry."""
 
     process: MachineProcess
 
-    def __init__(self, settings: MachineSettings, path: Path, adapter: Adapter) -> None:
+    def __init__(
+        self,
+        settings: MachineSettings,
+        path: Path,
+        adapter: Adapter,
+        make_mirror: "MakeMirror | None",
+    ) -> None:
+        """Create the parts of an entry; without `make_mirror` it mirrors no weights."""
         self.process = MachineProcess(
             settings,
             path,
@@ -171,7 +186,11 @@
             AnswerMemory(settings.limits.memory_bytes * ANSWERS_MEMORY_SHARE),
         )
         self._request_memory = RequestMemory(settings.limits.memory_bytes * REQUESTS_MEMORY_SHARE)
-        self._mirror = self._make_mirror(adapter)
+        self._mirror = (
+            make_mirror(self.process, adapter, self._daemons, self._daemons_for_digests)
+            if make_mirror is not None
+            else None
+        )
         self._pages = AdminPages(self.dump, self._samples)
         self._latency = Histogram(
             "headcross_request_seconds",
@@ -272,13 +291,6 @@
         services = configuration.services if configuration is not None else ()
         return {name: round(self._overload.reserved_share(name), 3) for name in services}
 
-    def _make_mirror(self, adapter: Adapter) -> "MirrorParts | None":
-        if not self.process.settings.listen.swarm:
-            return None
-        from headcross_daemon.mirrorparts import MirrorParts
-
-        return MirrorParts(self.process, adapter, self._daemons, self._daemons_for_digests)
-
     # Callers.
 
     async def _answer_readiness(self, exchange: Exchange) -> None:
--- a/libs/daemon/src/headcross_daemon/machinemain.py
+++ b/libs/daemon/src/headcross_daemon/machinemain.py
@@ -28,6 +28,8 @@
     from headcross_renewal.earlyrepair import EarlyRepair, EarlyResults
     from headcross_wire.addressclaim import AddressClaim
 
+    from headcross_daemon.gatewayrole import MakeMirror
+
 EXIT_SETTINGS: Final = 2
 # Maximum time for which the import of other modules waits for the first check of the staged copy.
 FIRST_CHECK_SECONDS: Final = 1.0
@@ -57,7 +59,14 @@
     if settings.role == "entry":
         from headcross_daemon.gatewayrole import GatewayRole
 
-        make_entry = partial(GatewayRole, settings, path, adapter)
+        # An entry without a mirror does not need its libraries. They are imported here because
+        # the role starts threads of native libraries, beside which nothing is imported.
+        make_mirror: MakeMirror | None = None
+        if settings.listen.swarm:
+            from headcross_daemon.mirrorparts import MirrorParts
+
+            make_mirror = MirrorParts
+        make_entry = partial(GatewayRole, settings, path, adapter, make_mirror)
         return run_role(settings, make_entry, early_log, early_signals)
     from headcross_renewal.earlyrepair import EarlyResults
 
