--- a/libs/gateway/src/headcross_gateway/eventstream.py
+++ b/libs/gateway/src/headcross_gateway/eventstream.py
@@ -65,6 +65,8 @@
         >>> splitter.within_event
         True
         """
+        if self._is_one_event(data):
+            return [StreamEvent(_id_of(data), data)]
         self._rest += data
         events: list[StreamEvent] = []
         while self._move_comments():
@@ -81,6 +83,15 @@
             raise EventTooLongError
         return events
 
+    def _is_one_event(self, data: bytes) -> bool:
+        """Return whether there is exactly one event and nothing else, as there usually is."""
+        return (
+            not self._rest
+            and not self._comments
+            and not data.startswith((b":", b"\n"))
+            and 0 < data.find(EVENT_END) == len(data) - len(EVENT_END)
+        )
+
     def _move_comments(self) -> bool:
         """Move comments from the start of the rest to the others; return whether more follows."""
         match = _COMMENTS.match(self._rest)
@@ -91,7 +102,7 @@
         return bool(self._rest)
 
 
-def _id_of(event: bytes | bytearray) -> str | None:
+def _id_of(event: bytes) -> str | None:
     for line in event.split(b"\n"):
         if line.startswith(b"id:"):
             return line[3:].strip().decode("latin-1")
--- a/libs/wire/src/headcross_wire/httpcodec.py
+++ b/libs/wire/src/headcross_wire/httpcodec.py
@@ -123,6 +123,8 @@
         self._interim_answers = 0
         # An event that ended the last piece and belongs to the next one.
         self._kept_event: object = None
+        # Whether nothing can be decoded before more is received.
+        self._needs_data = False
 
     def encode_request(
         self, method: str, target: str, headers: Headers, body: bytes
@@ -144,6 +146,7 @@
 
     def receive(self, data: bytes) -> None:
         """Add received bytes; empty bytes are the end of the connection."""
+        self._needs_data = False
         self._connection.receive_data(data)
 
     def next_answer(self) -> Answer | None:
@@ -172,6 +175,8 @@
         LinkLostError if the body is truncated, or the bytes are not HTTP; what arrived before is
         returned first.
         """
+        if self._needs_data:
+            return b""
         event, self._kept_event = self._kept_event, None
         if event is None:
             event = self._next_event()
@@ -194,6 +199,7 @@
             except LinkLostError as error:
                 event = error
             if event is h11.NEED_DATA:
+                self._needs_data = True
                 break
             if not isinstance(event, h11.Data):
                 self._kept_event = event
