--- a/libs/gateway/src/headcross_gateway/requestpath.py
+++ b/libs/gateway/src/headcross_gateway/requestpath.py
@@ -132,15 +132,19 @@
         self.in_flight += 1
         scope = trio.CancelScope(deadline=request.deadline)
         self._running.add(scope)
+        has_verdict = False
         try:
             with scope:
                 verdict = await self._serve(request)
             if scope.cancelled_caught:
                 verdict = _deadline_verdict(request)
+            has_verdict = True
             await self._conclude(request, verdict)
         except trio.Cancelled:
-            self.counts["caller-gone"] += 1
-            log_caller_gone(request)
+            # Breaking off an answer closes the connection, which also cancels this task.
+            if not has_verdict:
+                self.counts["caller-gone"] += 1
+                log_caller_gone(request)
             raise
         except CallerGone:
             raise
--- a/tests/test_machine_attempts.py
+++ b/tests/test_machine_attempts.py
@@ -351,3 +351,20 @@
         assert reply.status == 503
         assert float(reply.headers[names.RETRY_AFTER]) > 0
         assert reply.headers["headcross-verdict"] == "not-run"
+
+
+@pytest.mark.parametrize("fault", [Fault.STALL, Fault.CUT_AFTER_EVENT])
+async def test_a_stream_that_is_broken_off_ends_with_one_line_and_one_count(
+    tmp_path: Path, fault: Fault
+) -> None:
+    async with small_site(tmp_path, models=1) as site:
+        replica = replicas_of(site, MODEL_SERVICE)[0]
+        replica.faults.append(fault)
+        reply = await ask(site.callers("entry0"), "/strict/x", deadline_ms=3000)
+        assert reply.status == 200 and not reply.whole
+        await trio.sleep(0.3)  # until the log is written
+        ends = ("completed", "refused", "caller gone")
+        lines = [line for line in site.log("entry0") if line.get("request") == reply.id]
+        assert [line["message"] for line in lines if line["message"] in ends] == ["refused"]
+        counts = (await site.state("entry0"))["requests"]
+        assert counts == {"may-have-run stream-broken": 1}
