Both programs read their settings file by one function

The same steps stood twice: read, decode TOML, convert, and name the field. A file that is no TOML is now reported with 'file:' by both, and one that cannot be read by the system's message alone. No other behaviour changes.

--- a/libs/daemon/src/headcross_daemon/gatewayrole.py
+++ b/libs/daemon/src/headcross_daemon/gatewayrole.py
@@ -89,8 +89,8 @@
 REQUEST_LOSSES_SECONDS: Final = 6.0
 # File descriptors for everything except connections from callers and to replicas.
 RESERVED_DESCRIPTORS: Final = 300
-# Shares of the memory limit for the bodies of requests and of answers. The interpreter, the modules
-# and the connections need the rest, and a body is copied once as it is finished.
+# Shares of the memory limit for the bodies of requests and of answers. The rest is needed by the
+# interpreter, the modules and the connections, and by a body that is copied as it is finished.
 REQUESTS_MEMORY_SHARE: Final = 0.2
 ANSWERS_MEMORY_SHARE: Final = 0.15
 # How long connections are accepted after a stop signal. The platform checks readiness once a
--- a/libs/daemon/src/headcross_daemon/machinesettings.py
+++ b/libs/daemon/src/headcross_daemon/machinesettings.py
@@ -9,11 +9,12 @@
 
 import msgspec
 from headcross_base.addresses import Address, parse_address
-from headcross_base.decoding import decode_toml
 from headcross_base.errorcodes import SETTINGS_INVALID
 from headcross_base.errors import Failure, Ok
 from headcross_base.units import BITS_PER_BYTE, MEGABYTE
 
+from headcross_daemon.settingsfile import read_settings_file
+
 if TYPE_CHECKING:
     from headcross_facts.bounds import FactBounds
 
@@ -135,7 +136,6 @@
         return None if self.replica is None else parse_address(self.replica.address)
 
 
-MAX_SETTINGS_BYTES: Final = 1024 * 1024
 REQUIRED_ADDRESSES: Final = {
     "entry": ("listen.callers", "listen.readiness"),
     "upstream": ("listen.swarm", "replica.address"),
@@ -144,21 +144,11 @@
 
 def read_machine_settings(path: Path) -> Ok[MachineSettings] | Failure:
     """Read and validate a settings file; a failure's detail gives file, field and reason."""
-    try:
-        raw = decode_toml(path.read_bytes(), MAX_SETTINGS_BYTES)
-    except OSError as error:
-        return Failure(SETTINGS_INVALID, f"{path}: {error}")
-    if isinstance(raw, Failure):
-        return Failure(SETTINGS_INVALID, f"{path}: {raw.detail}")
-    try:
-        settings = msgspec.convert(raw.value, MachineSettings)
-    except msgspec.ValidationError as error:
-        reason, _, field = str(error).partition(" - at `$.")
-        return Failure(SETTINGS_INVALID, f"{path}: {field.rstrip('`') or 'file'}: {reason}")
-    problem = _find_problem(settings)
-    if problem:
-        return Failure(SETTINGS_INVALID, f"{path}: {problem}")
-    return Ok(settings)
+    settings = read_settings_file(path, MachineSettings)
+    if isinstance(settings, Failure):
+        return settings
+    problem = _find_problem(settings.value)
+    return Failure(SETTINGS_INVALID, f"{path}: {problem}") if problem else settings
 
 
 def _find_problem(settings: MachineSettings) -> str:
--- a/libs/daemon/src/headcross_daemon/settings.py
+++ b/libs/daemon/src/headcross_daemon/settings.py
@@ -6,17 +6,18 @@
 
 import ipaddress
 from pathlib import Path
-from typing import Annotated, Final
+from typing import Annotated
 
 import msgspec
 from headcross_base.addresses import parse_address
-from headcross_base.decoding import decode_toml
 from headcross_base.errorcodes import SETTINGS_INVALID
 from headcross_base.errors import Failure, Ok
 from headcross_base.logs import LEVELS
 from headcross_base.units import GIB, MIB
 from headcross_native.hostlist import Role, UpstreamKind
 
+from headcross_daemon.settingsfile import read_settings_file
+
 Positive = Annotated[int, msgspec.Meta(ge=1)]
 Rate = Annotated[float, msgspec.Meta(ge=0)]
 Seconds = Annotated[float, msgspec.Meta(ge=0, le=86_400)]
@@ -111,24 +112,13 @@
     stop: Stop = Stop()
 
 
-MAX_SETTINGS_BYTES: Final = 1024 * 1024
-
-
 def read_settings(path: Path) -> Ok[Settings] | Failure:
     """Read and validate a settings file; a failure names file, field and reason."""
-    try:
-        raw = decode_toml(path.read_bytes(), MAX_SETTINGS_BYTES)
-    except OSError as error:
-        return Failure(SETTINGS_INVALID, f"{path}: {error.strerror}")
-    if isinstance(raw, Failure):
-        return Failure(SETTINGS_INVALID, f"{path}: file: {raw.detail}")
-    try:
-        settings = msgspec.convert(raw.value, Settings)
-    except msgspec.ValidationError as error:
-        reason, _, field = str(error).partition(" - at `$.")
-        return Failure(SETTINGS_INVALID, f"{path}: {field.rstrip('`') or 'file'}: {reason}")
-    problem = _find_problem(settings)
-    return Ok(settings) if problem is None else Failure(SETTINGS_INVALID, f"{path}: {problem}")
+    settings = read_settings_file(path, Settings)
+    if isinstance(settings, Failure):
+        return settings
+    problem = _find_problem(settings.value)
+    return settings if problem is None else Failure(SETTINGS_INVALID, f"{path}: {problem}")
 
 
 def _find_problem(settings: Settings) -> str | None:
