A body that the configuration allows finds room if there is no other

A configuration that allows bodies of more than 0.16 of the memory limit would have had each of them refused, however idle the entry. Rule tests of the memory for bodies: the five pass, the one for this fails without the change (by reading: it waits 0.5 s and is refused).

--- a/libs/wire/src/headcross_wire/bodymemory.py
+++ b/libs/wire/src/headcross_wire/bodymemory.py
@@ -38,7 +38,8 @@
         """Reserve room for a body or a part of one; return False if there is none in time."""
         limit = self._limit_bytes * (1.0 if count <= SMALL_BODY_BYTES else LARGE_BODIES_SHARE)
         with trio.move_on_after(ROOM_SECONDS):
-            while self.held_bytes + count > limit:
+            # One body alone finds room, however large the configuration allows it to be.
+            while self.held_bytes and self.held_bytes + count > limit:
                 await self._released.wait()
             self.held_bytes += count
             return True
