Daemons that hold a newer version are asked for the digests of an older one again

A daemon that serves a newer version often has the older one's digests, and asking one that has not costs a step of time, not the transfer.

--- a/libs/renewal/src/headcross_renewal/mirrors.py
+++ b/libs/renewal/src/headcross_renewal/mirrors.py
@@ -124,4 +124,4 @@
     not have them, and asking it delays other added replicas by 0.35 s.
     """
     all_replicas = list(replicas)
-    return [replica for replica in all_replicas if holds_exactly(replica, goal)] or all_replicas
+    return [replica for replica in all_replicas if has_loaded(replica, goal)] or all_replicas
